Add the design, the build and the shared interfaces

Cause: the repository was empty. Change: docs/design.md, the Maven build with formatter, linter and shaded jar, state charts read from files, the configuration model and the interfaces between the modules. Before: nothing. Conclusion: modules can be built in parallel against these interfaces.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Administration API, health checks and metrics. */
+package org.ragwortpick.admin;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the program. */
+package org.ragwortpick.cli;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/common/StateChart.java
@@ -0,0 +1,110 @@
+package org.ragwortpick.common;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * State chart read from a JSON resource under {@code /statecharts}.
+ *
+ * <p>The file lists the states, the initial state and the transitions; an event without a
+ * transition from the current state is refused.
+ */
+public final class StateChart {
+
+  private static final String RESOURCE_PREFIX = "/statecharts/";
+
+  private final String name;
+  private final String initialState;
+  private final Map<Key, String> targets;
+
+  private StateChart(String name, Definition definition) {
+    this.name = name;
+    this.initialState = definition.initial();
+    this.targets = index(name, definition);
+  }
+
+  /**
+   * Loads a state chart from the class path.
+   *
+   * @param fileName file name below {@code /statecharts}, such as {@code vm.json}
+   * @return the state chart
+   * @throws IllegalArgumentException if the file is missing or names an undeclared state
+   * @throws UncheckedIOException if the file cannot be read
+   */
+  public static StateChart load(String fileName) {
+    try (InputStream in = StateChart.class.getResourceAsStream(RESOURCE_PREFIX + fileName)) {
+      if (in == null) {
+        throw new IllegalArgumentException(
+            "state chart " + fileName + " is missing; add it under " + RESOURCE_PREFIX);
+      }
+      return new StateChart(fileName, Json.FILES.readValue(in, Definition.class));
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot read state chart " + fileName, e);
+    }
+  }
+
+  private static Map<Key, String> index(String name, Definition definition) {
+    Set<String> states = Set.copyOf(definition.states());
+    Map<Key, String> targets = new HashMap<>();
+    for (Transition transition : definition.transitions()) {
+      for (String from : transition.from()) {
+        requireDeclared(name, states, from);
+        requireDeclared(name, states, transition.to());
+        targets.put(new Key(from, transition.event()), transition.to());
+      }
+    }
+    requireDeclared(name, states, definition.initial());
+    return Map.copyOf(targets);
+  }
+
+  private static void requireDeclared(String name, Set<String> states, String state) {
+    if (!states.contains(state)) {
+      throw new IllegalArgumentException(
+          "state chart " + name + " uses the undeclared state " + state + "; add it to states");
+    }
+  }
+
+  /**
+   * Returns the state in which the chart starts.
+   *
+   * @return the initial state
+   */
+  public String initialState() {
+    return initialState;
+  }
+
+  /**
+   * Finds the state that follows an event.
+   *
+   * @param state current state
+   * @param event event to handle
+   * @return the next state, or empty if the event is not allowed in the current state
+   */
+  public Optional<String> next(String state, String event) {
+    return Optional.ofNullable(targets.get(new Key(state, event)));
+  }
+
+  @Override
+  public String toString() {
+    return "StateChart(" + name + ")";
+  }
+
+  private record Key(String state, String event) {}
+
+  private record Definition(
+      @JsonProperty(required = true) List<String> states,
+      @JsonProperty(required = true) String initial,
+      @JsonProperty(required = true) List<Transition> transitions) {}
+
+  private record Transition(
+      @JsonProperty(required = true) List<String> from,
+      @JsonProperty(required = true) String event,
+      @JsonProperty(required = true) String to) {}
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/config/Configuration.java
@@ -0,0 +1,128 @@
+package org.ragwortpick.config;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Inventory and rules at one revision, indexed by name. */
+public final class Configuration {
+
+  /** Configuration of a system to which none was proposed yet. */
+  public static final Configuration EMPTY = new Configuration(0, Inventory.EMPTY, Rules.EMPTY);
+
+  private final long revision;
+  private final Inventory inventory;
+  private final Rules rules;
+  private final Map<String, Service> services;
+  private final Map<String, Pipeline> pipelines;
+  private final Map<String, Workspace> workspaces;
+
+  /**
+   * Creates a configuration.
+   *
+   * @param revision revision, increasing by one with each accepted change
+   * @param inventory inventory whose names are unique
+   * @param rules rules
+   */
+  public Configuration(long revision, Inventory inventory, Rules rules) {
+    this.revision = revision;
+    this.inventory = inventory;
+    this.rules = rules;
+    this.services = index(inventory.services(), Service::name);
+    this.pipelines = index(inventory.pipelines(), Pipeline::name);
+    this.workspaces = index(inventory.workspaces(), Workspace::name);
+  }
+
+  private static <T> Map<String, T> index(
+      java.util.List<T> values, Function<? super T, String> name) {
+    return values.stream().collect(Collectors.toUnmodifiableMap(name, Function.identity()));
+  }
+
+  /**
+   * Returns the revision.
+   *
+   * @return revision; 0 before the first change
+   */
+  public long revision() {
+    return revision;
+  }
+
+  /**
+   * Returns the inventory.
+   *
+   * @return the inventory
+   */
+  public Inventory inventory() {
+    return inventory;
+  }
+
+  /**
+   * Returns the rules.
+   *
+   * @return the rules
+   */
+  public Rules rules() {
+    return rules;
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name name of the service
+   * @return the service, or empty if the inventory does not list it
+   */
+  public Optional<Service> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Finds a pipeline.
+   *
+   * @param name name of the pipeline
+   * @return the pipeline, or empty if the inventory does not list it
+   */
+  public Optional<Pipeline> pipeline(String name) {
+    return Optional.ofNullable(pipelines.get(name));
+  }
+
+  /**
+   * Finds a workspace.
+   *
+   * @param name name of the workspace
+   * @return the workspace, or empty if the inventory does not list it
+   */
+  public Optional<Workspace> workspace(String name) {
+    return Optional.ofNullable(workspaces.get(name));
+  }
+
+  /**
+   * Returns the state of a data centre.
+   *
+   * @param dataCentre name of the data centre
+   * @return its state
+   */
+  public DataCentreState stateOf(String dataCentre) {
+    return rules.dataCentres().getOrDefault(dataCentre, DataCentreState.IN);
+  }
+
+  /**
+   * Tells whether a data centre may receive new work.
+   *
+   * @param dataCentre name of the data centre
+   * @return false if operators have taken it out
+   */
+  public boolean takesWork(String dataCentre) {
+    return stateOf(dataCentre) != DataCentreState.OUT;
+  }
+
+  /**
+   * Tells whether the calls of a service must not be repeated.
+   *
+   * @param service name of the service
+   * @return true if the service is non-idempotent
+   */
+  public boolean isNonIdempotent(String service) {
+    return rules.neverTwice().contains(service);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
@@ -0,0 +1,117 @@
+package org.ragwortpick.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.ragwortpick.common.Json;
+
+/**
+ * Conversion of a configuration into documents by key and back.
+ *
+ * <p>A change touches few documents, so replicas and VMs exchange the changed documents only.
+ */
+public final class ConfigurationDocuments {
+
+  private static final String REGION_KEY = "region";
+  private static final String RULES_KEY = "rules";
+  private static final String SERVICE_PREFIX = "service/";
+  private static final String PIPELINE_PREFIX = "pipeline/";
+  private static final String WORKSPACE_PREFIX = "workspace/";
+  private static final String DATA_CENTRE_PREFIX = "dataCentre/";
+
+  private ConfigurationDocuments() {}
+
+  /**
+   * Converts a configuration into documents.
+   *
+   * @param configuration the configuration
+   * @return JSON texts by document key
+   */
+  public static SortedMap<String, String> toDocuments(Configuration configuration) {
+    SortedMap<String, String> documents = new TreeMap<>();
+    Inventory inventory = configuration.inventory();
+    Rules rules = configuration.rules();
+    documents.put(REGION_KEY, write(new Region(inventory.region(), inventory.dataCentres())));
+    documents.put(
+        RULES_KEY,
+        write(
+            new Rules(
+                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), null)));
+    inventory.services().forEach(s -> documents.put(SERVICE_PREFIX + s.name(), write(s)));
+    inventory.pipelines().forEach(p -> documents.put(PIPELINE_PREFIX + p.name(), write(p)));
+    inventory.workspaces().forEach(w -> documents.put(WORKSPACE_PREFIX + w.name(), write(w)));
+    rules
+        .dataCentres()
+        .forEach((dc, state) -> documents.put(DATA_CENTRE_PREFIX + dc, write(state)));
+    return documents;
+  }
+
+  /**
+   * Converts documents into a configuration.
+   *
+   * @param revision revision of the configuration
+   * @param documents JSON texts by document key
+   * @return the configuration
+   * @throws IllegalArgumentException if a document cannot be parsed
+   */
+  public static Configuration fromDocuments(long revision, SortedMap<String, String> documents) {
+    Region region = read(documents.getOrDefault(REGION_KEY, "{}"), Region.class);
+    Rules rules = read(documents.getOrDefault(RULES_KEY, "{}"), Rules.class);
+    Inventory inventory =
+        new Inventory(
+            region.region(),
+            region.dataCentres(),
+            readAll(documents, SERVICE_PREFIX, Service.class),
+            readAll(documents, PIPELINE_PREFIX, Pipeline.class),
+            readAll(documents, WORKSPACE_PREFIX, Workspace.class));
+    Map<String, DataCentreState> states = new HashMap<>();
+    withPrefix(documents, DATA_CENTRE_PREFIX)
+        .forEach(
+            (key, text) ->
+                states.put(
+                    key.substring(DATA_CENTRE_PREFIX.length()), read(text, DataCentreState.class)));
+    return new Configuration(
+        revision,
+        inventory,
+        new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states));
+  }
+
+  private static SortedMap<String, String> withPrefix(
+      SortedMap<String, String> documents, String prefix) {
+    return documents.subMap(prefix, prefix + Character.MAX_VALUE);
+  }
+
+  private static <T> List<T> readAll(
+      SortedMap<String, String> documents, String prefix, Class<T> type) {
+    List<T> values = new ArrayList<>();
+    withPrefix(documents, prefix).values().forEach(text -> values.add(read(text, type)));
+    return values;
+  }
+
+  private static String write(Object value) {
+    try {
+      return Json.MESSAGES.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot encode " + value, e);
+    }
+  }
+
+  private static <T> T read(String text, Class<T> type) {
+    try {
+      return Json.MESSAGES.readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot decode document " + text, e);
+    }
+  }
+
+  private record Region(String region, List<String> dataCentres) {
+    private Region {
+      region = region == null ? "" : region;
+      dataCentres = dataCentres == null ? List.of() : List.copyOf(dataCentres);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/config/Pipeline.java
@@ -0,0 +1,18 @@
+package org.ragwortpick.config;
+
+import java.util.List;
+
+/**
+ * Sequence of stages under one deadline.
+ *
+ * @param name unique name
+ * @param deadlineMs deadline in milliseconds for a request that states none
+ * @param stages stages in order of execution
+ */
+public record Pipeline(String name, long deadlineMs, List<Stage> stages) {
+
+  /** Replaces an absent list of stages by an empty one. */
+  public Pipeline {
+    stages = stages == null ? List.of() : List.copyOf(stages);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/config/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable model of the inventory and the rules. */
+package org.ragwortpick.config;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusError.java
@@ -0,0 +1,48 @@
+package org.ragwortpick.consensus;
+
+import java.util.Optional;
+
+/** Reason for which a proposal was not applied by the local replica. */
+public sealed interface ConsensusError {
+
+  /**
+   * Message for operators that names the remedy.
+   *
+   * @return the message
+   */
+  String message();
+
+  /**
+   * The local replica does not lead; the command was not appended.
+   *
+   * @param leaderVm name of the VM that leads, if known
+   */
+  record NotLeader(Optional<String> leaderVm) implements ConsensusError {
+    @Override
+    public String message() {
+      return leaderVm
+          .map(vm -> "this VM is not the leader; send the request to " + vm)
+          .orElse("no leader is known; retry in a second");
+    }
+  }
+
+  /** Leadership was lost after the command was appended; it may or may not be applied later. */
+  record OutcomeUnknown() implements ConsensusError {
+    @Override
+    public String message() {
+      return "leadership was lost before the commit; resend under the same request id";
+    }
+  }
+
+  /**
+   * The replica refuses work because its disk failed; the command was not appended.
+   *
+   * @param detail what failed
+   */
+  record StorageFailed(String detail) implements ConsensusError {
+    @Override
+    public String message() {
+      return "the data folder cannot be written (" + detail + "); free space or replace the disk";
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated log: election, durable log, snapshots and membership changes. */
+package org.ragwortpick.consensus;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated state machine of the control VMs. */
+package org.ragwortpick.control;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/error/package-info.java
@@ -0,0 +1,2 @@
+/** Typed errors whose messages name the remedy. */
+package org.ragwortpick.error;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionRecord.java
@@ -0,0 +1,25 @@
+package org.ragwortpick.ledger;
+
+/**
+ * Execution record of one non-idempotent call.
+ *
+ * @param key identity of the call
+ * @param state state of the record
+ * @param service service that runs the call
+ * @param bodyDigest hexadecimal digest of the request body
+ * @param holderVm VM whose attempt holds or held the right to dispatch
+ * @param attemptId identity of that attempt, unique over all VMs and restarts
+ * @param status HTTP status of the answer; 0 unless the state is DONE
+ * @param answer body of the answer; empty unless the state is DONE
+ * @param updatedAtMs time of the last change in milliseconds since 1970 by the clock of the leader
+ */
+public record ExecutionRecord(
+    ExecutionKey key,
+    ExecutionState state,
+    String service,
+    String bodyDigest,
+    String holderVm,
+    String attemptId,
+    int status,
+    String answer,
+    long updatedAtMs) {}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Log output as JSON lines. */
+package org.ragwortpick.logging;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Channels to the other VMs of the system. */
+package org.ragwortpick.peer;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/AttemptResult.java
@@ -0,0 +1,15 @@
+package org.ragwortpick.policy;
+
+/** How an attempt at an upstream ended. */
+public enum AttemptResult {
+  /** The whole answer arrived. */
+  SUCCESS,
+  /** The upstream refused the request because it is overloaded or cold. */
+  REFUSED,
+  /** The upstream failed or the connection broke. */
+  FAILED,
+  /** No byte arrived within the progress timeout. */
+  TIMED_OUT,
+  /** The attempt was cancelled because another one won. */
+  CANCELLED
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/Candidate.java
@@ -0,0 +1,12 @@
+package org.ragwortpick.policy;
+
+import org.ragwortpick.sync.Upstream;
+
+/**
+ * Upstream that may be selected, with what the local VM knows about it.
+ *
+ * @param upstream the upstream with its last reported load
+ * @param inFlight requests of the local VM in flight there
+ * @param sentSinceReport requests that the local VM sent there since the last load report
+ */
+public record Candidate(Upstream upstream, int inFlight, int sentSinceReport) {}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/UpstreamSelector.java
@@ -0,0 +1,17 @@
+package org.ragwortpick.policy;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Selects the upstream that runs a stage. */
+public interface UpstreamSelector {
+
+  /**
+   * Selects an upstream.
+   *
+   * @param request what is known about the stage
+   * @param candidates upstreams that may receive new work
+   * @return the selected candidate, or empty if none is suitable
+   */
+  Optional<Candidate> select(SelectionRequest request, List<Candidate> candidates);
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/Upstream.java
@@ -0,0 +1,46 @@
+package org.ragwortpick.sync;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+
+/**
+ * Record of an upstream, as it announced itself.
+ *
+ * @param id unique identity
+ * @param incarnation number that grows with each start of the upstream
+ * @param sequence number that grows with each announcement of an incarnation
+ * @param address HTTP address
+ * @param dataCentre data centre in which it runs
+ * @param service service to which it belongs
+ * @param model loaded model; empty for a plain service
+ * @param version loaded version
+ * @param adapters loaded adapters
+ * @param state state
+ * @param slots requests that it runs at once when warm
+ * @param coldLimit requests that it bears at once in cold start
+ * @param load requests that it ran at the time of the announcement
+ * @param checksFencing whether it refuses orders with an old fencing number; false if unknown
+ */
+public record Upstream(
+    String id,
+    long incarnation,
+    long sequence,
+    HostPort address,
+    String dataCentre,
+    String service,
+    String model,
+    String version,
+    List<String> adapters,
+    UpstreamState state,
+    int slots,
+    int coldLimit,
+    int load,
+    boolean checksFencing) {
+
+  /** Replaces absent lists and texts by empty ones. */
+  public Upstream {
+    model = model == null ? "" : model;
+    version = version == null ? "" : version;
+    adapters = adapters == null ? List.of() : List.copyOf(adapters);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/tracing/package-info.java
@@ -0,0 +1,2 @@
+/** Spans and propagation of the trace context. */
+package org.ragwortpick.tracing;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/package-info.java
@@ -0,0 +1,2 @@
+/** Wiring and life cycle of one process. */
+package org.ragwortpick.vm;
