Add settings, log output and the command line of operators

Cause: a process needs checked settings, JSON-line logs and a command line before its parts can be wired. Change: settings reader that reports every fault with file, key, value and remedy; sub-commands by args4j with help and documented exit codes; JSON-line logs. Found on the way: placeholders of two faulty addresses were reported as a third fault; checks across keys now run only when each key is valid, and a test covers it.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/cli/ConfigurationCommand.java
@@ -0,0 +1,18 @@
+package org.ragwortpick.cli;
+
+import java.io.PrintStream;
+import java.util.Map;
+
+/** Shows the configuration in force. */
+public final class ConfigurationCommand extends AdminCommand {
+
+  /** Creates the command. */
+  public ConfigurationCommand() {
+    super("show the inventory and the rules with their revision");
+  }
+
+  @Override
+  protected int call(OperatorClient client, PrintStream out, PrintStream err) {
+    return report(client.get("/admin/v1/configuration", Map.of()), out, err);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/cli/ExitCode.java
@@ -0,0 +1,25 @@
+package org.ragwortpick.cli;
+
+/** Exit codes of the program. */
+public final class ExitCode {
+
+  /** The command did what it was asked to do. */
+  public static final int OK = 0;
+
+  /** The system refused the request or reported a failure. */
+  public static final int REFUSED = 1;
+
+  /** The command line is wrong. */
+  public static final int USAGE = 2;
+
+  /** A settings, inventory, rules or stand-in file is wrong. */
+  public static final int INVALID_FILE = 3;
+
+  /** No process answered at the given address. */
+  public static final int UNREACHABLE = 4;
+
+  /** The process failed to start or stopped because of an internal error. */
+  public static final int INTERNAL = 70;
+
+  private ExitCode() {}
+}
--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -1,16 +1,89 @@
 package org.ragwortpick.cli;
 
+import java.io.PrintStream;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import org.ragwortpick.logging.LoggingSetup;
+
 /** Entry point of the program. */
 public final class Main {
 
+  private static final int USAGE_WIDTH = 100;
+
+  @Option(name = "--help", aliases = "-h", help = true, usage = "show this help and exit")
+  private boolean help;
+
+  @Argument(
+      handler = SubCommandHandler.class,
+      required = true,
+      metaVar = "COMMAND",
+      usage = "command to run")
+  @SubCommands({
+    @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class),
+    @SubCommand(name = "state", impl = StateCommand.class),
+    @SubCommand(name = "configuration", impl = ConfigurationCommand.class),
+    @SubCommand(name = "propose", impl = ProposeCommand.class),
+    @SubCommand(name = "take-out", impl = TakeOutCommand.class),
+    @SubCommand(name = "return", impl = ReturnCommand.class),
+    @SubCommand(name = "stop", impl = StopCommand.class),
+    @SubCommand(name = "call-status", impl = CallStatusCommand.class),
+  })
+  private Command command;
+
   private Main() {}
 
   /**
-   * Runs the sub-command named by the first argument.
+   * Runs the sub-command named by the first argument and ends the process with its exit code.
    *
    * @param args command line
    */
   public static void main(String[] args) {
-    System.exit(2);
+    LoggingSetup.selectLogManager();
+    System.exit(run(args, System.out, System.err));
+  }
+
+  /**
+   * Runs the sub-command named by the first argument.
+   *
+   * @param args command line
+   * @param out stream for results
+   * @param err stream for error messages
+   * @return exit code, see {@link ExitCode}
+   */
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    if (args.length == 0) {
+      CommandList.print(err);
+      return ExitCode.USAGE;
+    }
+    Main main = new Main();
+    CmdLineParser parser = parser(main);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println(e.getMessage());
+      err.println(CliMessages.usageHint());
+      return ExitCode.USAGE;
+    }
+    if (main.help || main.command == null) {
+      CommandList.print(out);
+      return ExitCode.OK;
+    }
+    if (main.command.isHelpRequested()) {
+      out.println(main.command.description());
+      parser(main.command).printUsage(out);
+      return ExitCode.OK;
+    }
+    return main.command.run(out, err);
+  }
+
+  private static CmdLineParser parser(Object bean) {
+    return new CmdLineParser(
+        bean, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH).withShowDefaults(false));
   }
 }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/cli/TakeOutCommand.java
@@ -0,0 +1,42 @@
+package org.ragwortpick.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.util.UUID;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.ragwortpick.common.Json;
+
+/** Takes a data centre out of service. */
+public final class TakeOutCommand extends AdminCommand {
+
+  @Argument(required = true, metaVar = "DATA_CENTRE", usage = "name of the data centre")
+  private String dataCentre;
+
+  @Option(
+      name = "--now",
+      usage = "do not wait until the other data centres have loaded what they need")
+  private boolean now;
+
+  @Option(
+      name = "--request-id",
+      metaVar = "ID",
+      usage = "id of this request; resend under the same id after a lost answer")
+  private String requestId = UUID.randomUUID().toString();
+
+  /** Creates the command. */
+  public TakeOutCommand() {
+    super("take a data centre out of service");
+  }
+
+  @Override
+  protected int call(OperatorClient client, PrintStream out, PrintStream err) {
+    ObjectNode body = Json.MESSAGES.createObjectNode();
+    body.put("requestId", requestId);
+    body.put("now", now);
+    return report(
+        client.post("/admin/v1/data-centres/" + dataCentre + "/take-out", body.toString()),
+        out,
+        err);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/logging/LoggingSetup.java
@@ -0,0 +1,54 @@
+package org.ragwortpick.logging;
+
+import java.util.Map;
+import java.util.logging.Level;
+import org.jboss.logmanager.LogContext;
+import org.jboss.logmanager.Logger;
+import org.jboss.logmanager.formatters.JsonFormatter;
+import org.jboss.logmanager.formatters.StructuredFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+
+/** Sets the log output of the process: one JSON object per line on standard error. */
+public final class LoggingSetup {
+
+  /** System property that names the log manager. */
+  private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
+  private static final Map<String, Level> LEVELS =
+      Map.of(
+          "TRACE", org.jboss.logmanager.Level.TRACE,
+          "DEBUG", org.jboss.logmanager.Level.DEBUG,
+          "INFO", org.jboss.logmanager.Level.INFO,
+          "WARN", org.jboss.logmanager.Level.WARN,
+          "ERROR", org.jboss.logmanager.Level.ERROR);
+
+  private LoggingSetup() {}
+
+  /** Selects the log manager. Must be called before any logger is created. */
+  public static void selectLogManager() {
+    System.setProperty(MANAGER_PROPERTY, "org.jboss.logmanager.LogManager");
+    System.setProperty("org.jboss.logging.provider", "jboss");
+  }
+
+  /**
+   * Configures the output.
+   *
+   * @param levelName TRACE, DEBUG, INFO, WARN or ERROR
+   * @param vm name of the VM, written on each line
+   */
+  public static void configure(String levelName, String vm) {
+    JsonFormatter formatter = new JsonFormatter();
+    formatter.setPrettyPrint(false);
+    formatter.setPrintDetails(false);
+    formatter.setExceptionOutputType(StructuredFormatter.ExceptionOutputType.FORMATTED);
+    formatter.setMetaData("vm=" + vm);
+    ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter);
+    handler.setAutoFlush(true);
+    Logger root = LogContext.getLogContext().getLogger("");
+    root.setHandlers(new java.util.logging.Handler[] {handler});
+    root.setLevel(org.jboss.logmanager.Level.WARN);
+    LogContext.getLogContext()
+        .getLogger("org.ragwortpick")
+        .setLevel(LEVELS.getOrDefault(levelName, org.jboss.logmanager.Level.INFO));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/settings/DataFolderProbe.java
@@ -0,0 +1,39 @@
+package org.ragwortpick.settings;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Optional;
+
+/** Checks that files in a data folder can be written and synced. */
+public final class DataFolderProbe {
+
+  private static final String PROBE_FILE = ".sync-probe";
+
+  private DataFolderProbe() {}
+
+  /**
+   * Writes, syncs and deletes a small file.
+   *
+   * @param folder data folder; created if it does not exist
+   * @return what failed, or empty if the folder can be used
+   */
+  public static Optional<String> check(Path folder) {
+    try {
+      Files.createDirectories(folder);
+      Path probe = folder.resolve(PROBE_FILE);
+      try (FileChannel channel =
+          FileChannel.open(probe, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+        channel.write(ByteBuffer.wrap(new byte[] {1}));
+        channel.force(true);
+      }
+      Files.delete(probe);
+      return Optional.empty();
+    } catch (IOException e) {
+      return Optional.of(e.getClass().getSimpleName() + ": " + e.getMessage());
+    }
+  }
+}
