--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -33,6 +33,7 @@
     @SubCommand(name = "return", impl = ReturnCommand.class),
     @SubCommand(name = "stop", impl = StopCommand.class),
     @SubCommand(name = "call-status", impl = CallStatusCommand.class),
+    @SubCommand(name = "stand-in", impl = StandInCommand.class),
   })
   private Command command;
 
