--- a/src/standin/java/org/ragwortpick/standin/RequestMarker.java
+++ b/src/standin/java/org/ragwortpick/standin/RequestMarker.java
@@ -6,10 +6,13 @@
  * Finds the marker of a request. Callers put {@code "marker"} into their input; stand-ins copy it
  * into their output, so that every stage and the caller can tell whose answer it is.
  */
-final class RequestMarker {
+public final class RequestMarker {
 
   private static final String KEY = "marker";
 
+  /** Generated text begins with the marker, see {@link TokenStream#tokenText}. */
+  private static final String TEXT_KEY = "text";
+
   private RequestMarker() {}
 
   /**
@@ -18,8 +21,12 @@
    * @param body the body
    * @return the marker; empty if there is none
    */
-  static String find(JsonNode body) {
+  public static String find(JsonNode body) {
     JsonNode found = body.findValue(KEY);
-    return found == null ? "" : found.asText();
+    if (found != null) {
+      return found.asText();
+    }
+    JsonNode text = body.findValue(TEXT_KEY);
+    return text == null ? "" : text.asText().split("/", 2)[0];
   }
 }
--- a/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
@@ -130,8 +130,8 @@
    */
   void generate(ServerSentEventConnection connection, String streamId, JsonNode body) {
     String marker = RequestMarker.find(body);
-    JsonNode prefix = body.findValue("prefix");
-    boolean hit = prefix != null && prefixCache.use(prefix.asText().hashCode());
+    JsonNode prompt = body.get("prompt");
+    boolean hit = prompt != null && prefixCache.use(prompt.asText().hashCode());
     TokenStream stream =
         new TokenStream(
             connection,
--- /dev/null
+++ b/src/standin/java/org/ragwortpick/standin/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool: callers that send requests on a fixed schedule and check every answer. */
+package org.ragwortpick.standin.load;
