Add the replicated log: core, log file, gRPC transport, host

Cause: control VMs need one agreed order of configuration changes and execution records that survives the loss of any minority of disks.

Ruled out: learners in the replicated membership. They belong to no quorum, and a group of four voters with two lost disks could not commit the entry that adds the learner it needs. Learners are soft state of the leader instead. Bootstrap on every VM was ruled out because a VM with a lost disk could be bootstrapped again under its old identity.

Change: deterministic Raft core with pre-vote, check-quorum and one-at-a-time membership changes; log file with a CRC per record whose checkpoint part is synced before the file gets its name; identity per disk and a random lineage per bootstrap; unary gRPC calls that carry the messages of one group in order.

--- a/src/main/java/org/ragwortpick/consensus/ConsensusError.java
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusError.java
@@ -45,4 +45,24 @@
       return "the data folder cannot be written (" + detail + "); free space or replace the disk";
     }
   }
+
+  /** Too many commands wait for their commit; the command was not appended. */
+  record Overloaded() implements ConsensusError {
+    @Override
+    public String message() {
+      return "too many changes wait for the disks of a quorum; retry in a second";
+    }
+  }
+
+  /**
+   * A membership change cannot be made.
+   *
+   * @param detail reason and remedy
+   */
+  record ChangeRefused(String detail) implements ConsensusError {
+    @Override
+    public String message() {
+      return detail;
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -0,0 +1,164 @@
+package org.ragwortpick.consensus;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.ragwortpick.consensus.raft.Envelope;
+import org.ragwortpick.consensus.raft.RaftCore;
+import org.ragwortpick.consensus.raft.RaftSettings;
+import org.ragwortpick.consensus.raft.ReplicaId;
+import org.ragwortpick.consensus.storage.LogStore;
+import org.ragwortpick.consensus.transport.MessageCodec;
+import org.ragwortpick.consensus.transport.PeerSender;
+import org.ragwortpick.peer.PeerChannels;
+
+/** Threads, log file and senders of one group. */
+final class GroupRunner implements AutoCloseable {
+
+  private static final long TICK_MS = 20;
+  private static final long STOP_TIMEOUT_MS = 5_000;
+
+  /** Batches that wait for the thread of the group; further ones are dropped. */
+  private static final int MAX_WAITING_BATCHES = 64;
+
+  private final String vm;
+  private final LogStore store;
+  private final Replica replica;
+  private final ScheduledExecutorService loop;
+  private final ExecutorService diskExecutor;
+  private final Map<String, PeerSender> senders = new TreeMap<>();
+  private final AtomicInteger waitingBatches = new AtomicInteger();
+
+  /**
+   * Opens the log of a group and creates its replica.
+   *
+   * @param group name of the group
+   * @param options settings of this VM
+   * @param folder data folder of the VM
+   * @param stateMachine state machine of the group
+   * @param channels channels to the other control VMs
+   * @param clock monotonic clock
+   * @param random source of random numbers
+   * @throws IOException if the log cannot be read or written
+   */
+  GroupRunner(
+      String group,
+      ConsensusOptions options,
+      DataFolder folder,
+      StateMachine stateMachine,
+      PeerChannels channels,
+      Clock clock,
+      RandomGenerator random)
+      throws IOException {
+    this.vm = options.vm();
+    this.store = folder.openLog(group);
+    this.loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, group));
+    this.diskExecutor = Executors.newSingleThreadExecutor(task -> daemon(task, group + "-disk"));
+    options
+        .controlVms()
+        .forEach(
+            (peerVm, address) ->
+                senders.put(
+                    peerVm,
+                    new PeerSender(
+                        group,
+                        options.clusterId(),
+                        () -> folder.identity().lineage(),
+                        address,
+                        channels)));
+    senders.remove(vm).close();
+    RaftSettings settings =
+        RaftSettings.standard(folder.identity().replicaId(), options.controlVms().keySet());
+    this.replica =
+        new Replica(
+            group,
+            new RaftCore(settings, store.recovered(), clock, random),
+            store,
+            stateMachine,
+            ignoringAfterStop(loop),
+            ignoringAfterStop(diskExecutor),
+            this::send,
+            clock,
+            options.snapshotLogBytes());
+  }
+
+  /**
+   * Returns the replica.
+   *
+   * @return the replica
+   */
+  Replica replica() {
+    return replica;
+  }
+
+  /** Starts the ticks of the replica. */
+  void start() {
+    loop.scheduleWithFixedDelay(replica::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Queues messages for the replica. Drops them if it does not keep up.
+   *
+   * @param envelopes messages in order
+   */
+  void receive(List<Envelope> envelopes) {
+    if (waitingBatches.incrementAndGet() <= MAX_WAITING_BATCHES) {
+      replica.receive(envelopes);
+    }
+    ignoringAfterStop(loop).execute(waitingBatches::decrementAndGet);
+  }
+
+  @Override
+  public void close() throws IOException {
+    loop.shutdownNow();
+    diskExecutor.shutdown();
+    senders.values().forEach(PeerSender::close);
+    try {
+      loop.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      diskExecutor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    replica.abandon();
+    store.close();
+  }
+
+  private void send(List<Envelope> envelopes) {
+    senders.forEach(
+        (peerVm, sender) -> {
+          List<Envelope> own =
+              envelopes.stream()
+                  .filter(next -> next.to().isEmpty() || ReplicaId.vmOf(next.to()).equals(peerVm))
+                  .toList();
+          if (!own.isEmpty()) {
+            sender.send(own.stream().map(MessageCodec::encode).toList());
+          }
+        });
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    Thread thread = new Thread(task, "consensus-" + name);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private static Executor ignoringAfterStop(Executor executor) {
+    return task -> {
+      try {
+        executor.execute(task);
+      } catch (RejectedExecutionException ignored) {
+        // The group is stopped; calls in progress are completed by close.
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/raft/Elections.java
@@ -0,0 +1,129 @@
+package org.ragwortpick.consensus.raft;
+
+import java.util.Optional;
+
+/** Votes given and votes asked for. */
+final class Elections {
+
+  private final ReplicaState state;
+  private final Ballot ballot = new Ballot();
+  private final Runnable onElected;
+
+  /**
+   * Creates the part of the replica that holds elections.
+   *
+   * @param state shared state of the replica
+   * @param onElected called when an election is won
+   */
+  Elections(ReplicaState state, Runnable onElected) {
+    this.state = state;
+    this.onElected = onElected;
+  }
+
+  /** Starts an election if it is due. */
+  void tick() {
+    if (state.isElectionDue()) {
+      state.resetElectionDeadline();
+      if (state.isVoter()) {
+        startPreVote();
+      }
+    }
+  }
+
+  /**
+   * Grants or refuses a vote.
+   *
+   * @param from identity of the sender
+   * @param request the request
+   */
+  void onVoteRequest(String from, Message.VoteRequest request) {
+    boolean leaderIsAlive =
+        state.role() == Role.LEADER
+            || state.sinceLeaderContactMs() < state.settings().electionMinMs();
+    if (leaderIsAlive) {
+      // The lease of the leader rests on this: whoever acknowledged a heartbeat elects nobody
+      // for the lowest election timeout.
+      return;
+    }
+    boolean upToDate = state.log().isUpToDate(request.lastIndex(), request.lastTerm());
+    if (request.preVote()) {
+      boolean granted = upToDate && request.term() > state.term();
+      long term = granted ? request.term() : state.term();
+      state.sendAfterSync(from, new Message.VoteResponse(term, true, granted));
+      return;
+    }
+    if (request.term() > state.term()) {
+      state.stepDown(request.term(), Optional.empty());
+    }
+    boolean free = state.votedFor().isEmpty() || state.votedFor().equals(from);
+    boolean granted = request.term() == state.term() && free && upToDate;
+    if (granted && state.votedFor().isEmpty()) {
+      state.persist(new HardState(state.term(), from));
+      state.resetElectionDeadline();
+    }
+    state.sendAfterSync(from, new Message.VoteResponse(state.term(), false, granted));
+  }
+
+  /**
+   * Counts a vote.
+   *
+   * @param from identity of the sender
+   * @param response the response
+   */
+  void onVoteResponse(String from, Message.VoteResponse response) {
+    boolean counts =
+        response.preVote()
+            ? state.role() == Role.PRE_CANDIDATE && response.term() == state.term() + 1
+            : state.role() == Role.CANDIDATE && response.term() == state.term();
+    if (response.granted() && counts) {
+      ballot.grant(from);
+      countVotes();
+    }
+  }
+
+  /** Counts the vote for itself, which like any other counts once it is on disk. */
+  void onSynced() {
+    if (state.role() == Role.CANDIDATE && state.isHardStateSynced()) {
+      ballot.grant(state.identity());
+      countVotes();
+    }
+  }
+
+  private void startPreVote() {
+    state.move("ELECTION_TIMEOUT");
+    state.setLeaderId(Optional.empty());
+    ballot.reset();
+    ballot.grant(state.identity());
+    requestVotes(state.term() + 1, true);
+    countVotes();
+  }
+
+  private void startElection() {
+    state.move("PRE_VOTE_WON");
+    ballot.reset();
+    state.persist(new HardState(state.term() + 1, state.identity()));
+    requestVotes(state.term(), false);
+  }
+
+  private void requestVotes(long term, boolean preVote) {
+    RaftLog log = state.log();
+    Message request = new Message.VoteRequest(term, log.lastIndex(), log.lastTerm(), preVote);
+    for (String voter : log.membership().voters()) {
+      if (!voter.equals(state.identity())) {
+        state.sendAfterSync(voter, request);
+      }
+    }
+  }
+
+  private void countVotes() {
+    if (!ballot.isWon(state.log().membership())) {
+      return;
+    }
+    if (state.role() == Role.PRE_CANDIDATE) {
+      startElection();
+    } else if (state.role() == Role.CANDIDATE) {
+      state.move("VOTE_WON");
+      onElected.run();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/raft/InvariantViolationException.java
@@ -0,0 +1,31 @@
+package org.ragwortpick.consensus.raft;
+
+/** A safety property of the log does not hold. The replica stops. */
+public final class InvariantViolationException extends IllegalStateException {
+
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Creates the exception.
+   *
+   * @param message the property and the values that violate it
+   */
+  public InvariantViolationException(String message) {
+    super(message);
+  }
+
+  /**
+   * Throws if a property does not hold.
+   *
+   * @param holds whether it holds
+   * @param property name of the property
+   * @param first value for the message
+   * @param second value for the message
+   * @throws InvariantViolationException if the property does not hold
+   */
+  static void check(boolean holds, String property, Object first, Object second) {
+    if (!holds) {
+      throw new InvariantViolationException(property + ": " + first + " against " + second);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/storage/RecordCodec.java
@@ -0,0 +1,128 @@
+package org.ragwortpick.consensus.storage;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.ragwortpick.consensus.raft.HardState;
+import org.ragwortpick.consensus.raft.LogEntry;
+import org.ragwortpick.consensus.raft.Membership;
+import org.ragwortpick.consensus.raft.RaftSnapshot;
+import org.ragwortpick.proto.RaftEntry;
+import org.ragwortpick.proto.RaftHardState;
+import org.ragwortpick.proto.RaftLogHeader;
+import org.ragwortpick.proto.RaftLogRecord;
+import org.ragwortpick.proto.RaftStoredSnapshot;
+
+/** Conversion of entries and records from and to their encoded form. */
+public final class RecordCodec {
+
+  private static final LogEntry.Kind[] KINDS = LogEntry.Kind.values();
+
+  private RecordCodec() {}
+
+  /**
+   * Encodes an entry.
+   *
+   * @param entry the entry
+   * @return its message; it shares the data of the entry
+   */
+  public static RaftEntry encode(LogEntry entry) {
+    return RaftEntry.newBuilder()
+        .setIndex(entry.index())
+        .setTerm(entry.term())
+        .setKind(entry.kind().ordinal())
+        .setData(UnsafeByteOperations.unsafeWrap(entry.data()))
+        .build();
+  }
+
+  /**
+   * Decodes an entry.
+   *
+   * @param message the message
+   * @return the entry
+   */
+  public static LogEntry decode(RaftEntry message) {
+    return new LogEntry(
+        message.getIndex(),
+        message.getTerm(),
+        KINDS[message.getKind()],
+        message.getData().toByteArray());
+  }
+
+  /**
+   * Encodes the content of a record.
+   *
+   * @param entry the entry
+   * @return encoded content
+   */
+  static byte[] record(LogEntry entry) {
+    return RaftLogRecord.newBuilder().setEntry(encode(entry)).build().toByteArray();
+  }
+
+  /**
+   * Encodes the content of a record.
+   *
+   * @param state shared state of the replica
+   * @return encoded content
+   */
+  static byte[] record(HardState state) {
+    return RaftLogRecord.newBuilder()
+        .setHardState(
+            RaftHardState.newBuilder().setTerm(state.term()).setVotedFor(state.votedFor()))
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Encodes the content of a record.
+   *
+   * @param snapshot the snapshot
+   * @return encoded content
+   */
+  static byte[] record(RaftSnapshot snapshot) {
+    return RaftLogRecord.newBuilder()
+        .setSnapshot(
+            RaftStoredSnapshot.newBuilder()
+                .setIndex(snapshot.index())
+                .setTerm(snapshot.term())
+                .setMembership(UnsafeByteOperations.unsafeWrap(snapshot.membership().encode()))
+                .setData(UnsafeByteOperations.unsafeWrap(snapshot.data())))
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Encodes the content of the first record of a file.
+   *
+   * @param checkpointBytes size of the checkpoint that follows
+   * @return encoded content
+   */
+  static byte[] header(long checkpointBytes) {
+    return RaftLogRecord.newBuilder()
+        .setHeader(RaftLogHeader.newBuilder().setCheckpointBytes(checkpointBytes))
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Decodes the content of a record.
+   *
+   * @param message the message
+   * @return the content
+   */
+  static HardState decode(RaftHardState message) {
+    return new HardState(message.getTerm(), message.getVotedFor());
+  }
+
+  /**
+   * Decodes the content of a record.
+   *
+   * @param message the message
+   * @return the content
+   */
+  static RaftSnapshot decode(RaftStoredSnapshot message) {
+    return new RaftSnapshot(
+        message.getIndex(),
+        message.getTerm(),
+        Membership.decode(message.getMembership().toByteArray()),
+        message.getData().toByteArray());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/storage/RecordFrames.java
@@ -0,0 +1,106 @@
+package org.ragwortpick.consensus.storage;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+/**
+ * Frames of the records in a log file: marker, payload length, durable offset, CRC-32C of these two
+ * and of the payload, payload.
+ *
+ * <p>The durable offset is the length of the file that was synced when the record was written. A
+ * damaged record that begins below the durable offset of a later record had been acknowledged, so
+ * it is not the torn end of the last write.
+ */
+final class RecordFrames {
+
+  /** Bytes before the payload of a record. */
+  static final int HEADER_BYTES = 20;
+
+  private static final int MARKER = 0x5250_4C31;
+  private static final int LENGTH_OFFSET = 4;
+  private static final int DURABLE_OFFSET = 8;
+  private static final int CRC_OFFSET = 16;
+
+  private RecordFrames() {}
+
+  /**
+   * Builds the bytes before a payload.
+   *
+   * @param payload encoded record
+   * @param durableOffset length of the file that is synced
+   * @return the header
+   */
+  static ByteBuffer header(byte[] payload, long durableOffset) {
+    ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+    header.putInt(MARKER).putInt(payload.length).putLong(durableOffset);
+    header.putInt(crc(header.array(), 0, payload, 0, payload.length)).flip();
+    return header;
+  }
+
+  /**
+   * Reads the record at an offset. Empty if there is no intact record.
+   *
+   * @param file content of the file
+   * @param offset offset in the file
+   * @return place of the record
+   */
+  static Optional<Frame> read(byte[] file, int offset) {
+    if (offset < 0 || file.length - offset < HEADER_BYTES) {
+      return Optional.empty();
+    }
+    ByteBuffer buffer = ByteBuffer.wrap(file);
+    int length = buffer.getInt(offset + LENGTH_OFFSET);
+    int payloadOffset = offset + HEADER_BYTES;
+    if (buffer.getInt(offset) != MARKER
+        || length < 0
+        || length > file.length - payloadOffset
+        || buffer.getInt(offset + CRC_OFFSET) != crc(file, offset, file, payloadOffset, length)) {
+      return Optional.empty();
+    }
+    return Optional.of(new Frame(payloadOffset, length, buffer.getLong(offset + DURABLE_OFFSET)));
+  }
+
+  /**
+   * Returns whether an intact record after an offset says that the offset had been synced.
+   *
+   * @param file content of the file
+   * @param offset offset in the file
+   * @return whether the damage is in durable data
+   */
+  static boolean wasDurable(byte[] file, int offset) {
+    for (int next = offset + 1; next <= file.length - HEADER_BYTES; next++) {
+      boolean mayBeRecord = file[next] == (byte) (MARKER >>> 24);
+      if (mayBeRecord && read(file, next).filter(f -> f.durableOffset() > offset).isPresent()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static int crc(byte[] header, int headerOffset, byte[] payload, int from, int length) {
+    CRC32C crc = new CRC32C();
+    crc.update(header, headerOffset + LENGTH_OFFSET, CRC_OFFSET - LENGTH_OFFSET);
+    crc.update(payload, from, length);
+    return (int) crc.getValue();
+  }
+
+  /**
+   * Place of a record in a file.
+   *
+   * @param payloadOffset offset of the payload
+   * @param payloadLength length of the payload
+   * @param durableOffset length of the file that was synced when the record was written
+   */
+  record Frame(int payloadOffset, int payloadLength, long durableOffset) {
+
+    /**
+     * Returns the offset after the record.
+     *
+     * @return offset
+     */
+    int end() {
+      return payloadOffset + payloadLength;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/consensus/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Messages of the consensus groups over gRPC. */
+package org.ragwortpick.consensus.transport;
