Add the sync exchange with configuration view and directories

Cause: VMs need the configuration, the VM records and the upstream records of the whole system without all-to-all traffic.

Ruled out: heartbeats of all VMs in every response; they cost every VM bytes in proportion to the number of VMs. Signs of life travel towards the leader only, and the leader spreads its judgement as flags.

Change: one unary call, a table of mergeable records with version cursors, load-only messages guarded by a checksum of the rest of the record, a configuration view whose confirmation counts from the time of sending, the life cycle of a VM and the address responses.

Test: three VMs over loopback gRPC, one of them through a relay.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/SyncIdentity.java
@@ -0,0 +1,40 @@
+package org.ragwortpick.sync;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+
+/**
+ * Identity of the local VM and the VMs that it may poll.
+ *
+ * @param vm unique name
+ * @param incarnation number that grows with each start of the process, such as its start time
+ * @param dataCentre data centre in which the VM runs
+ * @param callerAddress address for callers
+ * @param peerAddress address for other VMs
+ * @param controlVms control VMs, the local one included if it is one
+ * @param relays peer addresses of other entry VMs
+ */
+public record SyncIdentity(
+    String vm,
+    long incarnation,
+    String dataCentre,
+    HostPort callerAddress,
+    HostPort peerAddress,
+    List<ControlVm> controlVms,
+    List<HostPort> relays) {
+
+  /** Copies the lists. */
+  public SyncIdentity {
+    controlVms = List.copyOf(controlVms);
+    relays = List.copyOf(relays);
+  }
+
+  /**
+   * Control VM as the settings name it.
+   *
+   * @param vm unique name
+   * @param dataCentre data centre in which it runs; empty if unknown
+   * @param peerAddress address for other VMs
+   */
+  public record ControlVm(String vm, String dataCentre, HostPort peerAddress) {}
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/allowance/package-info.java
@@ -0,0 +1,2 @@
+/** Leases on the requests that upstreams in cold start bear. */
+package org.ragwortpick.sync.allowance;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
@@ -0,0 +1,68 @@
+package org.ragwortpick.sync.directory;
+
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.UpstreamState;
+
+/**
+ * Drops the records of lost VMs and upstreams after the retention time.
+ *
+ * <p>A dropped record that another VM offers again is harmless: it is still lost, or its home is
+ * unknown, so that it is not offered to requests.
+ */
+public final class RecordRetention {
+
+  private final Clock clock;
+  private final SoftTable table;
+  private final SyncedVmDirectory vms;
+  private final Map<String, Long> uselessSinceMs = new HashMap<>();
+
+  /**
+   * Creates the retention of a table.
+   *
+   * @param clock monotonic clock
+   * @param table the table
+   * @param vms VM directory that judges the homes
+   */
+  public RecordRetention(Clock clock, SoftTable table, SyncedVmDirectory vms) {
+    this.clock = clock;
+    this.table = table;
+    this.vms = vms;
+  }
+
+  /** Drops the records that were of no use for the retention time. */
+  public void tick() {
+    long nowMs = clock.millis();
+    Set<String> useless = new HashSet<>();
+    for (SoftRecord record : table.all()) {
+      if (isUseless(record)) {
+        useless.add(record.key());
+        long sinceMs = uselessSinceMs.computeIfAbsent(record.key(), key -> nowMs);
+        if (nowMs - sinceMs >= SyncTimings.RETENTION_MS) {
+          table.remove(record.key());
+        }
+      }
+    }
+    uselessSinceMs.keySet().retainAll(useless);
+  }
+
+  private boolean isUseless(SoftRecord record) {
+    if (record instanceof SoftRecord.OfVm vm) {
+      return !vms.isAlive(vm.record().vm(), vm.record().incarnation());
+    }
+    if (record instanceof SoftRecord.OfUpstream upstream) {
+      return upstream.upstream().state() == UpstreamState.LOST
+          || !vms.isAlive(upstream.homeVm(), upstream.homeIncarnation());
+    }
+    SoftRecord.Flag flag = (SoftRecord.Flag) record;
+    String subject =
+        flag.kind() == SoftRecord.Flag.Kind.VM_LOST
+            ? SoftRecord.OfVm.keyOf(flag.id())
+            : SoftRecord.OfUpstream.keyOf(flag.id());
+    return table.find(subject).isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -0,0 +1,110 @@
+package org.ragwortpick.sync.directory;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamDirectory;
+import org.ragwortpick.sync.UpstreamState;
+
+/**
+ * Upstream directory over the soft state of the local VM.
+ *
+ * <p>Requests read a snapshot by service. It is rebuilt when a record has changed, and by each tick
+ * because a lost home expires with time.
+ */
+public final class SyncedUpstreamDirectory implements UpstreamDirectory {
+
+  private final Clock clock;
+  private final SoftTable table;
+  private final SyncedVmDirectory vms;
+  private final WarmFlags warmFlags;
+  private final UpstreamHome home;
+  private final Map<HomeKey, Long> lostSinceMs = new HashMap<>();
+  private volatile Snapshot snapshot = new Snapshot(-1, Map.of());
+
+  /**
+   * Creates a directory.
+   *
+   * @param clock monotonic clock
+   * @param table table with the records and flags
+   * @param vms VM directory that judges the homes
+   * @param warmFlags warm upstreams
+   * @param home home of the upstreams that announce themselves to the local VM
+   */
+  public SyncedUpstreamDirectory(
+      Clock clock, SoftTable table, SyncedVmDirectory vms, WarmFlags warmFlags, UpstreamHome home) {
+    this.clock = clock;
+    this.table = table;
+    this.vms = vms;
+    this.warmFlags = warmFlags;
+    this.home = home;
+  }
+
+  @Override
+  public List<Upstream> upstreams(String service) {
+    if (snapshot.version() != table.version()) {
+      refresh();
+    }
+    return snapshot.byService().getOrDefault(service, List.of());
+  }
+
+  @Override
+  public Optional<Upstream> find(String id) {
+    return table
+        .find(SoftRecord.OfUpstream.keyOf(id))
+        .map(record -> effective(((SoftRecord.OfUpstream) record).upstream()));
+  }
+
+  @Override
+  public void announce(Upstream announcement) {
+    home.announce(announcement);
+  }
+
+  /** Rebuilds the snapshot. */
+  public synchronized void refresh() {
+    long version = table.version();
+    long nowMs = clock.millis();
+    Set<HomeKey> lost = new HashSet<>();
+    Map<HomeKey, Boolean> alive = new HashMap<>();
+    Map<String, List<Upstream>> byService = new HashMap<>();
+    for (SoftRecord record : table.all()) {
+      if (record instanceof SoftRecord.OfUpstream of && isOffered(of.upstream().state())) {
+        HomeKey key = new HomeKey(of.homeVm(), of.homeIncarnation());
+        if (!alive.computeIfAbsent(key, k -> vms.isAlive(k.vm(), k.incarnation()))) {
+          lost.add(key);
+          if (nowMs - lostSinceMs.computeIfAbsent(key, k -> nowMs) >= SyncTimings.HOME_GRACE_MS) {
+            continue;
+          }
+        }
+        byService
+            .computeIfAbsent(of.upstream().service(), service -> new ArrayList<>())
+            .add(effective(of.upstream()));
+      }
+    }
+    lostSinceMs.keySet().retainAll(lost);
+    byService.replaceAll((service, upstreams) -> List.copyOf(upstreams));
+    snapshot = new Snapshot(version, Map.copyOf(byService));
+  }
+
+  private static boolean isOffered(UpstreamState state) {
+    return state == UpstreamState.COLD || state == UpstreamState.READY;
+  }
+
+  private Upstream effective(Upstream upstream) {
+    if (upstream.state() != UpstreamState.READY || warmFlags.isWarm(upstream)) {
+      return upstream;
+    }
+    return UpstreamStates.with(upstream, UpstreamStates.notWarm(upstream.state()), upstream.load());
+  }
+
+  private record HomeKey(String vm, long incarnation) {}
+
+  private record Snapshot(long version, Map<String, List<Upstream>> byService) {}
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/directory/WarmFlags.java
@@ -0,0 +1,86 @@
+package org.ragwortpick.sync.directory;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.Upstream;
+
+/**
+ * Warm upstreams as the leader judged them.
+ *
+ * <p>A flag counts only while the configuration view is in force. After that time the leader may
+ * have restarted the ramp without the local VM knowing, so the upstream counts as cold.
+ */
+public final class WarmFlags {
+
+  private final SoftTable table;
+  private final ConfigurationView view;
+  private final AtomicLong floor = new AtomicLong();
+
+  /**
+   * Creates the flags.
+   *
+   * @param table table with the flags
+   * @param view configuration view of the local VM
+   */
+  public WarmFlags(SoftTable table, ConfigurationView view) {
+    this.table = table;
+    this.view = view;
+  }
+
+  /**
+   * Tells whether an upstream may be sent its full number of requests.
+   *
+   * @param upstream the upstream
+   * @return true if the leader calls this incarnation warm
+   */
+  public boolean isWarm(Upstream upstream) {
+    return view.isInForce() && isSet(upstream.id(), upstream.incarnation());
+  }
+
+  /**
+   * Tells whether the flag of an incarnation is set, whatever the age of the view.
+   *
+   * @param id identity of the upstream
+   * @param incarnation incarnation of the upstream
+   * @return true if it is set and not void
+   */
+  public boolean isSet(String id, long incarnation) {
+    return flag(id)
+        .filter(flag -> flag.set() && flag.incarnation() == incarnation)
+        .filter(flag -> flag.stamp().term() >= floor.get())
+        .isPresent();
+  }
+
+  /**
+   * Returns the stamp of the newest flag of an upstream.
+   *
+   * @param id identity of the upstream
+   * @return the stamp, or the oldest stamp if there is no flag
+   */
+  public Stamp stampOf(String id) {
+    return flag(id).map(SoftRecord.Flag::stamp).orElse(Stamp.NONE);
+  }
+
+  private Optional<SoftRecord.Flag> flag(String id) {
+    return VmJudge.flag(table, SoftRecord.Flag.Kind.UPSTREAM_WARM, id);
+  }
+
+  /**
+   * Returns the term below which flags are void.
+   *
+   * @return the term
+   */
+  public long floor() {
+    return floor.get();
+  }
+
+  /**
+   * Voids the flags of older leaders.
+   *
+   * @param term lowest term whose flags count
+   */
+  public void raiseFloor(long term) {
+    floor.accumulateAndGet(term, Math::max);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Soft state about VMs and upstreams, with version cursors. */
+package org.ragwortpick.sync.directory;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -0,0 +1,150 @@
+package org.ragwortpick.sync.rpc;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.SyncIdentity.ControlVm;
+import org.ragwortpick.sync.VmDirectory;
+import org.ragwortpick.sync.VmRecord;
+
+/**
+ * Chooses the source of each poll: the leader for a control VM, else a control VM of the own data
+ * centre, then the other control VMs, then other entry VMs as relays.
+ */
+public final class SourceSelector {
+
+  /** Successful polls of a second choice after which the first choice is tried again: 10 s. */
+  private static final int POLLS_BEFORE_FIRST_CHOICE = 20;
+
+  /** Relays tried in one round; more would make a round longer than the configuration lease. */
+  private static final int MAX_RELAYS = 6;
+
+  private final SyncIdentity identity;
+  private final LeaderSource leader;
+  private final VmDirectory vms;
+  private HostPort current;
+  private int successes;
+  private int failures;
+
+  /**
+   * Creates a selector.
+   *
+   * @param identity identity of the local VM and the VMs named in its settings
+   * @param leader local control replica
+   * @param vms VM directory
+   */
+  public SourceSelector(SyncIdentity identity, LeaderSource leader, VmDirectory vms) {
+    this.identity = identity;
+    this.leader = leader;
+    this.vms = vms;
+  }
+
+  /**
+   * Returns the source of the next poll.
+   *
+   * @return peer address of the source
+   * @throws IllegalStateException if no other VM is known
+   */
+  public synchronized HostPort source() {
+    List<HostPort> candidates = candidates();
+    if (candidates.isEmpty()) {
+      throw new IllegalStateException(
+          "no VM to poll is known; name control VMs or relays in the settings");
+    }
+    boolean retryFirst = successes >= POLLS_BEFORE_FIRST_CHOICE || leaderChanged(candidates);
+    if (retryFirst || current == null || !candidates.contains(current)) {
+      successes = 0;
+      current = candidates.get(0);
+    }
+    return current;
+  }
+
+  private boolean leaderChanged(List<HostPort> candidates) {
+    return isControlVm()
+        && leader.leaderVm().isPresent()
+        && failures == 0
+        && !candidates.get(0).equals(current);
+  }
+
+  /**
+   * Takes note of a successful poll.
+   *
+   * @param source polled source
+   */
+  public synchronized void succeeded(HostPort source) {
+    failures = 0;
+    if (source.equals(current) && !source.equals(first())) {
+      successes++;
+    }
+  }
+
+  /**
+   * Takes note of a failed poll and moves on to the next source.
+   *
+   * @param source polled source
+   * @return true if other sources have not been tried in this round
+   */
+  public synchronized boolean failed(HostPort source) {
+    failures++;
+    successes = 0;
+    List<HostPort> candidates = candidates();
+    if (!candidates.isEmpty()) {
+      current = candidates.get((candidates.indexOf(source) + 1) % candidates.size());
+    }
+    return failures % Math.max(1, candidates.size()) != 0;
+  }
+
+  private HostPort first() {
+    List<HostPort> candidates = candidates();
+    return candidates.isEmpty() ? null : candidates.get(0);
+  }
+
+  private boolean isControlVm() {
+    return identity.controlVms().stream().anyMatch(control -> control.vm().equals(identity.vm()));
+  }
+
+  private List<HostPort> candidates() {
+    Set<HostPort> addresses = new LinkedHashSet<>();
+    if (isControlVm()) {
+      identity.controlVms().stream()
+          .filter(control -> leader.leaderVm().filter(control.vm()::equals).isPresent())
+          .forEach(control -> addresses.add(control.peerAddress()));
+    }
+    List<ControlVm> others =
+        identity.controlVms().stream()
+            .filter(control -> !control.dataCentre().equals(identity.dataCentre()))
+            .toList();
+    identity.controlVms().stream()
+        .filter(control -> control.dataCentre().equals(identity.dataCentre()))
+        .forEach(control -> addresses.add(control.peerAddress()));
+    rotated(others).forEach(control -> addresses.add(control.peerAddress()));
+    addRelays(addresses);
+    addresses.remove(identity.peerAddress());
+    return List.copyOf(addresses);
+  }
+
+  private void addRelays(Set<HostPort> addresses) {
+    List<HostPort> known =
+        vms.vms().stream()
+            .map(VmRecord::peerAddress)
+            .sorted(java.util.Comparator.comparing(HostPort::toString))
+            .toList();
+    Set<HostPort> relays = new LinkedHashSet<>(identity.relays());
+    relays.addAll(rotated(known));
+    relays.removeAll(addresses);
+    relays.remove(identity.peerAddress());
+    relays.stream().limit(MAX_RELAYS).forEach(addresses::add);
+  }
+
+  /** Rotates a list by the name of the local VM, so that VMs spread over the sources. */
+  private <T> List<T> rotated(List<T> values) {
+    List<T> copy = new ArrayList<>(values);
+    Collections.rotate(copy, identity.vm().hashCode());
+    return copy;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -0,0 +1,193 @@
+package org.ragwortpick.sync.rpc;
+
+import java.util.List;
+import java.util.TreeMap;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.proto.ConfigurationMessage;
+import org.ragwortpick.proto.FlagMessage;
+import org.ragwortpick.proto.LoadMessage;
+import org.ragwortpick.proto.SoftRecords;
+import org.ragwortpick.proto.UpstreamMessage;
+import org.ragwortpick.proto.VmMessage;
+import org.ragwortpick.sync.ConfigurationDelta;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.directory.SoftRecord;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.Stamp;
+
+/** Conversion between records and messages. */
+public final class SyncCodec {
+
+  private SyncCodec() {}
+
+  /**
+   * Encodes a configuration delta.
+   *
+   * @param delta the delta
+   * @return the message
+   */
+  public static ConfigurationMessage encode(ConfigurationDelta delta) {
+    return ConfigurationMessage.newBuilder()
+        .setFromRevision(delta.fromRevision())
+        .setRevision(delta.revision())
+        .setSnapshot(delta.snapshot())
+        .putAllPuts(delta.puts())
+        .addAllDeletes(delta.deletes())
+        .build();
+  }
+
+  /**
+   * Decodes a configuration delta.
+   *
+   * @param message the message
+   * @return the delta
+   */
+  public static ConfigurationDelta decode(ConfigurationMessage message) {
+    return new ConfigurationDelta(
+        message.getFromRevision(),
+        message.getRevision(),
+        message.getSnapshot(),
+        new TreeMap<>(message.getPutsMap()),
+        List.copyOf(message.getDeletesList()));
+  }
+
+  /**
+   * Encodes changed records.
+   *
+   * @param changes the changes
+   * @return the message
+   */
+  public static SoftRecords encode(SoftTable.Changes changes) {
+    SoftRecords.Builder records = SoftRecords.newBuilder();
+    for (SoftRecord record : changes.bodies()) {
+      if (record instanceof SoftRecord.OfVm vm) {
+        records.addVms(encode(vm.record()));
+      } else if (record instanceof SoftRecord.OfUpstream upstream) {
+        records.addUpstreams(encode(upstream));
+      } else {
+        records.addFlags(encode((SoftRecord.Flag) record));
+      }
+    }
+    for (SoftRecord.OfUpstream upstream : changes.loads()) {
+      records.addLoads(
+          LoadMessage.newBuilder()
+              .setId(upstream.upstream().id())
+              .setIncarnation(upstream.upstream().incarnation())
+              .setSequence(upstream.upstream().sequence())
+              .setLoad(upstream.upstream().load())
+              .setBodyChecksum(upstream.bodyChecksum()));
+    }
+    return records.build();
+  }
+
+  private static VmMessage encode(VmRecord vm) {
+    return VmMessage.newBuilder()
+        .setVm(vm.vm())
+        .setIncarnation(vm.incarnation())
+        .setSequence(vm.sequence())
+        .setDataCentre(vm.dataCentre())
+        .setCallerAddress(vm.callerAddress().toString())
+        .setPeerAddress(vm.peerAddress().toString())
+        .setState(vm.state().ordinal())
+        .setLoad(vm.load())
+        .build();
+  }
+
+  private static UpstreamMessage encode(SoftRecord.OfUpstream record) {
+    Upstream upstream = record.upstream();
+    return UpstreamMessage.newBuilder()
+        .setId(upstream.id())
+        .setIncarnation(upstream.incarnation())
+        .setSequence(upstream.sequence())
+        .setAddress(upstream.address().toString())
+        .setDataCentre(upstream.dataCentre())
+        .setService(upstream.service())
+        .setModel(upstream.model())
+        .setVersion(upstream.version())
+        .addAllAdapters(upstream.adapters())
+        .setState(upstream.state().ordinal())
+        .setSlots(upstream.slots())
+        .setColdLimit(upstream.coldLimit())
+        .setLoad(upstream.load())
+        .setChecksFencing(upstream.checksFencing())
+        .setHomeVm(record.homeVm())
+        .setHomeIncarnation(record.homeIncarnation())
+        .setLeft(record.left())
+        .build();
+  }
+
+  private static FlagMessage encode(SoftRecord.Flag flag) {
+    return FlagMessage.newBuilder()
+        .setKind(flag.kind().ordinal())
+        .setId(flag.id())
+        .setIncarnation(flag.incarnation())
+        .setTerm(flag.stamp().term())
+        .setNumber(flag.stamp().number())
+        .setSet(flag.set())
+        .build();
+  }
+
+  /**
+   * Decodes a VM record.
+   *
+   * @param message the message
+   * @return the record
+   */
+  public static SoftRecord decode(VmMessage message) {
+    return new SoftRecord.OfVm(
+        new VmRecord(
+            message.getVm(),
+            message.getIncarnation(),
+            message.getSequence(),
+            message.getDataCentre(),
+            HostPort.parse(message.getCallerAddress()),
+            HostPort.parse(message.getPeerAddress()),
+            VmState.values()[message.getState()],
+            message.getLoad()));
+  }
+
+  /**
+   * Decodes an upstream record.
+   *
+   * @param message the message
+   * @return the record
+   */
+  public static SoftRecord decode(UpstreamMessage message) {
+    Upstream upstream =
+        new Upstream(
+            message.getId(),
+            message.getIncarnation(),
+            message.getSequence(),
+            HostPort.parse(message.getAddress()),
+            message.getDataCentre(),
+            message.getService(),
+            message.getModel(),
+            message.getVersion(),
+            message.getAdaptersList(),
+            UpstreamState.values()[message.getState()],
+            message.getSlots(),
+            message.getColdLimit(),
+            message.getLoad(),
+            message.getChecksFencing());
+    return new SoftRecord.OfUpstream(
+        upstream, message.getHomeVm(), message.getHomeIncarnation(), message.getLeft());
+  }
+
+  /**
+   * Decodes a flag.
+   *
+   * @param message the message
+   * @return the flag
+   */
+  public static SoftRecord decode(FlagMessage message) {
+    return new SoftRecord.Flag(
+        SoftRecord.Flag.Kind.values()[message.getKind()],
+        message.getId(),
+        message.getIncarnation(),
+        new Stamp(message.getTerm(), message.getNumber()),
+        message.getSet());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -0,0 +1,143 @@
+package org.ragwortpick.sync.rpc;
+
+import io.grpc.BindableService;
+import java.time.Clock;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.jboss.logging.Logger;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.sync.AddressAnswers;
+import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.UpstreamDirectory;
+import org.ragwortpick.sync.VmDirectory;
+import org.ragwortpick.sync.VmLifeCycle;
+
+/** Sync module of one VM: wires the decisions to gRPC and to a scheduler. */
+public final class SyncNode implements AutoCloseable {
+
+  /** Interval at which silence, expiry and life cycle are judged. */
+  private static final long TICK_MS = 100;
+
+  private static final Logger LOG = Logger.getLogger(SyncNode.class);
+
+  private final SyncState state;
+  private final LeaderDuties duties;
+  private final SyncServer server;
+  private final SyncClient client;
+  private final VmLifeCycle lifeCycle;
+  private final AddressAnswers addressAnswers;
+  private final ScheduledExecutorService scheduler;
+
+  /**
+   * Creates a node that does not poll yet.
+   *
+   * @param identity identity of the local VM and the VMs that it may poll
+   * @param clock monotonic clock
+   * @param leader local control replica, or {@link org.ragwortpick.sync.NoLeaderSource}
+   * @param channels channels to other VMs, closed by the caller
+   * @param inFlight number of requests in flight on the local VM
+   */
+  public SyncNode(
+      SyncIdentity identity,
+      Clock clock,
+      LeaderSource leader,
+      PeerChannels channels,
+      IntSupplier inFlight) {
+    this.scheduler =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "sync-" + identity.vm());
+              thread.setDaemon(true);
+              return thread;
+            });
+    this.state = new SyncState(identity, clock);
+    this.duties = new LeaderDuties(clock, leader, state);
+    SyncExchange exchange = new SyncExchange(clock, leader, state, duties);
+    SourceSelector selector = new SourceSelector(identity, leader, state.vms());
+    this.client = new SyncClient(clock, exchange, selector, channels, scheduler);
+    this.server = new SyncServer(exchange, client::pollEarly);
+    this.lifeCycle = new VmLifeCycle(identity, clock, state.view(), inFlight, state::publish);
+    this.addressAnswers = new AddressAnswers(state.vms(), state.view(), lifeCycle::record);
+  }
+
+  /** Starts to poll. The gRPC service must be reachable by then. */
+  public void start() {
+    client.start();
+    scheduler.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    try {
+      duties.tick();
+      state.tick();
+      lifeCycle.tick();
+    } catch (RuntimeException e) {
+      // An exception would end the periodic task.
+      LOG.errorf(e, "sync tick failed; it is repeated in %d ms", TICK_MS);
+    }
+  }
+
+  /**
+   * Returns the gRPC service to add to the peer server.
+   *
+   * @return the service
+   */
+  public BindableService service() {
+    return server;
+  }
+
+  /**
+   * Returns the configuration view.
+   *
+   * @return the view
+   */
+  public ConfigurationView configurationView() {
+    return state.view();
+  }
+
+  /**
+   * Returns the VM directory.
+   *
+   * @return the directory
+   */
+  public VmDirectory vmDirectory() {
+    return state.vms();
+  }
+
+  /**
+   * Returns the upstream directory.
+   *
+   * @return the directory
+   */
+  public UpstreamDirectory upstreamDirectory() {
+    return state.upstreams();
+  }
+
+  /**
+   * Returns the life cycle of the local VM.
+   *
+   * @return the life cycle
+   */
+  public VmLifeCycle lifeCycle() {
+    return lifeCycle;
+  }
+
+  /**
+   * Returns the address responses.
+   *
+   * @return the address responses
+   */
+  public AddressAnswers addressAnswers() {
+    return addressAnswers;
+  }
+
+  @Override
+  public void close() {
+    client.close();
+    scheduler.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -0,0 +1,124 @@
+package org.ragwortpick.sync.rpc;
+
+import java.time.Clock;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.directory.HeardVms;
+import org.ragwortpick.sync.directory.RecordRetention;
+import org.ragwortpick.sync.directory.SoftRecord;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SyncedUpstreamDirectory;
+import org.ragwortpick.sync.directory.SyncedVmDirectory;
+import org.ragwortpick.sync.directory.UpstreamHome;
+import org.ragwortpick.sync.directory.WarmFlags;
+import org.ragwortpick.sync.view.SyncedConfiguration;
+
+/** Everything that one VM knows through the polls. */
+public final class SyncState {
+
+  private final SyncIdentity identity;
+  private final SyncedConfiguration view;
+  private final SoftTable table = new SoftTable();
+  private final HeardVms heardVms;
+  private final UpstreamHome home;
+  private final SyncedVmDirectory vms;
+  private final SyncedUpstreamDirectory upstreams;
+  private final WarmFlags warmFlags;
+  private final RecordRetention retention;
+
+  /**
+   * Creates the state of a VM that knows nothing.
+   *
+   * @param identity identity of the local VM
+   * @param clock monotonic clock
+   */
+  public SyncState(SyncIdentity identity, Clock clock) {
+    this.identity = identity;
+    this.view = new SyncedConfiguration(clock);
+    this.heardVms = new HeardVms(clock);
+    this.home = new UpstreamHome(identity.vm(), identity.incarnation(), clock, table);
+    this.vms = new SyncedVmDirectory(table);
+    this.warmFlags = new WarmFlags(table, view);
+    this.upstreams = new SyncedUpstreamDirectory(clock, table, vms, warmFlags, home);
+    this.retention = new RecordRetention(clock, table, vms);
+  }
+
+  /** Judges silence and lets records expire. */
+  public void tick() {
+    home.tick();
+    retention.tick();
+    upstreams.refresh();
+  }
+
+  /**
+   * Publishes the record of the local VM.
+   *
+   * @param record the record
+   */
+  public void publish(VmRecord record) {
+    table.mergeFromBelow(new SoftRecord.OfVm(record), identity.vm());
+  }
+
+  /**
+   * Returns the identity of the local VM.
+   *
+   * @return the identity
+   */
+  public SyncIdentity identity() {
+    return identity;
+  }
+
+  /**
+   * Returns the configuration view.
+   *
+   * @return the view
+   */
+  public SyncedConfiguration view() {
+    return view;
+  }
+
+  /**
+   * Returns the records.
+   *
+   * @return the table
+   */
+  public SoftTable table() {
+    return table;
+  }
+
+  /**
+   * Returns the signs of life of VMs.
+   *
+   * @return the signs of life
+   */
+  public HeardVms heardVms() {
+    return heardVms;
+  }
+
+  /**
+   * Returns the VM directory.
+   *
+   * @return the directory
+   */
+  public SyncedVmDirectory vms() {
+    return vms;
+  }
+
+  /**
+   * Returns the upstream directory.
+   *
+   * @return the directory
+   */
+  public SyncedUpstreamDirectory upstreams() {
+    return upstreams;
+  }
+
+  /**
+   * Returns the warm upstreams.
+   *
+   * @return the flags
+   */
+  public WarmFlags warmFlags() {
+    return warmFlags;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/rpc/package-info.java
@@ -0,0 +1,2 @@
+/** Polling exchange over gRPC. */
+package org.ragwortpick.sync.rpc;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
@@ -0,0 +1,136 @@
+package org.ragwortpick.sync.view;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.ConfigurationDocuments;
+import org.ragwortpick.sync.ConfigurationDelta;
+import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.SyncTimings;
+
+/**
+ * Configuration that only moves to higher revisions and is in force while its confirmation is
+ * younger than the configuration lease.
+ *
+ * <p>It keeps the revision of the last change of each document, so that a relay can compute deltas
+ * for the VMs that poll it.
+ */
+public final class SyncedConfiguration implements ConfigurationView {
+
+  private final Clock clock;
+  private final SortedMap<String, String> documents = new TreeMap<>();
+  private final Map<String, Long> changedAtRevision = new HashMap<>();
+  private long historyFromRevision;
+  private volatile Configuration configuration = Configuration.EMPTY;
+  private volatile long confirmedAtMs;
+
+  /**
+   * Creates a view without a configuration.
+   *
+   * @param clock monotonic clock
+   */
+  public SyncedConfiguration(Clock clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public Configuration current() {
+    return configuration;
+  }
+
+  @Override
+  public boolean isInForce() {
+    return isWithinLease(confirmedAtMs);
+  }
+
+  @Override
+  public long confirmedAtMs() {
+    return confirmedAtMs;
+  }
+
+  /**
+   * Tells whether a confirmation of the given time is still valid.
+   *
+   * @param atMs time of the confirmation in milliseconds; 0 for none
+   * @return true if it is younger than the lease
+   */
+  public boolean isWithinLease(long atMs) {
+    return atMs > 0 && clock.millis() - atMs < SyncTimings.CONFIG_LEASE_MS;
+  }
+
+  /**
+   * Applies what a source responded. The response is refused as a whole if its confirmation is
+   * older than the lease or its changes do not start at the current revision.
+   *
+   * @param delta changes up to the revision of the source
+   * @param atMs time at which the revision of the source was known to be current, in milliseconds
+   * @return true if the response was accepted
+   * @throws IllegalStateException if the revision would decrease
+   */
+  public synchronized boolean accept(ConfigurationDelta delta, long atMs) {
+    long known = configuration.revision();
+    if (!isWithinLease(atMs)) {
+      return false;
+    }
+    if (delta.revision() > known) {
+      if (!delta.snapshot() && delta.fromRevision() != known) {
+        return false;
+      }
+      apply(delta);
+    }
+    if (configuration.revision() < known || configuration.revision() < delta.revision()) {
+      throw new IllegalStateException(
+          "revision " + known + " would be followed by " + configuration.revision());
+    }
+    // A source at a lower revision confirms as well: the local revision contains the lower one.
+    confirmedAtMs = Math.max(confirmedAtMs, atMs);
+    return true;
+  }
+
+  private void apply(ConfigurationDelta delta) {
+    if (delta.snapshot()) {
+      documents.clear();
+      changedAtRevision.clear();
+      historyFromRevision = delta.revision();
+    }
+    documents.putAll(delta.puts());
+    delta.puts().keySet().forEach(key -> changedAtRevision.put(key, delta.revision()));
+    for (String key : delta.deletes()) {
+      documents.remove(key);
+      changedAtRevision.put(key, delta.revision());
+    }
+    configuration = ConfigurationDocuments.fromDocuments(delta.revision(), documents);
+  }
+
+  /**
+   * Returns the changes since a revision for a VM that polls this one.
+   *
+   * @param revision revision known to that VM
+   * @return the changes, or all documents if the changes since then are not known
+   */
+  public synchronized ConfigurationDelta since(long revision) {
+    long current = configuration.revision();
+    if (revision < historyFromRevision) {
+      return new ConfigurationDelta(0, current, true, new TreeMap<>(documents), List.of());
+    }
+    SortedMap<String, String> puts = new TreeMap<>();
+    List<String> deletes = new ArrayList<>();
+    changedAtRevision.forEach(
+        (key, changedAt) -> {
+          if (changedAt > revision) {
+            String text = documents.get(key);
+            if (text == null) {
+              deletes.add(key);
+            } else {
+              puts.put(key, text);
+            }
+          }
+        });
+    return new ConfigurationDelta(revision, current, false, puts, deletes);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/FakeLeader.java
@@ -0,0 +1,106 @@
+package org.ragwortpick.sync;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.LongSupplier;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.ConfigurationDocuments;
+
+/** Control replica whose leadership, confirmation and committed changes a test sets. */
+public final class FakeLeader implements LeaderSource {
+
+  private final Committed committed;
+  private final LongSupplier confirmedAtMs;
+  private volatile boolean leading;
+  private volatile long term;
+  private volatile String leaderVm;
+
+  public FakeLeader(Committed committed, LongSupplier confirmedAtMs) {
+    this.committed = committed;
+    this.confirmedAtMs = confirmedAtMs;
+  }
+
+  /** Sets the role of the replica. */
+  public void lead(boolean leads, long newTerm, String newLeaderVm) {
+    leading = leads;
+    term = newTerm;
+    leaderVm = newLeaderVm;
+  }
+
+  @Override
+  public boolean isLeader() {
+    return leading;
+  }
+
+  @Override
+  public long term() {
+    return term;
+  }
+
+  @Override
+  public Optional<String> leaderVm() {
+    return Optional.ofNullable(leaderVm);
+  }
+
+  @Override
+  public OptionalLong confirmedAtMs() {
+    return leading ? OptionalLong.of(confirmedAtMs.getAsLong()) : OptionalLong.empty();
+  }
+
+  @Override
+  public Configuration configuration() {
+    return committed.configuration();
+  }
+
+  @Override
+  public ConfigurationDelta deltaSince(long revision) {
+    return committed.deltaSince(revision);
+  }
+
+  /** Committed revisions, shared by the replicas of one test. */
+  public static final class Committed {
+
+    private final ConcurrentSkipListMap<Long, SortedMap<String, String>> revisions =
+        new ConcurrentSkipListMap<>(Map.of(0L, new TreeMap<>()));
+
+    /** Commits the next revision with one changed document; a null text deletes it. */
+    public long commit(String key, String text) {
+      SortedMap<String, String> documents = new TreeMap<>(revisions.lastEntry().getValue());
+      if (text == null) {
+        documents.remove(key);
+      } else {
+        documents.put(key, text);
+      }
+      long revision = revisions.lastKey() + 1;
+      revisions.put(revision, documents);
+      return revision;
+    }
+
+    public long revision() {
+      return revisions.lastKey();
+    }
+
+    Configuration configuration() {
+      Map.Entry<Long, SortedMap<String, String>> last = revisions.lastEntry();
+      return ConfigurationDocuments.fromDocuments(last.getKey(), last.getValue());
+    }
+
+    ConfigurationDelta deltaSince(long from) {
+      SortedMap<String, String> old = revisions.get(from);
+      Map.Entry<Long, SortedMap<String, String>> last = revisions.lastEntry();
+      SortedMap<String, String> puts = new TreeMap<>(last.getValue());
+      if (from == 0 || old == null) {
+        return new ConfigurationDelta(0, last.getKey(), true, puts, List.of());
+      }
+      puts.entrySet().removeAll(old.entrySet());
+      List<String> deletes =
+          old.keySet().stream().filter(key -> !last.getValue().containsKey(key)).toList();
+      return new ConfigurationDelta(from, last.getKey(), false, puts, deletes);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/TestUpstreams.java
@@ -0,0 +1,40 @@
+package org.ragwortpick.sync;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+
+/** Upstream records for tests. */
+public final class TestUpstreams {
+
+  private TestUpstreams() {}
+
+  public static Upstream upstream(
+      String id, long incarnation, long sequence, UpstreamState state, int load) {
+    return upstream(id, incarnation, sequence, state, load, 2, 16);
+  }
+
+  public static Upstream upstream(
+      String id,
+      long incarnation,
+      long sequence,
+      UpstreamState state,
+      int load,
+      int coldLimit,
+      int slots) {
+    return new Upstream(
+        id,
+        incarnation,
+        sequence,
+        new HostPort("10.1.2.3", 9_000),
+        "norte-a",
+        "tutor-lm",
+        "tutor",
+        "3",
+        List.of("safety"),
+        state,
+        slots,
+        coldLimit,
+        load,
+        true);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -0,0 +1,133 @@
+package org.ragwortpick.sync.rpc;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.sync.FakeLeader;
+import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.NoLeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.VmState;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against records or revisions that get lost between real gRPC servers and clients. */
+public final class SyncNodeTest {
+
+  private static final long WAIT_MS = 15_000;
+  private static final long CHECK_MS = 20;
+
+  private final Clock clock = new MonotonicClock();
+  private final FakeLeader.Committed committed = new FakeLeader.Committed();
+  private final List<AutoCloseable> opened = new ArrayList<>();
+  private SyncNode control;
+  private SyncNode entry;
+  private SyncNode relayed;
+
+  /** One control VM, one entry VM that polls it, and one that reaches the entry VM only. */
+  @BeforeMethod
+  public void openThreeVms() throws IOException {
+    FakeLeader leader = new FakeLeader(committed, clock::millis);
+    leader.lead(true, 1, "c1");
+    HostPort controlAddress = freeAddress();
+    HostPort entryAddress = freeAddress();
+    HostPort deadAddress = freeAddress();
+    SyncIdentity.ControlVm reachable = new SyncIdentity.ControlVm("c1", "norte-a", controlAddress);
+    SyncIdentity.ControlVm dead = new SyncIdentity.ControlVm("c1", "norte-a", deadAddress);
+    control = open("c1", controlAddress, leader, reachable, List.of());
+    entry = open("e1", entryAddress, new NoLeaderSource(), reachable, List.of());
+    relayed = open("e2", freeAddress(), new NoLeaderSource(), dead, List.of(entryAddress));
+  }
+
+  @AfterMethod
+  public void close() throws Exception {
+    for (AutoCloseable closeable : opened) {
+      closeable.close();
+    }
+    opened.clear();
+  }
+
+  @Test
+  public void changesReachEveryVm() throws InterruptedException {
+    long revision = committed.commit("dataCentre/norte-b", "\"OUT\"");
+    await("all VMs ready", () -> vmsReady(control) && vmsReady(entry) && vmsReady(relayed));
+    await("revision", () -> relayed.configurationView().current().revision() == revision);
+    assertEquals(relayed.configurationView().current().stateOf("norte-b"), DataCentreState.OUT);
+    assertTrue(relayed.configurationView().isInForce());
+    relayed
+        .upstreamDirectory()
+        .announce(TestUpstreams.upstream("u1", 1, 1, UpstreamState.READY, 3));
+    await("upstream", () -> control.upstreamDirectory().upstreams("tutor-lm").size() == 1);
+    assertEquals(control.upstreamDirectory().find("u1").orElseThrow().load(), 4);
+    await("loss", () -> control.upstreamDirectory().upstreams("tutor-lm").isEmpty());
+    assertEquals(control.upstreamDirectory().find("u1").orElseThrow().state(), UpstreamState.LOST);
+    assertEquals(entry.addressAnswers().best("caller").addresses().size(), 3);
+  }
+
+  private static boolean vmsReady(SyncNode node) {
+    return node.vmDirectory().vms().stream().filter(vm -> vm.state() == VmState.READY).count() == 3;
+  }
+
+  private SyncNode open(
+      String vm,
+      HostPort address,
+      LeaderSource leader,
+      SyncIdentity.ControlVm controlVm,
+      List<HostPort> relays)
+      throws IOException {
+    SyncIdentity identity =
+        new SyncIdentity(
+            vm,
+            1,
+            "norte-a",
+            new HostPort("127.0.0.1", address.port()),
+            address,
+            List.of(controlVm),
+            relays);
+    PeerChannels channels = new PeerChannels();
+    SyncNode node = new SyncNode(identity, clock, leader, channels, () -> 0);
+    Server server =
+        NettyServerBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
+            .addService(node.service())
+            .build()
+            .start();
+    opened.add(node);
+    opened.add(server::shutdownNow);
+    opened.add(channels);
+    node.start();
+    return node;
+  }
+
+  private static HostPort freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new HostPort("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long deadlineMs = clock.millis() + WAIT_MS;
+    CountDownLatch never = new CountDownLatch(1);
+    while (!condition.getAsBoolean()) {
+      assertTrue(clock.millis() < deadlineMs, "timed out waiting for: " + what);
+      assertTrue(!never.await(CHECK_MS, TimeUnit.MILLISECONDS));
+    }
+  }
+}
