Add first implementations of the policy interfaces

Cause: entry is wired to selection, budgets, admission and limits, of which only the interfaces existed.

Candidate gains isAvailable (the constructor with three arguments stays); DeadlineBudget gains needMs with a default.

Ruled out: reserving idle places for the minimum share, because it wastes capacity; the minimum is counted in grants instead.

--- a/src/main/java/org/ragwortpick/policy/Candidate.java
+++ b/src/main/java/org/ragwortpick/policy/Candidate.java
@@ -8,5 +8,18 @@
  * @param upstream the upstream with its last reported load
  * @param inFlight requests of the local VM in flight there
  * @param sentSinceReport requests that the local VM sent there since the last load report
+ * @param isAvailable false while the upstream is ejected or at its limit
  */
-public record Candidate(Upstream upstream, int inFlight, int sentSinceReport) {}
+public record Candidate(Upstream upstream, int inFlight, int sentSinceReport, boolean isAvailable) {
+
+  /**
+   * Creates an available candidate.
+   *
+   * @param upstream the upstream with its last reported load
+   * @param inFlight requests of the local VM in flight there
+   * @param sentSinceReport requests that the local VM sent there since the last load report
+   */
+  public Candidate(Upstream upstream, int inFlight, int sentSinceReport) {
+    this(upstream, inFlight, sentSinceReport, true);
+  }
+}
--- a/src/main/java/org/ragwortpick/policy/DeadlineBudget.java
+++ b/src/main/java/org/ragwortpick/policy/DeadlineBudget.java
@@ -33,4 +33,16 @@
    * @param elapsedMs time in milliseconds
    */
   void recordStage(Pipeline pipeline, int stageIndex, long elapsedMs);
+
+  /**
+   * Returns the time that the stages that are left typically need. A request waits at admission no
+   * later than its deadline less this time.
+   *
+   * @param pipeline pipeline of the request
+   * @param stageIndex index of the first stage that is left
+   * @return time in milliseconds; 0 while too little is measured
+   */
+  default long needMs(Pipeline pipeline, int stageIndex) {
+    return 0;
+  }
 }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/admission/Backlog.java
@@ -0,0 +1,121 @@
+package org.ragwortpick.policy.admission;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Workspaces with waiting requests, in the order in which they are served. A workspace is taken out
+ * before its account changes and put back afterwards. Guarded by the admission controller.
+ */
+final class Backlog {
+
+  private final TreeMap<Integer, Rank> ranks = new TreeMap<>();
+  private final TreeSet<WorkspaceShare> byDue = new TreeSet<>(WorkspaceShare.BY_DUE);
+
+  /** Workspaces of one rank. */
+  private static final class Rank {
+    private final TreeSet<WorkspaceShare> shares = new TreeSet<>(WorkspaceShare.BY_VIRTUAL_TIME);
+    private double virtualTime;
+    private long weight;
+  }
+
+  /**
+   * Puts a workspace in if it has waiting requests.
+   *
+   * @param share the workspace
+   */
+  void add(WorkspaceShare share) {
+    if (share.waiting().isEmpty()) {
+      return;
+    }
+    Rank rank = ranks.computeIfAbsent(share.rank(), key -> new Rank());
+    share.joinBacklog(rank.virtualTime);
+    rank.shares.add(share);
+    rank.weight += share.weight();
+    byDue.add(share);
+  }
+
+  /**
+   * Takes a workspace out.
+   *
+   * @param share the workspace
+   */
+  void remove(WorkspaceShare share) {
+    Rank rank = ranks.get(share.rank());
+    if (rank != null && rank.shares.remove(share)) {
+      rank.weight -= share.weight();
+      byDue.remove(share);
+    }
+  }
+
+  /**
+   * Returns the workspace to serve next: one whose minimum is due, or the first of the highest
+   * rank.
+   *
+   * @param grants grants so far
+   * @param hasMinimum whether the rules state a minimum share
+   * @return the workspace, or null if none waits
+   */
+  WorkspaceShare next(long grants, boolean hasMinimum) {
+    if (byDue.isEmpty()) {
+      return null;
+    }
+    if (hasMinimum && byDue.first().isDue(grants)) {
+      return byDue.first();
+    }
+    for (Rank rank : ranks.values()) {
+      if (!rank.shares.isEmpty()) {
+        return rank.shares.first();
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Moves the virtual time of a rank to that of a workspace that is served now. A workspace that is
+   * served by its minimum may be ahead of others, which would lose their credit.
+   *
+   * @param share the workspace
+   * @param byMinimum whether it is served because its minimum is due
+   */
+  void advance(WorkspaceShare share, boolean byMinimum) {
+    Rank rank = ranks.computeIfAbsent(share.rank(), key -> new Rank());
+    if (!byMinimum || rank.shares.isEmpty()) {
+      rank.virtualTime = Math.max(rank.virtualTime, share.virtualTime());
+    }
+  }
+
+  /**
+   * Estimates the share of the next grants that a workspace gets by rank and weight.
+   *
+   * @param share the workspace, in or out of the backlog
+   * @return share between 0 and 1
+   */
+  double shareOf(WorkspaceShare share) {
+    for (Map.Entry<Integer, Rank> entry : ranks.headMap(share.rank()).entrySet()) {
+      if (!entry.getValue().shares.isEmpty()) {
+        return 0;
+      }
+    }
+    Rank rank = ranks.get(share.rank());
+    long others =
+        rank == null ? 0 : rank.weight - (rank.shares.contains(share) ? share.weight() : 0);
+    return (double) share.weight() / (others + share.weight());
+  }
+
+  /**
+   * Tells whether no workspace waits.
+   *
+   * @return true if the backlog is empty
+   */
+  boolean isEmpty() {
+    return byDue.isEmpty();
+  }
+
+  /** Forgets the workspaces and ranks. */
+  void clear() {
+    ranks.clear();
+    byDue.clear();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
@@ -0,0 +1,75 @@
+package org.ragwortpick.policy.budget;
+
+import java.time.Clock;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
+import org.ragwortpick.config.Pipeline;
+import org.ragwortpick.policy.DeadlineBudget;
+import org.ragwortpick.policy.measure.SlidingQuantiles;
+import org.ragwortpick.policy.measure.SlidingQuantiles.Quantiles;
+
+/**
+ * Deadline budget from the measured times of each stage.
+ *
+ * <p>A stage leaves the p95 of the later stages to them. Whether a request can still finish is
+ * judged by medians: the sum of p95 values refuses requests of which most would finish in time.
+ */
+public final class MeasuredDeadlineBudget implements DeadlineBudget {
+
+  private static final long WINDOW_MS = 20_000;
+  private static final int WINDOW_PARTS = 5;
+
+  /** A stage with fewer samples counts as needing no time, so that a new pipeline can start. */
+  private static final int MIN_SAMPLES = 20;
+
+  private final Clock clock;
+  private final ConcurrentHashMap<StageKey, SlidingQuantiles> stages = new ConcurrentHashMap<>();
+
+  private record StageKey(String pipeline, int stageIndex) {}
+
+  /**
+   * Creates a budget without measurements.
+   *
+   * @param clock clock
+   */
+  public MeasuredDeadlineBudget(Clock clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public long stageBudgetMs(Pipeline pipeline, int stageIndex, long remainingMs) {
+    long laterMs = needMs(pipeline, stageIndex + 1, Quantiles::highMs);
+    return Math.max(0, Math.min(remainingMs, remainingMs - laterMs));
+  }
+
+  @Override
+  public boolean canFinish(Pipeline pipeline, int stageIndex, long remainingMs) {
+    return remainingMs > 0 && needMs(pipeline, stageIndex) <= remainingMs;
+  }
+
+  @Override
+  public long needMs(Pipeline pipeline, int stageIndex) {
+    return needMs(pipeline, stageIndex, Quantiles::medianMs);
+  }
+
+  @Override
+  public void recordStage(Pipeline pipeline, int stageIndex, long elapsedMs) {
+    stages
+        .computeIfAbsent(
+            new StageKey(pipeline.name(), stageIndex),
+            key -> new SlidingQuantiles(clock, WINDOW_MS, WINDOW_PARTS))
+        .record(elapsedMs);
+  }
+
+  private long needMs(Pipeline pipeline, int from, ToLongFunction<Quantiles> need) {
+    long sumMs = 0;
+    for (int i = from; i < pipeline.stages().size(); i++) {
+      SlidingQuantiles stage = stages.get(new StageKey(pipeline.name(), i));
+      if (stage != null) {
+        Quantiles quantiles = stage.read();
+        sumMs += quantiles.count() < MIN_SAMPLES ? 0 : need.applyAsLong(quantiles);
+      }
+    }
+    return sumMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Deadline, retry and hedge budgets from measured times. */
+package org.ragwortpick.policy.budget;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits, ejection and cold start detection per upstream. */
+package org.ragwortpick.policy.limit;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Sliding measurements that the decisions use. */
+package org.ragwortpick.policy.measure;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/policy/select/CandidateList.java
@@ -0,0 +1,73 @@
+package org.ragwortpick.policy.select;
+
+import java.util.AbstractList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.RandomAccess;
+import org.ragwortpick.policy.Candidate;
+import org.ragwortpick.policy.UpstreamLimiter;
+import org.ragwortpick.sync.Upstream;
+
+/**
+ * Candidates that are described when they are read. A list may be kept while the upstreams that it
+ * was made from are current, so that a request reads a few candidates and not all.
+ */
+public final class CandidateList extends AbstractList<Candidate> implements RandomAccess {
+
+  private final List<Upstream> upstreams;
+  private final UpstreamLimiter limiter;
+  private final Map<String, Integer> positions;
+
+  /**
+   * Creates a list.
+   *
+   * @param upstreams upstreams that may receive new work
+   * @param limiter limiter that describes them
+   */
+  public CandidateList(List<Upstream> upstreams, UpstreamLimiter limiter) {
+    this.upstreams = List.copyOf(upstreams);
+    this.limiter = limiter;
+    this.positions = new HashMap<>();
+    for (int i = 0; i < this.upstreams.size(); i++) {
+      positions.put(this.upstreams.get(i).id(), i);
+    }
+  }
+
+  @Override
+  public Candidate get(int index) {
+    return limiter.describe(upstreams.get(index));
+  }
+
+  @Override
+  public int size() {
+    return upstreams.size();
+  }
+
+  /**
+   * Finds candidates by identity.
+   *
+   * @param candidates any list of candidates
+   * @param ids identities to find
+   * @return the candidates of the list with these identities
+   */
+  static List<Candidate> withIds(List<Candidate> candidates, List<String> ids) {
+    List<Candidate> found = new ArrayList<>(Math.min(ids.size(), candidates.size()));
+    if (candidates instanceof CandidateList list) {
+      for (String id : ids) {
+        Integer position = list.positions.get(id);
+        if (position != null) {
+          found.add(list.get(position));
+        }
+      }
+      return found;
+    }
+    for (Candidate candidate : candidates) {
+      if (ids.contains(candidate.upstream().id())) {
+        found.add(candidate);
+      }
+    }
+    return found;
+  }
+}
