Add the policy bench with naive versions

Cause: the policy classes were not measured against anything.

Change: bench/run runs policy and naive decisions on the same arrivals and faults through one event queue. PolicySet gains callAdmission for plain calls. A stage whose p95 need exceeds the remaining time gets its proportion of it.

--- /dev/null
+++ b/src/bench/java/org/ragwortpick/bench/Deployment.java
@@ -0,0 +1,161 @@
+package org.ragwortpick.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Pipeline;
+import org.ragwortpick.config.Placement;
+import org.ragwortpick.config.Rules;
+import org.ragwortpick.config.Service;
+import org.ragwortpick.config.ServiceKind;
+import org.ragwortpick.config.Stage;
+import org.ragwortpick.config.Workspace;
+
+/**
+ * One of the two deployments of today.
+ *
+ * @param name name of the user
+ * @param inventory services, pipelines and workspaces
+ * @param rules rules
+ * @param crossLatencyMs one-way latency between data centres in milliseconds
+ * @param fullRate pipeline requests a second that keep all engines busy
+ */
+record Deployment(
+    String name, Inventory inventory, Rules rules, double crossLatencyMs, double fullRate) {
+
+  /** Number of entry VMs of each user. */
+  static final int ENTRY_VMS = 9;
+
+  /** Share of the arrivals of each workspace in percent; the first ones are large. */
+  static final int[] WORKSPACE_PERCENT = {35, 30, 20, 10, 5};
+
+  /** Plain calls for 100 pipeline requests. */
+  static final int CALL_PERCENT = 20;
+
+  private static final int ENGINE_SLOTS = 8;
+  private static final int COLD_LIMIT = 2;
+  private static final long RAMP_STEP_MS = 2_000;
+  private static final long DEADLINE_MS = 3_000;
+  private static final int MINIMUM_SHARE_PERCENT = 5;
+
+  /** Requests a second of one full engine: 8 at once with 1.2 s each. */
+  private static final double ENGINE_RATE = 6.6;
+
+  /**
+   * Creates the desk for fly screen fitters.
+   *
+   * @return the deployment
+   */
+  static Deployment komarnik() {
+    return create(
+        "komarnik",
+        "jadran",
+        List.of("split-a", "rijeka-b", "zadar-c", "dubrovnik-d"),
+        Map.of("savjetnik", 8),
+        Map.of("raspored", 4, "clanarina", 4, "katalog", 4, "obuka", 4),
+        "raspored",
+        0.4);
+  }
+
+  /**
+   * Creates the training platform.
+   *
+   * @return the deployment
+   */
+  static Deployment carga() {
+    return create(
+        "carga",
+        "norte-es",
+        List.of("norte-a", "norte-b", "norte-c"),
+        Map.of("tutor-lm", 6),
+        Map.of("certificacion", 3, "matricula", 3, "contenidos", 4, "informes", 4),
+        "certificacion",
+        1.2);
+  }
+
+  private static Deployment create(
+      String name,
+      String region,
+      List<String> dataCentres,
+      Map<String, Integer> engines,
+      Map<String, Integer> plain,
+      String neverTwice,
+      double crossLatencyMs) {
+    List<Service> services = new ArrayList<>();
+    String engine = engines.keySet().iterator().next();
+    int pool = dataCentres.size();
+    services.add(
+        service(engine, ServiceKind.ENGINE, ENGINE_SLOTS, engines.get(engine), dataCentres));
+    services.add(service("encoders", ServiceKind.ENCODER, 4, pool, dataCentres));
+    services.add(service("retrievers", ServiceKind.RETRIEVER, 4, pool, dataCentres));
+    services.add(service("rerankers", ServiceKind.RERANKER, 4, pool, dataCentres));
+    plain.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .forEach(
+            entry ->
+                services.add(
+                    service(entry.getKey(), ServiceKind.PLAIN, 4, entry.getValue(), dataCentres)));
+    Pipeline pipeline =
+        new Pipeline(
+            "answer",
+            DEADLINE_MS,
+            List.of(
+                new Stage("encode", "encoders", 0),
+                new Stage("retrieve", "retrievers", 0),
+                new Stage("rerank", "rerankers", 0),
+                new Stage("generate", engine, 80)));
+    List<Workspace> workspaces = new ArrayList<>();
+    for (int i = 0; i < WORKSPACE_PERCENT.length; i++) {
+      workspaces.add(new Workspace("w" + (i + 1), WORKSPACE_PERCENT[i]));
+    }
+    Inventory inventory =
+        new Inventory(region, dataCentres, services, List.of(pipeline), workspaces);
+    Rules rules =
+        new Rules(List.of(neverTwice), List.of("w1", "w2"), MINIMUM_SHARE_PERCENT, Map.of());
+    double fullRate = ENGINE_RATE * engines.get(engine);
+    return new Deployment(name, inventory, rules, crossLatencyMs, fullRate);
+  }
+
+  private static Service service(
+      String name, ServiceKind kind, int slots, int upstreams, List<String> dataCentres) {
+    Map<String, Integer> byDataCentre = new HashMap<>();
+    for (int i = 0; i < upstreams; i++) {
+      byDataCentre.merge(dataCentres.get(i % dataCentres.size()), 1, Integer::sum);
+    }
+    List<Placement> placements = new ArrayList<>();
+    for (String dataCentre : dataCentres) {
+      int replicas = byDataCentre.getOrDefault(dataCentre, 0);
+      placements.add(new Placement(dataCentre, "m", "1", List.of(), replicas));
+    }
+    return new Service(name, kind, slots, COLD_LIMIT, RAMP_STEP_MS, placements);
+  }
+
+  /**
+   * Creates a configuration with one data centre in a state.
+   *
+   * @param revision revision
+   * @param dataCentre data centre that is not in; null if all are in
+   * @param state its state
+   * @return the configuration
+   */
+  Configuration configuration(long revision, String dataCentre, DataCentreState state) {
+    Map<String, DataCentreState> states = dataCentre == null ? Map.of() : Map.of(dataCentre, state);
+    return new Configuration(
+        revision,
+        inventory,
+        new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states));
+  }
+
+  /**
+   * Returns the only pipeline.
+   *
+   * @return the pipeline
+   */
+  Pipeline pipeline() {
+    return inventory.pipelines().get(0);
+  }
+}
--- /dev/null
+++ b/src/bench/java/org/ragwortpick/bench/EventQueue.java
@@ -0,0 +1,88 @@
+package org.ragwortpick.bench;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.PriorityQueue;
+
+/** Queue of timed actions that is also the clock of all decisions. */
+final class EventQueue extends Clock {
+
+  private static final double START_MS = 1_000_000;
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private double nowMs = START_MS;
+  private long sequence;
+
+  private record Event(double atMs, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Double.compare(atMs, other.atMs);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /**
+   * Schedules an action.
+   *
+   * @param delayMs delay in milliseconds
+   * @param action the action
+   */
+  void after(double delayMs, Runnable action) {
+    events.add(new Event(nowMs + Math.max(0, delayMs), sequence++, action));
+  }
+
+  /**
+   * Repeats an action for ever.
+   *
+   * @param firstDelayMs delay of the first run in milliseconds
+   * @param periodMs period in milliseconds
+   * @param action the action
+   */
+  void every(double firstDelayMs, double periodMs, Runnable action) {
+    after(
+        firstDelayMs,
+        () -> {
+          action.run();
+          every(periodMs, periodMs, action);
+        });
+  }
+
+  /**
+   * Runs all actions up to a time.
+   *
+   * @param untilMs time since the start in milliseconds
+   */
+  void runUntil(double untilMs) {
+    while (!events.isEmpty() && events.peek().atMs <= START_MS + untilMs) {
+      Event event = events.poll();
+      nowMs = event.atMs;
+      event.action.run();
+    }
+  }
+
+  /**
+   * Returns the exact time.
+   *
+   * @return time in milliseconds since the start of the run
+   */
+  double sinceStartMs() {
+    return nowMs - START_MS;
+  }
+
+  @Override
+  public ZoneId getZone() {
+    return ZoneOffset.UTC;
+  }
+
+  @Override
+  public Clock withZone(ZoneId zone) {
+    return this;
+  }
+
+  @Override
+  public Instant instant() {
+    return Instant.ofEpochMilli((long) nowMs);
+  }
+}
--- /dev/null
+++ b/src/bench/java/org/ragwortpick/bench/Network.java
@@ -0,0 +1,86 @@
+package org.ragwortpick.bench;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Upstreams by identity, the latency to them and the take-outs that operators ordered. */
+final class Network {
+
+  private static final double LOCAL_LATENCY_MS = 0.2;
+  private static final double TAKE_OUT_BOUND_MS = 5_000;
+
+  private final EventQueue queue;
+  private final double crossLatencyMs;
+  private final Map<String, UpstreamModel> upstreams = new HashMap<>();
+  private final Map<String, Double> takenOutAtMs = new HashMap<>();
+
+  /**
+   * Creates a network without upstreams.
+   *
+   * @param queue event queue
+   * @param crossLatencyMs one-way latency between data centres in milliseconds
+   */
+  Network(EventQueue queue, double crossLatencyMs) {
+    this.queue = queue;
+    this.crossLatencyMs = crossLatencyMs;
+  }
+
+  /**
+   * Adds an upstream.
+   *
+   * @param upstream the upstream
+   */
+  void add(UpstreamModel upstream) {
+    upstreams.put(upstream.id(), upstream);
+  }
+
+  /**
+   * Finds an upstream.
+   *
+   * @param id its identity
+   * @return the upstream
+   */
+  UpstreamModel upstream(String id) {
+    return upstreams.get(id);
+  }
+
+  /**
+   * Returns a latency.
+   *
+   * @param from data centre
+   * @param to data centre
+   * @return one-way latency in milliseconds
+   */
+  double latencyMs(String from, String to) {
+    return from.equals(to) ? LOCAL_LATENCY_MS : LOCAL_LATENCY_MS + crossLatencyMs;
+  }
+
+  /**
+   * Notes that operators took a data centre out of service.
+   *
+   * @param dataCentre the data centre
+   */
+  void takeOut(String dataCentre) {
+    takenOutAtMs.put(dataCentre, queue.sinceStartMs());
+  }
+
+  /**
+   * Notes that operators return a data centre.
+   *
+   * @param dataCentre the data centre
+   */
+  void takeBack(String dataCentre) {
+    takenOutAtMs.remove(dataCentre);
+  }
+
+  /**
+   * Tells whether work sent now breaks the bound.
+   *
+   * @param dataCentre data centre of the upstream
+   * @return true if it was taken out longer ago than the bound
+   */
+  boolean isOutBeyondBound(String dataCentre) {
+    Double atMs = takenOutAtMs.get(dataCentre);
+    return atMs != null && queue.sinceStartMs() > atMs + TAKE_OUT_BOUND_MS;
+  }
+}
--- /dev/null
+++ b/src/bench/java/org/ragwortpick/bench/RunResult.java
@@ -0,0 +1,197 @@
+package org.ragwortpick.bench;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Counters of one run. */
+final class RunResult {
+
+  private final Map<String, long[]> attainedByWorkspace = new TreeMap<>();
+  private final Map<String, Long> attemptsByStage = new TreeMap<>();
+  private final Map<String, Long> outcomes = new TreeMap<>();
+  private final Map<String, Set<Integer>> executedByService = new HashMap<>();
+  private final Set<String> neverTwice;
+  private long answers;
+  private long pipelineAnswers;
+  private long hedges;
+  private long tokens;
+  private long answerTokens;
+  private long repeatedExecutions;
+  private long sentAfterBound;
+  private long coldCrashes;
+  private double peakColdLoad;
+
+  /**
+   * Creates counters.
+   *
+   * @param neverTwice services whose executions must not be repeated
+   */
+  RunResult(Set<String> neverTwice) {
+    this.neverTwice = neverTwice;
+  }
+
+  /**
+   * Records the end of a request.
+   *
+   * @param arrival the request
+   * @param outcome how it ended; {@code in time} counts as attained
+   */
+  void recordEnd(Arrival arrival, String outcome) {
+    long[] counts = attainedByWorkspace.computeIfAbsent(arrival.workspace(), w -> new long[2]);
+    counts[0]++;
+    outcomes.merge((arrival.isCall() ? "call " : "") + outcome, 1L, Long::sum);
+    if (outcome.equals("in time")) {
+      counts[1]++;
+      answers++;
+      pipelineAnswers += arrival.isCall() ? 0 : 1;
+      answerTokens += arrival.tokens();
+    }
+  }
+
+  /**
+   * Records an attempt.
+   *
+   * @param stage name of the stage
+   * @param isHedge whether it is a hedge
+   */
+  void recordAttempt(String stage, boolean isHedge) {
+    attemptsByStage.merge(stage, 1L, Long::sum);
+    hedges += isHedge ? 1 : 0;
+  }
+
+  /**
+   * Records generated tokens.
+   *
+   * @param generated tokens
+   */
+  void recordTokens(int generated) {
+    tokens += generated;
+  }
+
+  /**
+   * Records that an upstream accepted a request.
+   *
+   * @param service service of the upstream
+   * @param requestId number of the request
+   */
+  void recordExecution(String service, int requestId) {
+    if (neverTwice.contains(service)
+        && !executedByService.computeIfAbsent(service, s -> new HashSet<>()).add(requestId)) {
+      repeatedExecutions++;
+    }
+  }
+
+  /** Records work sent to a data centre later than the bound after its take-out. */
+  void recordSentAfterBound() {
+    sentAfterBound++;
+  }
+
+  /**
+   * Records the load of a cold upstream.
+   *
+   * @param share load as a share of what it bears
+   */
+  void recordColdLoad(double share) {
+    peakColdLoad = Math.max(peakColdLoad, share);
+  }
+
+  /** Records that a cold upstream fell over. */
+  void recordColdCrash() {
+    coldCrashes++;
+  }
+
+  /**
+   * Returns the attainment of all workspaces.
+   *
+   * @return share of requests that were answered in time
+   */
+  double attainment() {
+    long total = attainedByWorkspace.values().stream().mapToLong(counts -> counts[0]).sum();
+    return (double) answers / Math.max(1, total);
+  }
+
+  /**
+   * Returns the attainment of a workspace.
+   *
+   * @param workspace name of the workspace
+   * @return share of its requests that were answered in time
+   */
+  double attainment(String workspace) {
+    long[] counts = attainedByWorkspace.getOrDefault(workspace, new long[] {1, 0});
+    return (double) counts[1] / counts[0];
+  }
+
+  /**
+   * Returns the cost of a stage.
+   *
+   * @param stage name of the stage
+   * @return attempts for each answer
+   */
+  double attemptsPerAnswer(String stage) {
+    long answered = stage.equals("call") ? answers - pipelineAnswers : pipelineAnswers;
+    return (double) attemptsByStage.getOrDefault(stage, 0L) / Math.max(1, answered);
+  }
+
+  /**
+   * Returns the hedges.
+   *
+   * @return hedges for each answer
+   */
+  double hedgesPerAnswer() {
+    return (double) hedges / Math.max(1, answers);
+  }
+
+  /**
+   * Returns the cost in tokens.
+   *
+   * @return generated tokens for each token of an answer in time
+   */
+  double tokensPerAnswerToken() {
+    return (double) tokens / Math.max(1, answerTokens);
+  }
+
+  /**
+   * Returns the repeated executions.
+   *
+   * @return executions of non-idempotent requests beyond the first
+   */
+  long repeatedExecutions() {
+    return repeatedExecutions;
+  }
+
+  /**
+   * Returns the late work.
+   *
+   * @return attempts sent to a data centre after the bound
+   */
+  long sentAfterBound() {
+    return sentAfterBound;
+  }
+
+  /**
+   * Returns the peak load of cold upstreams.
+   *
+   * @return load as a share of what they bear
+   */
+  double peakColdLoad() {
+    return peakColdLoad;
+  }
+
+  /**
+   * Describes the run in one line.
+   *
+   * @return outcome counts
+   */
+  String describe() {
+    return outcomes
+        + " crashes="
+        + coldCrashes
+        + " attempts="
+        + attemptsByStage
+        + " hedges="
+        + hedges;
+  }
+}
--- /dev/null
+++ b/src/bench/java/org/ragwortpick/bench/VmView.java
@@ -0,0 +1,133 @@
+package org.ragwortpick.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+
+/** What one entry VM has been told: a configuration and upstream records, both late. */
+final class VmView {
+
+  private static final double CONFIGURATION_LEASE_MS = 4_000;
+  private static final double LOST_MS = 3_500;
+
+  private final EventQueue queue;
+  private final Map<String, Upstream> records = new HashMap<>();
+  private final Map<String, Double> receivedAtMs = new HashMap<>();
+  private final Map<String, List<Upstream>> usable = new HashMap<>();
+  private Configuration configuration;
+  private double confirmedAtMs;
+  private boolean isolated;
+
+  /**
+   * Creates a view.
+   *
+   * @param queue event queue
+   * @param configuration configuration at the start
+   */
+  VmView(EventQueue queue, Configuration configuration) {
+    this.queue = queue;
+    this.configuration = configuration;
+  }
+
+  /**
+   * Cuts the VM off from the control VMs or connects it again.
+   *
+   * @param isIsolated whether it is cut off
+   */
+  void setIsolated(boolean isIsolated) {
+    isolated = isIsolated;
+  }
+
+  /**
+   * Receives a configuration unless the VM is isolated.
+   *
+   * @param newConfiguration the configuration
+   */
+  void receive(Configuration newConfiguration) {
+    if (isolated) {
+      return;
+    }
+    confirmedAtMs = queue.sinceStartMs();
+    if (newConfiguration.revision() > configuration.revision()) {
+      configuration = newConfiguration;
+      usable.clear();
+    }
+  }
+
+  /**
+   * Receives the record of an upstream.
+   *
+   * @param upstream the record
+   */
+  void receive(Upstream upstream) {
+    Upstream known = records.get(upstream.id());
+    boolean newer =
+        known == null
+            || upstream.incarnation() > known.incarnation()
+            || upstream.incarnation() == known.incarnation()
+                && upstream.sequence() > known.sequence();
+    if (newer) {
+      records.put(upstream.id(), upstream);
+      receivedAtMs.put(upstream.id(), queue.sinceStartMs());
+      usable.remove(upstream.service());
+    }
+  }
+
+  /** Drops the records of upstreams that have been silent. */
+  void dropLost() {
+    double beforeMs = queue.sinceStartMs() - LOST_MS;
+    if (receivedAtMs.values().removeIf(atMs -> atMs < beforeMs)) {
+      records.keySet().retainAll(receivedAtMs.keySet());
+      usable.clear();
+    }
+  }
+
+  /**
+   * Lists the upstreams of a service that may receive work.
+   *
+   * @param service name of the service
+   * @return the upstreams
+   */
+  List<Upstream> upstreams(String service) {
+    return usable.computeIfAbsent(
+        service,
+        name ->
+            records.values().stream()
+                .filter(upstream -> upstream.service().equals(name))
+                .filter(upstream -> upstream.state() != UpstreamState.LEAVING)
+                .filter(upstream -> configuration.takesWork(upstream.dataCentre()))
+                .sorted((a, b) -> a.id().compareTo(b.id()))
+                .toList());
+  }
+
+  /**
+   * Lists all known upstreams.
+   *
+   * @return the upstreams
+   */
+  List<Upstream> all() {
+    return new ArrayList<>(records.values());
+  }
+
+  /**
+   * Returns the configuration.
+   *
+   * @return newest received configuration
+   */
+  Configuration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Tells whether the configuration was confirmed lately.
+   *
+   * @return false if the VM must not start work
+   */
+  boolean isInForce() {
+    return queue.sinceStartMs() - confirmedAtMs < CONFIGURATION_LEASE_MS;
+  }
+}
--- a/src/main/java/org/ragwortpick/policy/PolicySet.java
+++ b/src/main/java/org/ragwortpick/policy/PolicySet.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.ragwortpick.config.Configuration;
-import org.ragwortpick.config.Service;
 import org.ragwortpick.config.ServiceKind;
 import org.ragwortpick.policy.admission.FairShareAdmissionController;
 import org.ragwortpick.policy.budget.MeasuredDeadlineBudget;
@@ -25,6 +24,7 @@
   private final UpstreamSelector selector;
   private final DeadlineBudget deadlineBudget;
   private final FairShareAdmissionController admission;
+  private final FairShareAdmissionController callAdmission;
   private final RetryBudget retryBudget;
   private final PercentileHedgePolicy hedgePolicy;
   private final AdaptiveUpstreamLimiter limiter;
@@ -52,6 +52,9 @@
     admission =
         new FairShareAdmissionController(
             clock, settings.maxWaitingPerWorkspace(), settings.maxWaiting());
+    callAdmission =
+        new FairShareAdmissionController(
+            clock, settings.maxWaitingPerWorkspace(), settings.maxWaiting());
     retryBudget = new RatioRetryBudget(clock, settings.retryPercent(), settings.retryConstant());
     hedgePolicy = new PercentileHedgePolicy(clock, configuration);
     limiter = new AdaptiveUpstreamLimiter(clock, 1);
@@ -82,33 +85,36 @@
   public void update(Configuration configuration, int entryVms, Collection<Upstream> upstreams) {
     limiter.setEntryVms(entryVms);
     hedgePolicy.update(configuration);
-    admission.update(configuration, capacity(configuration, entryVms, upstreams));
+    admission.update(
+        configuration, capacity(configuration, entryVms, upstreams, ServiceKind.ENGINE));
+    callAdmission.update(
+        configuration, capacity(configuration, entryVms, upstreams, ServiceKind.PLAIN));
   }
 
   /** Refuses overdue requests and forgets lost upstreams. Called a few times a second. */
   public void expire() {
     admission.expire();
+    callAdmission.expire();
     limiter.expire();
   }
 
   /**
-   * Computes how many requests a VM may run at once: its share of the slots of the engines and of
-   * the plain services. Encoders, retrievers and rerankers do not count, because a pipeline request
-   * occupies one upstream at a time and engines are its narrowest stage.
+   * Computes the share of one VM of the slots of all upstreams of a kind.
    *
    * @param configuration configuration in force
    * @param entryVms number of entry VMs that share the upstreams
    * @param upstreams upstreams that may receive new work
+   * @param kind kind of the services that count
    * @return number of requests, at least 1
    */
   public static int capacity(
-      Configuration configuration, int entryVms, Collection<Upstream> upstreams) {
+      Configuration configuration, int entryVms, Collection<Upstream> upstreams, ServiceKind kind) {
     long slots = 0;
     for (Upstream upstream : upstreams) {
-      ServiceKind kind =
-          configuration.service(upstream.service()).map(Service::kind).orElse(ServiceKind.PLAIN);
-      boolean counts = kind == ServiceKind.ENGINE || kind == ServiceKind.PLAIN;
-      slots += counts && configuration.takesWork(upstream.dataCentre()) ? upstream.slots() : 0;
+      boolean counts =
+          configuration.service(upstream.service()).filter(s -> s.kind() == kind).isPresent()
+              && configuration.takesWork(upstream.dataCentre());
+      slots += counts ? upstream.slots() : 0;
     }
     return (int) Math.max(1, Math.ceil((double) slots / Math.max(1, entryVms)));
   }
@@ -151,7 +157,8 @@
   }
 
   /**
-   * Returns the admission controller.
+   * Returns the admission controller of pipeline requests. Its capacity is that of the engines,
+   * which are the narrowest stage of a pipeline.
    *
    * @return the controller
    */
@@ -159,6 +166,16 @@
     return admission;
   }
 
+  /**
+   * Returns the admission controller of calls of plain services, which do not compete with
+   * pipelines for engines.
+   *
+   * @return the controller
+   */
+  public AdmissionController callAdmission() {
+    return callAdmission;
+  }
+
   /**
    * Returns the budget of retries and hedges.
    *
--- a/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
+++ b/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
@@ -13,6 +13,7 @@
  *
  * <p>A stage leaves the p95 of the later stages to them. Whether a request can still finish is
  * judged by medians: the sum of p95 values refuses requests of which most would finish in time.
+ * When the p95 needs of all stages exceed the remaining time, each stage gets its proportion of it.
  */
 public final class MeasuredDeadlineBudget implements DeadlineBudget {
 
@@ -38,8 +39,16 @@
 
   @Override
   public long stageBudgetMs(Pipeline pipeline, int stageIndex, long remainingMs) {
+    if (remainingMs <= 0) {
+      return 0;
+    }
+    long allMs = needMs(pipeline, stageIndex, Quantiles::highMs);
     long laterMs = needMs(pipeline, stageIndex + 1, Quantiles::highMs);
-    return Math.max(0, Math.min(remainingMs, remainingMs - laterMs));
+    if (allMs <= remainingMs) {
+      return remainingMs - laterMs;
+    }
+    // Too little is left for the p95 of all stages, so that each gets its part of the time.
+    return Math.max(1, remainingMs * (allMs - laterMs) / allMs);
   }
 
   @Override
