--- a/src/bench/java/org/ragwortpick/bench/RequestRun.java
+++ b/src/bench/java/org/ragwortpick/bench/RequestRun.java
@@ -67,6 +67,7 @@
             entry,
             arrival,
             index,
+            budgetMs,
             reason -> {
               if (reason.isEmpty()) {
                 long elapsedMs = (long) (entry.queue().sinceStartMs() - startedAtMs);
--- a/src/bench/java/org/ragwortpick/bench/RunResult.java
+++ b/src/bench/java/org/ragwortpick/bench/RunResult.java
@@ -22,6 +22,7 @@
   private long repeatedExecutions;
   private long sentAfterBound;
   private long coldCrashes;
+  private long coldOverloads;
   private double peakColdLoad;
 
   /**
@@ -98,6 +99,20 @@
     peakColdLoad = Math.max(peakColdLoad, share);
   }
 
+  /** Records a request beyond what a cold upstream bears. */
+  void recordColdOverload() {
+    coldOverloads++;
+  }
+
+  /**
+   * Returns the overload of cold upstreams.
+   *
+   * @return requests beyond what they bear
+   */
+  long coldOverloads() {
+    return coldOverloads;
+  }
+
   /** Records that a cold upstream fell over. */
   void recordColdCrash() {
     coldCrashes++;
--- a/src/bench/java/org/ragwortpick/bench/UpstreamModel.java
+++ b/src/bench/java/org/ragwortpick/bench/UpstreamModel.java
@@ -51,6 +51,7 @@
   private boolean failing;
   private boolean down;
   private boolean cold;
+  private boolean refusesWhenCold;
   private double coldSinceMs;
   private long incarnation = 1;
   private long sequence;
@@ -151,10 +152,16 @@
         });
   }
 
-  /** Gets cold without a restart and without saying so. */
-  void becomeCold() {
+  /** Gets cold without a restart; says so only with its next announcement. */
+  void becomeColdSilently() {
+    becomeCold();
+    refusesWhenCold = true;
+  }
+
+  private void becomeCold() {
     advance();
     cold = true;
+    refusesWhenCold = false;
     coldSinceMs = queue.sinceStartMs();
     scheduleNext();
   }
@@ -241,7 +248,10 @@
     }
     int load = running.size() + waiting.size() + 1;
     int bears = bears();
-    if (cold) {
+    if (cold && load > bears) {
+      result.recordColdOverload();
+    }
+    if (cold && !refusesWhenCold) {
       result.recordColdLoad((double) load / bears);
       if (load > bears) {
         result.recordColdCrash();
