Add the request path: caller API, upstream client, pipelines, calls

Cause: entry VMs had interfaces for policies, ledger and directories but nothing that accepts a request.

Everything about one request runs on a serial executor without locks, so a request that ends may wake another one.

Ruled out: ids of callers as upstream ids. Two callers may send the same Request-Id, and their answers could then be confused; the id that goes to upstreams ends in a part chosen by this VM.

Conclusion: pipeline, stream, booking, plain call, addresses and announcements work over real sockets in EntryServerTest (5 tests).

--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/RequestPolicies.java
@@ -0,0 +1,29 @@
+package org.ragwortpick.entry;
+
+import org.ragwortpick.policy.AdmissionController;
+import org.ragwortpick.policy.DeadlineBudget;
+import org.ragwortpick.policy.HedgePolicy;
+import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.UpstreamLimiter;
+import org.ragwortpick.policy.UpstreamSelector;
+import org.ragwortpick.sync.ColdAllowances;
+
+/**
+ * Decisions that the request path asks for.
+ *
+ * @param admission places by workspace
+ * @param deadlines division of deadlines over stages
+ * @param selector selection of upstreams
+ * @param limiter places by upstream
+ * @param allowances leased shares of upstreams in cold start
+ * @param retries budget of further attempts
+ * @param hedges delays of hedges
+ */
+public record RequestPolicies(
+    AdmissionController admission,
+    DeadlineBudget deadlines,
+    UpstreamSelector selector,
+    UpstreamLimiter limiter,
+    ColdAllowances allowances,
+    RetryBudget retries,
+    HedgePolicy hedges) {}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/call/package-info.java
@@ -0,0 +1,2 @@
+/** Plain and non-idempotent service calls. */
+package org.ragwortpick.entry.call;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -0,0 +1,184 @@
+package org.ragwortpick.entry.http;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.ragwortpick.entry.AddressSource;
+import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.RequestIds;
+import org.ragwortpick.entry.Timers;
+import org.ragwortpick.error.ExecutionOutcome;
+import org.ragwortpick.error.RequestError;
+import org.ragwortpick.ledger.ExecutionLedger;
+import org.ragwortpick.sync.Upstream;
+import org.xnio.IoUtils;
+
+/** Routes the requests of callers and upstreams. */
+public final class CallerApi implements HttpHandler {
+
+  private static final Logger LOG = Logger.getLogger(CallerApi.class);
+  private static final String PIPELINES = "/v1/pipelines/";
+  private static final String SERVICES = "/v1/services/";
+  private static final String CALLS = "/v1/calls/";
+  private static final String ADDRESSES = "/v1/addresses";
+  private static final String ANNOUNCEMENTS = "/v1/announcements";
+
+  private final EntryDependencies dependencies;
+  private final AddressSource addresses;
+  private final Responder responder;
+  private final PipelineEndpoint pipelines;
+  private final ServiceEndpoint services;
+
+  /**
+   * Creates the API.
+   *
+   * @param dependencies what all requests share
+   * @param ledger execution records
+   * @param addresses source of the addresses for callers
+   * @param ids identities of requests
+   * @param vm name of the local VM
+   */
+  public CallerApi(
+      EntryDependencies dependencies,
+      ExecutionLedger ledger,
+      AddressSource addresses,
+      RequestIds ids,
+      String vm) {
+    this.dependencies = dependencies;
+    this.addresses = addresses;
+    this.responder = new Responder(addresses);
+    this.pipelines = new PipelineEndpoint(dependencies, ids, responder);
+    this.services = new ServiceEndpoint(dependencies, ledger, ids, vm, responder);
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    dependencies.work().enter();
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          dependencies.work().exit();
+          next.proceed();
+        });
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> guarded(exchange, () -> route(exchange)));
+  }
+
+  private void guarded(HttpServerExchange exchange, Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.error("request failed", e);
+      refuse(exchange, new RequestError.Internal(), ExecutionOutcome.UNKNOWN);
+    }
+  }
+
+  private void route(HttpServerExchange exchange) {
+    String path = exchange.getRequestPath();
+    HttpString method = exchange.getRequestMethod();
+    boolean post = method.equals(Methods.POST);
+    boolean get = method.equals(Methods.GET);
+    if (post && path.startsWith(PIPELINES)) {
+      String name = path.substring(PIPELINES.length());
+      withHeaders(
+          exchange,
+          headers -> readBody(exchange, body -> pipelines.handle(exchange, name, headers, body)));
+    } else if (post && path.startsWith(SERVICES)) {
+      String name = path.substring(SERVICES.length());
+      withHeaders(
+          exchange,
+          headers -> readBody(exchange, body -> services.handle(exchange, name, headers, body)));
+    } else if (get && path.startsWith(CALLS)) {
+      String key = path.substring(CALLS.length());
+      withHeaders(exchange, headers -> services.status(exchange, key, headers));
+    } else if (get && path.equals(ADDRESSES)) {
+      responder.json(exchange, 200, addresses.addresses());
+    } else if (post && path.equals(ANNOUNCEMENTS)) {
+      readBody(exchange, body -> announce(exchange, body));
+    } else {
+      refuse(
+          exchange,
+          new RequestError.NoSuchResource(method.toString(), path),
+          ExecutionOutcome.NOT_RUN);
+    }
+  }
+
+  private void withHeaders(HttpServerExchange exchange, Consumer<CallerHeaders> next) {
+    Either<RequestError, CallerHeaders> headers =
+        CallerHeaders.parse(exchange.getRequestHeaders(), dependencies.settings().maxDeadlineMs());
+    if (headers.isLeft()) {
+      refuse(exchange, headers.getLeft(), ExecutionOutcome.NOT_RUN);
+    } else {
+      next.accept(headers.get());
+    }
+  }
+
+  private void readBody(HttpServerExchange exchange, Consumer<byte[]> next) {
+    int limitBytes = dependencies.settings().maxBodyBytes();
+    if (exchange.getRequestContentLength() > limitBytes) {
+      exchange.setPersistent(false);
+      refuse(exchange, new RequestError.BodyTooLarge(limitBytes), ExecutionOutcome.NOT_RUN);
+      return;
+    }
+    AtomicBoolean ended = new AtomicBoolean();
+    Timers.Timer timer =
+        dependencies
+            .timers()
+            .schedule(
+                dependencies.settings().bodyTimeoutMs(),
+                () -> {
+                  if (ended.compareAndSet(false, true)) {
+                    exchange
+                        .getIoThread()
+                        .execute(() -> IoUtils.safeClose(exchange.getConnection()));
+                  }
+                });
+    exchange.setMaxEntitySize(limitBytes);
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (read, body) -> {
+              timer.cancel();
+              ended.set(true);
+              exchange.dispatch(
+                  SameThreadExecutor.INSTANCE, () -> guarded(exchange, () -> next.accept(body)));
+            },
+            (failed, cause) -> {
+              timer.cancel();
+              ended.set(true);
+              exchange.setPersistent(false);
+              exchange.dispatch(
+                  SameThreadExecutor.INSTANCE,
+                  () -> refuse(exchange, bodyError(cause, limitBytes), ExecutionOutcome.NOT_RUN));
+            });
+  }
+
+  private static RequestError bodyError(IOException cause, int limitBytes) {
+    return cause instanceof RequestTooBigException
+        ? new RequestError.BodyTooLarge(limitBytes)
+        : new RequestError.Malformed("the body ended before its stated length");
+  }
+
+  private void announce(HttpServerExchange exchange, byte[] body) {
+    Either<RequestError, Upstream> announcement = AnnouncementReader.parse(body);
+    if (announcement.isLeft()) {
+      refuse(exchange, announcement.getLeft(), ExecutionOutcome.NOT_RUN);
+    } else if (!dependencies.gate().mayStartWork()) {
+      refuse(exchange, new RequestError.Draining(), ExecutionOutcome.NOT_RUN);
+    } else {
+      dependencies.directory().announce(announcement.get());
+      responder.json(exchange, 200, addresses.addresses());
+    }
+  }
+
+  private void refuse(HttpServerExchange exchange, RequestError error, ExecutionOutcome execution) {
+    responder.error(exchange, error, execution, List.of());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/CallerConnection.java
@@ -0,0 +1,82 @@
+package org.ragwortpick.entry.http;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
+import java.io.IOException;
+import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * Notices that a caller closes its connection while its request runs.
+ *
+ * <p>Undertow reads nothing between the end of a request and the end of its answer, so a closed
+ * connection would stay unnoticed. A caller that closes only its sending side counts as gone too.
+ */
+final class CallerConnection {
+
+  private static final AttachmentKey<CallerConnection> KEY =
+      AttachmentKey.create(CallerConnection.class);
+
+  private volatile Runnable onClose = () -> {};
+
+  private CallerConnection() {}
+
+  /**
+   * Watches the connection until the exchange ends. Must run on the I/O thread of the connection,
+   * after the body was read.
+   *
+   * @param exchange exchange of the request
+   * @param onClose runs when the connection closes first
+   */
+  static void watch(HttpServerExchange exchange, Runnable onClose) {
+    ServerConnection connection = exchange.getConnection();
+    CallerConnection watched = connection.getAttachment(KEY);
+    if (watched == null) {
+      CallerConnection added = new CallerConnection();
+      connection.putAttachment(KEY, added);
+      connection.addCloseListener(closed -> added.onClose.run());
+      watched = added;
+    }
+    watched.onClose = onClose;
+    CallerConnection current = watched;
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          current.onClose = () -> {};
+          next.proceed();
+        });
+    if (!connection.isOpen()) {
+      onClose.run();
+    } else if (connection instanceof AbstractServerConnection tcp && tcp.getExtraBytes() == null) {
+      tcp.getChannel().getSourceChannel().setReadListener(source -> probe(tcp, source));
+      tcp.getOriginalSourceConduit().resumeReads();
+    }
+  }
+
+  private static void probe(AbstractServerConnection tcp, ConduitStreamSourceChannel source) {
+    tcp.getOriginalSourceConduit().suspendReads();
+    PooledByteBuffer buffer = tcp.getByteBufferPool().allocate();
+    boolean kept = false;
+    try {
+      int count = tcp.getOriginalSourceConduit().read(buffer.getBuffer());
+      if (count < 0) {
+        IoUtils.safeClose(tcp);
+      } else if (count == 0) {
+        tcp.getOriginalSourceConduit().resumeReads();
+      } else {
+        // The caller sent its next request early; the server parses it after this one.
+        buffer.getBuffer().flip();
+        tcp.setExtraBytes(buffer);
+        kept = true;
+      }
+    } catch (IOException e) {
+      IoUtils.safeClose(tcp);
+    } finally {
+      if (!kept) {
+        buffer.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -0,0 +1,97 @@
+package org.ragwortpick.entry.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.entry.WorkCounter;
+import org.xnio.XnioWorker;
+
+/**
+ * HTTP server for callers and announcements.
+ *
+ * <p>A graceful stop has three steps: the work gate closes, {@link #whenIdle} completes, and {@link
+ * #stop} closes the listener. The worker belongs to the owner, who shuts it down last.
+ */
+public final class EntryServer {
+
+  /** Bounds the memory that the headers of one connection can take. */
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+  private static final int MAX_HEADERS = 64;
+
+  private final Undertow undertow;
+  private final WorkCounter work;
+
+  /**
+   * Creates a server.
+   *
+   * @param host IP number to listen on
+   * @param port TCP port; 0 for any free one
+   * @param worker worker whose I/O threads serve the connections
+   * @param buffers buffers for reading and writing
+   * @param handler the caller API
+   * @param work counter of the work in flight
+   */
+  public EntryServer(
+      String host,
+      int port,
+      XnioWorker worker,
+      ByteBufferPool buffers,
+      HttpHandler handler,
+      WorkCounter work) {
+    this.work = work;
+    this.undertow =
+        Undertow.builder()
+            .addHttpListener(port, host)
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+            .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setHandler(handler)
+            .build();
+  }
+
+  /** Starts to listen. */
+  public void start() {
+    undertow.start();
+  }
+
+  /**
+   * Returns the address that the server listens on. Valid after the start.
+   *
+   * @return the address
+   */
+  public HostPort address() {
+    InetSocketAddress bound = (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
+    return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
+  }
+
+  /**
+   * Returns the number of requests in flight, outcomes that are still being recorded included.
+   *
+   * @return the number
+   */
+  public int inFlight() {
+    return work.count();
+  }
+
+  /**
+   * Waits until nothing is in flight.
+   *
+   * @return stage that completes then
+   */
+  public CompletionStage<Void> whenIdle() {
+    return work.whenIdle();
+  }
+
+  /** Closes the listener. Requests in flight continue. */
+  public void stop() {
+    undertow.stop();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/EventStreamWriter.java
@@ -0,0 +1,130 @@
+package org.ragwortpick.entry.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Writes server-sent events to a caller without blocking. A caller that reads too slowly loses its
+ * connection, so that the memory of the VM stays bounded.
+ */
+final class EventStreamWriter {
+
+  private static final int MAX_PENDING_BYTES = 1024 * 1024;
+
+  private final HttpServerExchange exchange;
+  private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private int pendingBytes;
+  private boolean flushScheduled;
+  private boolean finished;
+  private StreamSinkChannel channel;
+
+  /**
+   * Creates a writer.
+   *
+   * @param exchange exchange of the request
+   */
+  EventStreamWriter(HttpServerExchange exchange) {
+    this.exchange = exchange;
+  }
+
+  /**
+   * Queues an event. May be called from any thread.
+   *
+   * @param name name of the event
+   * @param json data in one line
+   */
+  void event(String name, String json) {
+    byte[] bytes = ("event: " + name + "\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8);
+    synchronized (this) {
+      pending.add(ByteBuffer.wrap(bytes));
+      pendingBytes += bytes.length;
+    }
+    scheduleFlush();
+  }
+
+  /** Ends the stream after the queued events. */
+  void finish() {
+    synchronized (this) {
+      finished = true;
+    }
+    scheduleFlush();
+  }
+
+  private void scheduleFlush() {
+    synchronized (this) {
+      if (flushScheduled) {
+        return;
+      }
+      flushScheduled = true;
+    }
+    exchange.getIoThread().execute(this::flush);
+  }
+
+  private void flush() {
+    synchronized (this) {
+      flushScheduled = false;
+    }
+    try {
+      if (!exchange.getConnection().isOpen()) {
+        exchange.endExchange();
+      } else if (exchange.isComplete()) {
+        return;
+      } else {
+        open();
+        write();
+      }
+    } catch (IOException e) {
+      IoUtils.safeClose(exchange.getConnection());
+      exchange.endExchange();
+    }
+  }
+
+  private void open() {
+    if (channel == null) {
+      exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+      channel = exchange.getResponseChannel();
+      channel.getWriteSetter().set(ready -> flush());
+    }
+  }
+
+  private void write() throws IOException {
+    boolean end;
+    synchronized (this) {
+      while (!pending.isEmpty()) {
+        ByteBuffer first = pending.peek();
+        int count = channel.write(first);
+        pendingBytes -= count;
+        if (first.hasRemaining()) {
+          break;
+        }
+        pending.remove();
+      }
+      if (pendingBytes > MAX_PENDING_BYTES) {
+        throw new IOException("the caller reads too slowly");
+      }
+      end = finished && pending.isEmpty();
+      if (!pending.isEmpty()) {
+        channel.resumeWrites();
+        return;
+      }
+    }
+    if (end) {
+      channel.shutdownWrites();
+    }
+    if (channel.flush()) {
+      channel.suspendWrites();
+      if (end) {
+        exchange.endExchange();
+      }
+    } else {
+      channel.resumeWrites();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
@@ -0,0 +1,184 @@
+package org.ragwortpick.entry.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.opentelemetry.api.trace.Span;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.ragwortpick.common.Json;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.Pipeline;
+import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.RequestContext;
+import org.ragwortpick.entry.RequestIds;
+import org.ragwortpick.entry.RequestResult;
+import org.ragwortpick.entry.SerialExecutor;
+import org.ragwortpick.entry.StageCost;
+import org.ragwortpick.entry.pipeline.PipelineInput;
+import org.ragwortpick.entry.pipeline.PipelinePlan;
+import org.ragwortpick.entry.pipeline.PipelineRun;
+import org.ragwortpick.entry.pipeline.RequestReceiver;
+import org.ragwortpick.error.ExecutionOutcome;
+import org.ragwortpick.error.RequestError;
+
+/** Runs pipelines for callers. */
+final class PipelineEndpoint {
+
+  private final EntryDependencies dependencies;
+  private final RequestIds ids;
+  private final Responder responder;
+
+  /**
+   * Creates the endpoint.
+   *
+   * @param dependencies what all requests share
+   * @param ids identities of requests
+   * @param responder writer of answers
+   */
+  PipelineEndpoint(EntryDependencies dependencies, RequestIds ids, Responder responder) {
+    this.dependencies = dependencies;
+    this.ids = ids;
+    this.responder = responder;
+  }
+
+  /**
+   * Runs a pipeline. Must run on the I/O thread of the exchange.
+   *
+   * @param exchange exchange of the request
+   * @param name name of the pipeline
+   * @param headers headers of the caller
+   * @param body body of the request
+   */
+  void handle(HttpServerExchange exchange, String name, CallerHeaders headers, byte[] body) {
+    Configuration configuration = dependencies.view().current();
+    Optional<Pipeline> pipeline = configuration.pipeline(name);
+    Either<RequestError, PipelineInput> input = PipelineInput.parse(body);
+    Optional<RequestError> refusal = refusal(configuration, name, headers);
+    if (refusal.isPresent() || input.isLeft()) {
+      responder.error(
+          exchange, refusal.orElseGet(() -> input.getLeft()), ExecutionOutcome.NOT_RUN, List.of());
+      return;
+    }
+    long deadlineMs =
+        headers
+            .deadlineMs()
+            .orElse(Math.min(pipeline.get().deadlineMs(), dependencies.settings().maxDeadlineMs()));
+    Span span = dependencies.tracer().startRequest("pipeline " + name, headers.traceparent());
+    RequestContext request =
+        new RequestContext(
+            ids.next(headers.requestId()),
+            headers.workspace(),
+            dependencies.clock().millis() + deadlineMs,
+            span,
+            new SerialExecutor());
+    PipelinePlan plan =
+        new PipelinePlan(configuration, pipeline.get(), input.get(), headers.workspace());
+    String accept = exchange.getRequestHeaders().getFirst(Headers.ACCEPT);
+    boolean events = accept != null && accept.contains("text/event-stream");
+    RequestReceiver receiver =
+        events ? new EventReceiver(exchange, request) : new JsonReceiver(exchange, request);
+    PipelineRun run = new PipelineRun(pipeline.get(), plan, request, dependencies, receiver);
+    CallerConnection.watch(exchange, run::cancel);
+    run.start(input.get().input());
+  }
+
+  private Optional<RequestError> refusal(
+      Configuration configuration, String name, CallerHeaders headers) {
+    if (!dependencies.view().isInForce()) {
+      return Optional.of(new RequestError.NotInForce());
+    }
+    if (configuration.pipeline(name).isEmpty()) {
+      return Optional.of(new RequestError.UnknownName("pipeline", name));
+    }
+    if (configuration.workspace(headers.workspace()).isEmpty()) {
+      return Optional.of(new RequestError.UnknownName("workspace", headers.workspace()));
+    }
+    return Optional.empty();
+  }
+
+  private static ExecutionOutcome execution(RequestResult result) {
+    if (result.answer().isRight()) {
+      return ExecutionOutcome.DONE;
+    }
+    return result.sent() ? ExecutionOutcome.UNKNOWN : ExecutionOutcome.NOT_RUN;
+  }
+
+  private static ObjectNode cost(String requestId, List<StageCost> stages) {
+    ObjectNode json = Json.MESSAGES.createObjectNode();
+    json.put("requestId", requestId);
+    json.set("stages", Json.MESSAGES.valueToTree(stages));
+    return json;
+  }
+
+  private final class JsonReceiver implements RequestReceiver {
+
+    private final HttpServerExchange exchange;
+    private final RequestContext request;
+
+    private JsonReceiver(HttpServerExchange exchange, RequestContext request) {
+      this.exchange = exchange;
+      this.request = request;
+    }
+
+    @Override
+    public void onToken(int offset, String text) {
+      // The output of the stage holds all tokens.
+    }
+
+    @Override
+    public void onEnd(RequestResult result) {
+      request.span().end();
+      if (result.answer().isLeft()) {
+        responder.error(exchange, result.answer().getLeft(), execution(result), result.stages());
+        return;
+      }
+      ObjectNode body = cost(request.requestId(), result.stages());
+      body.set("output", result.answer().get().output());
+      responder.json(exchange, 200, body);
+    }
+  }
+
+  private final class EventReceiver implements RequestReceiver {
+
+    private final HttpServerExchange exchange;
+    private final RequestContext request;
+    private final EventStreamWriter writer;
+    private int tokens;
+
+    private EventReceiver(HttpServerExchange exchange, RequestContext request) {
+      this.exchange = exchange;
+      this.request = request;
+      this.writer = new EventStreamWriter(exchange);
+    }
+
+    @Override
+    public void onToken(int offset, String text) {
+      tokens++;
+      ObjectNode data = Json.MESSAGES.createObjectNode();
+      writer.event("token", data.put("offset", offset).put("text", text).toString());
+    }
+
+    @Override
+    public void onEnd(RequestResult result) {
+      request.span().end();
+      if (result.answer().isRight()) {
+        ObjectNode done = cost(request.requestId(), result.stages());
+        done.put("tokens", tokens);
+        if (tokens == 0) {
+          done.set("output", result.answer().get().output());
+        }
+        writer.event("done", done.toString());
+        writer.finish();
+      } else if (tokens == 0) {
+        responder.error(exchange, result.answer().getLeft(), execution(result), result.stages());
+      } else {
+        writer.event(
+            "error",
+            Responder.text(responder.apiError(result.answer().getLeft(), execution(result))));
+        writer.finish();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** Caller API over HTTP. */
+package org.ragwortpick.entry.http;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/pipeline/CancelSender.java
@@ -0,0 +1,81 @@
+package org.ragwortpick.entry.pipeline;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.Json;
+import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.upstream.AttemptId;
+import org.ragwortpick.entry.upstream.ServerSentEvent;
+import org.ragwortpick.entry.upstream.UpstreamEnd;
+import org.ragwortpick.entry.upstream.UpstreamHead;
+import org.ragwortpick.entry.upstream.UpstreamListener;
+import org.ragwortpick.entry.upstream.UpstreamRequest;
+
+/**
+ * Tells upstreams to stop work that nobody waits for. A cancel is no new work, so it is also sent
+ * to data centres that are out.
+ */
+final class CancelSender {
+
+  /** Path of the upstream API. */
+  static final String PATH = "/v1/cancel";
+
+  private static final IgnoringListener IGNORE = new IgnoringListener();
+
+  private final EntryDependencies dependencies;
+
+  /**
+   * Creates a sender.
+   *
+   * @param dependencies what all requests share
+   */
+  CancelSender(EntryDependencies dependencies) {
+    this.dependencies = dependencies;
+  }
+
+  /**
+   * Sends a cancel. Its outcome is ignored; the deadline bounds the work anyway.
+   *
+   * @param address address of the upstream
+   * @param id identity of the attempt to cancel
+   */
+  void send(HostPort address, AttemptId id) {
+    ObjectNode body = Json.MESSAGES.createObjectNode();
+    body.put("requestId", id.requestId()).put("stage", id.stage()).put("attempt", id.attempt());
+    long timeoutMs = dependencies.settings().progressTimeoutMs();
+    dependencies
+        .client()
+        .send(
+            new UpstreamRequest(
+                address,
+                PATH,
+                id,
+                timeoutMs,
+                "",
+                body.toString().getBytes(StandardCharsets.UTF_8),
+                false,
+                false,
+                timeoutMs,
+                () -> true),
+            IGNORE);
+  }
+
+  private static final class IgnoringListener implements UpstreamListener {
+
+    @Override
+    public void onHead(UpstreamHead head) {
+      // The outcome of a cancel changes nothing.
+    }
+
+    @Override
+    public void onEvent(ServerSentEvent event) {
+      // A cancel has no events.
+    }
+
+    @Override
+    public void onEnd(UpstreamEnd end) {
+      // The outcome of a cancel changes nothing.
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/pipeline/PipelineRun.java
@@ -0,0 +1,202 @@
+package org.ragwortpick.entry.pipeline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.ragwortpick.config.Pipeline;
+import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.Invariants;
+import org.ragwortpick.entry.RequestContext;
+import org.ragwortpick.entry.RequestResult;
+import org.ragwortpick.entry.StageCost;
+import org.ragwortpick.entry.Timers;
+import org.ragwortpick.error.RequestError;
+import org.ragwortpick.error.RequestErrors;
+import org.ragwortpick.policy.AdmissionRequest;
+
+/** Run of one request: admission, then the stages in order under one deadline. */
+public final class PipelineRun {
+
+  private static final String ADMISSION = "admission";
+  private static final TokenReceiver NO_TOKENS = (offset, text) -> {};
+
+  private final Pipeline pipeline;
+  private final StagePlan plan;
+  private final RequestContext request;
+  private final EntryDependencies dependencies;
+  private final RequestReceiver receiver;
+  private final List<StageCost> costs = new ArrayList<>();
+  private final long startedAtMs;
+  private Timers.Timer admissionTimer = () -> {};
+  private StageRun running;
+  private boolean admitted;
+  private boolean sent;
+  private boolean finished;
+
+  /**
+   * Creates a run.
+   *
+   * @param pipeline stages to run
+   * @param plan work of the stages
+   * @param request the request
+   * @param dependencies what all requests share
+   * @param receiver receiver of tokens of the last stage and of the end
+   */
+  public PipelineRun(
+      Pipeline pipeline,
+      StagePlan plan,
+      RequestContext request,
+      EntryDependencies dependencies,
+      RequestReceiver receiver) {
+    this.pipeline = pipeline;
+    this.plan = plan;
+    this.request = request;
+    this.dependencies = dependencies;
+    this.receiver = receiver;
+    this.startedAtMs = dependencies.clock().millis();
+  }
+
+  /**
+   * Starts the run.
+   *
+   * @param input input of the first stage
+   */
+  public void start(JsonNode input) {
+    dependencies.metrics().requestStarted();
+    request.serial().onFailure(() -> end(Either.left(new RequestError.Internal())));
+    request.serial().execute(() -> askAdmission(input));
+  }
+
+  /** Ends the run because the caller is gone. Work at upstreams is cancelled. */
+  public void cancel() {
+    request.serial().execute(() -> end(Either.left(new RequestError.CallerGone())));
+  }
+
+  private void askAdmission(JsonNode input) {
+    if (!dependencies.gate().mayStartWork()) {
+      end(Either.left(new RequestError.Draining()));
+      return;
+    }
+    if (!mayStart(0)) {
+      return;
+    }
+    admissionTimer =
+        dependencies
+            .timers()
+            .schedule(
+                request.deadlineAtMs() - startedAtMs,
+                () ->
+                    request
+                        .serial()
+                        .execute(
+                            () -> end(Either.left(new RequestError.DeadlineMissed(ADMISSION)))));
+    dependencies
+        .policies()
+        .admission()
+        .admit(new AdmissionRequest(request.workspace(), request.deadlineAtMs()))
+        .whenComplete(
+            (granted, failure) ->
+                request.serial().execute(() -> onAdmission(failure == null && granted, input)));
+  }
+
+  private void onAdmission(boolean granted, JsonNode input) {
+    admissionTimer.cancel();
+    if (finished) {
+      if (granted) {
+        dependencies.policies().admission().release(request.workspace());
+      }
+      return;
+    }
+    admitted = granted;
+    if (granted) {
+      startStage(0, input);
+    } else {
+      end(Either.left(new RequestError.Overloaded()));
+    }
+  }
+
+  private boolean mayStart(int index) {
+    RequestError refusal = refusal(index);
+    if (refusal != null) {
+      end(Either.left(refusal));
+    }
+    return refusal == null;
+  }
+
+  private RequestError refusal(int index) {
+    long remainingMs = request.deadlineAtMs() - dependencies.clock().millis();
+    String stage = pipeline.stages().get(index).name();
+    if (!dependencies.view().isInForce()) {
+      return new RequestError.NotInForce();
+    }
+    if (remainingMs <= 0) {
+      return new RequestError.DeadlineMissed(stage);
+    }
+    if (!dependencies.policies().deadlines().canFinish(pipeline, index, remainingMs)) {
+      return new RequestError.DeadlineTooShort(stage);
+    }
+    return null;
+  }
+
+  private void startStage(int index, JsonNode input) {
+    if (finished || !mayStart(index)) {
+      return;
+    }
+    long remainingMs = request.deadlineAtMs() - dependencies.clock().millis();
+    boolean last = index == pipeline.stages().size() - 1;
+    running =
+        new StageRun(
+            plan.task(index, input),
+            dependencies.policies().deadlines().stageBudgetMs(pipeline, index, remainingMs),
+            request,
+            dependencies,
+            last ? receiver : NO_TOKENS,
+            result -> onStageEnd(index, result));
+    running.start();
+  }
+
+  private void onStageEnd(int index, StageResult result) {
+    running = null;
+    costs.add(result.cost());
+    sent |= result.sent();
+    dependencies.metrics().stageEnded(pipeline.name(), result.cost());
+    if (finished) {
+      return;
+    }
+    boolean last = index == pipeline.stages().size() - 1;
+    if (result.answer().isRight()) {
+      dependencies.policies().deadlines().recordStage(pipeline, index, result.cost().ms());
+    }
+    if (result.answer().isLeft() || last) {
+      end(result.answer());
+    } else {
+      startStage(index + 1, result.answer().get().output());
+    }
+  }
+
+  private void end(Either<RequestError, StageAnswer> answer) {
+    if (finished) {
+      return;
+    }
+    finished = true;
+    admissionTimer.cancel();
+    if (running != null) {
+      running.cancel();
+    }
+    if (admitted) {
+      dependencies.policies().admission().release(request.workspace());
+    }
+    Invariants.check(running == null, "a request ended while a stage was running");
+    long nowMs = dependencies.clock().millis();
+    dependencies
+        .metrics()
+        .requestEnded(
+            pipeline.name(),
+            request.workspace(),
+            answer.fold(RequestErrors::kind, ok -> "ok"),
+            nowMs - startedAtMs,
+            answer.isRight() && nowMs <= request.deadlineAtMs());
+    receiver.onEnd(new RequestResult(answer, costs, sent));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/pipeline/TokenReceiver.java
@@ -0,0 +1,13 @@
+package org.ragwortpick.entry.pipeline;
+
+/** Receiver of the tokens of a stage, in order and without gaps. */
+public interface TokenReceiver {
+
+  /**
+   * Takes the next token.
+   *
+   * @param offset offset of the token, from 0
+   * @param text text of the token
+   */
+  void onToken(int offset, String text);
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/pipeline/package-info.java
@@ -0,0 +1,2 @@
+/** Execution of pipelines, stage by stage. */
+package org.ragwortpick.entry.pipeline;
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to upstreams with progress timeouts. */
+package org.ragwortpick.entry.upstream;
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -0,0 +1,271 @@
+package org.ragwortpick.entry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Pipeline;
+import org.ragwortpick.config.Rules;
+import org.ragwortpick.config.Service;
+import org.ragwortpick.config.ServiceKind;
+import org.ragwortpick.config.Stage;
+import org.ragwortpick.config.Workspace;
+import org.ragwortpick.policy.AdmissionController;
+import org.ragwortpick.policy.AdmissionRequest;
+import org.ragwortpick.policy.AttemptResult;
+import org.ragwortpick.policy.Candidate;
+import org.ragwortpick.policy.DeadlineBudget;
+import org.ragwortpick.policy.HedgePolicy;
+import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.UpstreamLimiter;
+import org.ragwortpick.sync.ColdAllowances;
+import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamDirectory;
+import org.ragwortpick.sync.UpstreamState;
+
+/** Simple implementations of the interfaces around the request path, with counts of their use. */
+public final class EntryFakes
+    implements ConfigurationView,
+        UpstreamDirectory,
+        ColdAllowances,
+        UpstreamLimiter,
+        AdmissionController,
+        DeadlineBudget,
+        RetryBudget,
+        HedgePolicy {
+
+  /** Conditions that hold until a test turns them off. */
+  public enum Condition {
+    IN_FORCE,
+    STARTS_WORK,
+    ADMITS,
+    RETRIES
+  }
+
+  private final Set<Condition> failing = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger admitted = new AtomicInteger();
+  private final AtomicInteger coldReports = new AtomicInteger();
+  private final Map<String, AtomicInteger> places = new ConcurrentHashMap<>();
+  private volatile long hedgeDelayMs = -1;
+  private volatile int placesPerUpstream = 1_000;
+  private volatile Set<String> dataCentresOut = Set.of();
+  private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
+
+  public static Upstream upstream(String id, HostPort address, String service) {
+    return new Upstream(
+        id, 1, 1, address, "dc-1", service, "", "", List.of(), UpstreamState.READY, 8, 2, 0, false);
+  }
+
+  public boolean holds(Condition condition) {
+    return !failing.contains(condition);
+  }
+
+  public void turnOff(Condition condition) {
+    failing.add(condition);
+  }
+
+  public void turnOn(Condition condition) {
+    failing.remove(condition);
+  }
+
+  public void hedgeAfterMs(long delayMs) {
+    hedgeDelayMs = delayMs;
+  }
+
+  public void limitPlaces(int perUpstream) {
+    placesPerUpstream = perUpstream;
+  }
+
+  public void takeOut(String... dataCentres) {
+    dataCentresOut = Set.of(dataCentres);
+  }
+
+  public int coldReports() {
+    return coldReports.get();
+  }
+
+  public RequestPolicies policies() {
+    return new RequestPolicies(
+        this,
+        this,
+        (request, candidates) ->
+            candidates.stream()
+                .filter(candidate -> !request.excludedIds().contains(candidate.upstream().id()))
+                .min(Comparator.comparingInt(Candidate::inFlight)),
+        this,
+        this,
+        this,
+        this);
+  }
+
+  /** Number of places that are taken; 0 once every attempt has ended. */
+  public int openPlaces() {
+    return places.values().stream().mapToInt(AtomicInteger::get).sum() + admitted.get();
+  }
+
+  @Override
+  public Configuration current() {
+    Map<String, DataCentreState> states = new ConcurrentHashMap<>();
+    dataCentresOut.forEach(dataCentre -> states.put(dataCentre, DataCentreState.OUT));
+    return new Configuration(
+        1,
+        new Inventory(
+            "region",
+            List.of("dc-1", "dc-2"),
+            List.of(
+                service("encoder", ServiceKind.ENCODER),
+                service("engine", ServiceKind.ENGINE),
+                service("booking", ServiceKind.PLAIN),
+                service("stock", ServiceKind.PLAIN)),
+            List.of(
+                new Pipeline(
+                    "answer",
+                    3_000,
+                    List.of(
+                        new Stage("encode", "encoder", 0), new Stage("generate", "engine", 64)))),
+            List.of(new Workspace("w1", 1))),
+        new Rules(List.of("booking"), List.of(), 0, states));
+  }
+
+  private static Service service(String name, ServiceKind kind) {
+    return new Service(name, kind, 8, 2, 1_000, List.of());
+  }
+
+  @Override
+  public boolean isInForce() {
+    return holds(Condition.IN_FORCE);
+  }
+
+  @Override
+  public long confirmedAtMs() {
+    return 0;
+  }
+
+  @Override
+  public List<Upstream> upstreams(String service) {
+    List<Upstream> found = new ArrayList<>(upstreams.values());
+    found.removeIf(upstream -> !upstream.service().equals(service));
+    found.sort(Comparator.comparing(Upstream::id));
+    return found;
+  }
+
+  @Override
+  public Optional<Upstream> find(String id) {
+    return Optional.ofNullable(upstreams.get(id));
+  }
+
+  @Override
+  public void announce(Upstream announcement) {
+    upstreams.put(announcement.id(), announcement);
+  }
+
+  @Override
+  public boolean tryAcquire(Upstream upstream) {
+    // Called for the allowance and for the limiter in this order; both share one limit.
+    AtomicInteger taken = places(upstream);
+    if (taken.incrementAndGet() > 2 * placesPerUpstream) {
+      taken.decrementAndGet();
+      return false;
+    }
+    return true;
+  }
+
+  private AtomicInteger places(Upstream upstream) {
+    return places.computeIfAbsent(upstream.id(), id -> new AtomicInteger());
+  }
+
+  @Override
+  public void release(Upstream upstream) {
+    places(upstream).decrementAndGet();
+  }
+
+  @Override
+  public void release(Upstream upstream, AttemptResult result, long firstByteMs) {
+    places(upstream).decrementAndGet();
+  }
+
+  @Override
+  public void reportCold(Upstream upstream) {
+    coldReports.incrementAndGet();
+  }
+
+  @Override
+  public Candidate describe(Upstream upstream) {
+    return new Candidate(upstream, places(upstream).get(), 0);
+  }
+
+  @Override
+  public boolean looksCold(Upstream upstream) {
+    return false;
+  }
+
+  @Override
+  public CompletionStage<Boolean> admit(AdmissionRequest request) {
+    if (holds(Condition.ADMITS)) {
+      admitted.incrementAndGet();
+    }
+    return CompletableFuture.completedFuture(holds(Condition.ADMITS));
+  }
+
+  @Override
+  public void release(String workspace) {
+    admitted.decrementAndGet();
+  }
+
+  @Override
+  public void expire() {
+    // Nothing waits here.
+  }
+
+  @Override
+  public void update(Configuration configuration, int capacity) {
+    // The configuration never changes its workspaces here.
+  }
+
+  @Override
+  public long stageBudgetMs(Pipeline pipeline, int stageIndex, long remainingMs) {
+    return remainingMs;
+  }
+
+  @Override
+  public boolean canFinish(Pipeline pipeline, int stageIndex, long remainingMs) {
+    return remainingMs > 10;
+  }
+
+  @Override
+  public void recordStage(Pipeline pipeline, int stageIndex, long elapsedMs) {
+    // The budget is fixed here.
+  }
+
+  @Override
+  public void recordFirstAttempt() {
+    // The retry budget is unlimited or empty here.
+  }
+
+  @Override
+  public boolean tryTake() {
+    return holds(Condition.RETRIES);
+  }
+
+  @Override
+  public OptionalLong delayMs(String service) {
+    return hedgeDelayMs < 0 ? OptionalLong.empty() : OptionalLong.of(hedgeDelayMs);
+  }
+
+  @Override
+  public void recordFirstByte(String service, long elapsedMs) {
+    // The hedge delay is fixed here.
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/http/EntryServerTest.java
@@ -0,0 +1,98 @@
+package org.ragwortpick.entry.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import org.ragwortpick.common.Json;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against caller requests that get a wrong answer, an untyped error or no trace. */
+public final class EntryServerTest {
+
+  private EntryTestServer entry;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    entry = new EntryTestServer();
+    entry.upstream("enc-1", "encoder", TestUpstreams.answering(200, "{\"output\":[1,2]}"));
+    entry.upstream("eng-1", "engine", TestUpstreams.engine(3));
+    entry.upstream("book-1", "booking", TestUpstreams.answering(201, "{\"booked\":true}"));
+    entry.upstream("stock-1", "stock", TestUpstreams.answering(200, "{\"left\":4}"));
+  }
+
+  @AfterMethod
+  public void stop() {
+    entry.close();
+  }
+
+  private HttpResponse<String> send(HttpRequest request) throws Exception {
+    return entry.send(request);
+  }
+
+  @Test
+  public void pipelineAnswersWithOutputAndCost() throws Exception {
+    HttpResponse<String> response =
+        send(entry.post("/v1/pipelines/answer", "{\"input\":\"q\",\"prompt\":\"p\"}"));
+    assertEquals(response.statusCode(), 200, response.body());
+    JsonNode json = Json.MESSAGES.readTree(response.body());
+    assertEquals(json.get("output").asText(), "t0 t1 t2 ");
+    assertEquals(json.get("stages").get(1).get("tokens").asInt(), 3);
+    assertEquals(json.get("stages").get(0).get("attempts").asInt(), 1);
+  }
+
+  @Test
+  public void pipelineStreamsTokens() throws Exception {
+    HttpRequest request =
+        entry
+            .request("/v1/pipelines/answer")
+            .header("Accept", "text/event-stream")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"input\":1}"))
+            .build();
+    String body = send(request).body();
+    assertTrue(body.contains("data: {\"offset\":2,\"text\":\"t2 \"}"), body);
+    assertTrue(body.contains("event: done"), body);
+  }
+
+  @Test
+  public void bookingIsRecordedAndRepliedAgain() throws Exception {
+    HttpRequest request =
+        entry
+            .request("/v1/services/booking")
+            .header("Idempotency-Key", "k1")
+            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+            .build();
+    for (int i = 0; i < 2; i++) {
+      HttpResponse<String> response = send(request);
+      assertEquals(response.statusCode(), 201);
+      assertEquals(response.body(), "{\"booked\":true}");
+    }
+    JsonNode status =
+        Json.MESSAGES.readTree(send(entry.request("/v1/calls/k1").GET().build()).body());
+    assertEquals(status.get("execution").asText(), "done");
+  }
+
+  @Test
+  public void plainCallPassesAnswerOn() throws Exception {
+    HttpResponse<String> response = send(entry.post("/v1/services/stock", "{}"));
+    assertEquals(response.body(), "{\"left\":4}");
+    assertTrue(response.headers().firstValue("Stage-Cost").orElse("").contains("\"attempts\":1"));
+  }
+
+  @Test
+  public void addressesAndAnnouncementsAreServed() throws Exception {
+    String announcement =
+        "{\"id\":\"enc-2\",\"incarnation\":1,\"sequence\":1,\"address\":\"10.0.0.4:80\","
+            + "\"dataCentre\":\"dc-1\",\"service\":\"encoder\",\"state\":\"ready\",\"slots\":4,"
+            + "\"coldLimit\":1,\"load\":0}";
+    assertEquals(send(entry.post("/v1/announcements", announcement)).statusCode(), 200);
+    assertTrue(entry.fakes().find("enc-2").isPresent());
+    assertEquals(
+        send(entry.request("/v1/addresses").GET().build()).body(),
+        "{\"addresses\":[\"10.0.0.9:8080\"],\"validForSeconds\":3}");
+  }
+}
