Add the execution records: state machine, leader server and client

Cause: non-idempotent calls need a replicated record before their dispatch, so that two VMs never run the same key and a 'not run' stays true. Ruled out: granting any later begin after a NOT_RUN. A copy of the request that waited at a frozen VM would then run after another copy was answered 'not run'. A begin now names the attempt whose NOT_RUN was committed before the request arrived. Ruled out: turning a PENDING record into NOT_RUN at the end of its lease; the end of a lease only leads to UNKNOWN. Conclusion: entry VMs can be built on ExecutionLedger and DispatchAttempt.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
@@ -0,0 +1,192 @@
+package org.ragwortpick.control.leader;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.MethodDescriptor;
+import io.grpc.Status;
+import io.grpc.stub.ClientCalls;
+import io.grpc.stub.StreamObserver;
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.peer.PeerChannels;
+
+/**
+ * Calls to the leader of one consensus group. A call is sent again until a leader answers it or its
+ * time is over, so it must have no further effect when it arrives twice.
+ *
+ * @param <Q> type of the request
+ * @param <R> type of the reply
+ */
+public final class LeaderCalls<Q, R> {
+
+  /**
+   * Time after which a peer counts as silent. A commit takes a few milliseconds; an election of
+   * about one second is bridged by sending the call again.
+   */
+  private static final long TRY_TIMEOUT_MS = 500;
+
+  private static final long RETRY_DELAY_MS = 50;
+
+  private final PeerChannels channels;
+  private final List<HostPort> controlAddresses;
+  private final MethodDescriptor<Q, R> method;
+  private final Function<R, Optional<Redirect>> redirectOf;
+  private final Clock monotonicClock;
+  private final ScheduledExecutorService scheduler;
+  private final AtomicReference<HostPort> target;
+
+  /**
+   * Creates the calls to one group.
+   *
+   * @param channels channels to the peers
+   * @param controlAddresses peer addresses of the control VMs, at least one
+   * @param method remote method
+   * @param redirectOf tells whether a reply is no answer and where the leader is
+   * @param monotonicClock clock for timeouts
+   * @param scheduler runs repetitions
+   */
+  public LeaderCalls(
+      PeerChannels channels,
+      List<HostPort> controlAddresses,
+      MethodDescriptor<Q, R> method,
+      Function<R, Optional<Redirect>> redirectOf,
+      Clock monotonicClock,
+      ScheduledExecutorService scheduler) {
+    this.channels = channels;
+    this.controlAddresses = List.copyOf(controlAddresses);
+    this.method = method;
+    this.redirectOf = redirectOf;
+    this.monotonicClock = monotonicClock;
+    this.scheduler = scheduler;
+    this.target = new AtomicReference<>(controlAddresses.get(0));
+  }
+
+  /**
+   * Calls the leader.
+   *
+   * @param request the request
+   * @param timeoutMs time to wait in milliseconds
+   * @return the reply of the leader; empty if none arrived in time, in which case the request may
+   *     or may not have taken effect
+   */
+  public CompletionStage<Optional<R>> call(Q request, long timeoutMs) {
+    CompletableFuture<Optional<R>> result = new CompletableFuture<>();
+    send(new Call(request, monotonicClock.millis() + timeoutMs, result));
+    return result;
+  }
+
+  private void send(Call call) {
+    long remainingMs = call.deadlineMs() - monotonicClock.millis();
+    if (remainingMs <= 0) {
+      call.result().complete(Optional.empty());
+      return;
+    }
+    HostPort address = target.get();
+    ManagedChannel channel = channels.channel(address);
+    ClientCalls.asyncUnaryCall(
+        channel.newCall(
+            method,
+            CallOptions.DEFAULT.withDeadlineAfter(
+                Math.min(remainingMs, TRY_TIMEOUT_MS), TimeUnit.MILLISECONDS)),
+        call.request(),
+        new ReplyObserver(call, address, channel));
+  }
+
+  private void sendLater(Call call) {
+    try {
+      scheduler.schedule(() -> send(call), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      // The VM stops; the outcome of the call stays unknown.
+      call.result().complete(Optional.empty());
+    }
+  }
+
+  private void onReply(Call call, HostPort address, R reply) {
+    Optional<Redirect> redirect = redirectOf.apply(reply);
+    if (redirect.isEmpty()) {
+      call.result().complete(Optional.of(reply));
+      return;
+    }
+    Optional<HostPort> leader = redirect.get().leader().filter(hint -> !hint.equals(address));
+    if (leader.isPresent()) {
+      target.compareAndSet(address, leader.get());
+    } else {
+      turnFrom(address);
+    }
+    sendLater(call);
+  }
+
+  private void onFailure(Call call, HostPort address, ManagedChannel channel, Throwable failure) {
+    if (Status.fromThrowable(failure).getCode() == Status.Code.DEADLINE_EXCEEDED) {
+      channels.replace(address, channel);
+    }
+    turnFrom(address);
+    sendLater(call);
+  }
+
+  /** Directs the next call to the control VM listed after an address that did not help. */
+  private void turnFrom(HostPort address) {
+    int next = (controlAddresses.indexOf(address) + 1) % controlAddresses.size();
+    target.compareAndSet(address, controlAddresses.get(next));
+  }
+
+  private final class Call {
+    private final Q request;
+    private final long deadlineMs;
+    private final CompletableFuture<Optional<R>> result;
+
+    Call(Q request, long deadlineMs, CompletableFuture<Optional<R>> result) {
+      this.request = request;
+      this.deadlineMs = deadlineMs;
+      this.result = result;
+    }
+
+    Q request() {
+      return request;
+    }
+
+    long deadlineMs() {
+      return deadlineMs;
+    }
+
+    CompletableFuture<Optional<R>> result() {
+      return result;
+    }
+  }
+
+  private final class ReplyObserver implements StreamObserver<R> {
+    private final Call call;
+    private final HostPort address;
+    private final ManagedChannel channel;
+
+    ReplyObserver(Call call, HostPort address, ManagedChannel channel) {
+      this.call = call;
+      this.address = address;
+      this.channel = channel;
+    }
+
+    @Override
+    public void onNext(R reply) {
+      onReply(call, address, reply);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      onFailure(call, address, channel, failure);
+    }
+
+    @Override
+    public void onCompleted() {
+      // A unary call ends with its only reply, which was handled already.
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
@@ -0,0 +1,72 @@
+package org.ragwortpick.control.leader;
+
+import java.time.Clock;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpick.consensus.ConsensusGroup;
+
+/**
+ * Lease of the local replica as leader. While it is held, no other replica can have been elected,
+ * so the local state contains every acknowledged change.
+ */
+public final class LeaderLease {
+
+  /** Length of the lease; shorter than the lowest election timeout of 500 ms. */
+  public static final long LEASE_MS = 400;
+
+  private static final long POLL_INTERVAL_MS = 20;
+
+  private final ConsensusGroup group;
+  private final Clock monotonicClock;
+  private final ScheduledExecutorService scheduler;
+
+  /**
+   * Creates the lease of one group.
+   *
+   * @param group the group
+   * @param monotonicClock the clock by which the group states its confirmations
+   * @param scheduler runs the waiting
+   */
+  public LeaderLease(
+      ConsensusGroup group, Clock monotonicClock, ScheduledExecutorService scheduler) {
+    this.group = group;
+    this.monotonicClock = monotonicClock;
+    this.scheduler = scheduler;
+  }
+
+  /**
+   * Tells whether the lease is held. A read is current if this is true after the read.
+   *
+   * @return true if a quorum confirmed the local replica as leader within the lease
+   */
+  public boolean isHeld() {
+    OptionalLong confirmedAtMs = group.confirmedAtMs();
+    return confirmedAtMs.isPresent()
+        && monotonicClock.millis() - confirmedAtMs.getAsLong() < LEASE_MS;
+  }
+
+  /**
+   * Waits until the lease is held.
+   *
+   * @param timeoutMs time to wait in milliseconds
+   * @return true once the lease is held; false if the replica does not lead or the time is over
+   */
+  public CompletionStage<Boolean> await(long timeoutMs) {
+    CompletableFuture<Boolean> held = new CompletableFuture<>();
+    poll(held, monotonicClock.millis() + timeoutMs);
+    return held;
+  }
+
+  private void poll(CompletableFuture<Boolean> held, long deadlineMs) {
+    if (isHeld()) {
+      held.complete(true);
+    } else if (!group.leadership().leader() || monotonicClock.millis() >= deadlineMs) {
+      held.complete(false);
+    } else {
+      scheduler.schedule(() -> poll(held, deadlineMs), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
@@ -0,0 +1,143 @@
+package org.ragwortpick.ledger;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.ragwortpick.consensus.StateMachine;
+import org.ragwortpick.proto.LedgerCommand;
+import org.ragwortpick.proto.LedgerReply;
+import org.ragwortpick.proto.LedgerSnapshot;
+import org.ragwortpick.proto.StoredRecordMessage;
+
+/** Replicated state machine of the execution records of one consensus group. */
+public final class ExecutionStateMachine implements StateMachine {
+
+  private ExecutionTable table = new ExecutionTable();
+
+  @Override
+  public synchronized byte[] apply(long index, byte[] command) {
+    LedgerCommand decoded = parse(command);
+    table.advanceTo(decoded.getTimeMs());
+    return reply(decoded).toBuilder().setTimeMs(table.timeMs()).build().toByteArray();
+  }
+
+  private static LedgerCommand parse(byte[] command) {
+    try {
+      return LedgerCommand.parseFrom(command);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException(
+          "a ledger command cannot be decoded; run the same release on all control VMs", e);
+    }
+  }
+
+  private LedgerReply reply(LedgerCommand command) {
+    return switch (command.getOperationCase()) {
+      case BEGIN ->
+          table
+              .begin(LedgerCodec.decode(command.getBegin()))
+              .fold(
+                  LedgerCodec::encode,
+                  result ->
+                      LedgerReply.newBuilder()
+                          .setGranted(result.granted())
+                          .setRecord(LedgerCodec.encode(result.record()))
+                          .build());
+      case FINISH ->
+          table
+              .finish(LedgerCodec.decode(command.getFinish()))
+              .fold(
+                  LedgerCodec::encode,
+                  record -> LedgerReply.newBuilder().setRecord(LedgerCodec.encode(record)).build());
+      case SWEEP -> {
+        table.sweep();
+        yield LedgerReply.getDefaultInstance();
+      }
+      default ->
+          throw new IllegalArgumentException(
+              "a ledger command has an unknown operation; run the same release on all control VMs");
+    };
+  }
+
+  /**
+   * Reads a record of the local replica. Current only while the replica leads under its lease.
+   *
+   * @param key identity of the call
+   * @return the record, or empty if the key is not known
+   */
+  public synchronized Optional<ExecutionRecord> status(ExecutionKey key) {
+    return table.status(key);
+  }
+
+  /**
+   * Tells whether a sweep at the given time would change anything.
+   *
+   * @param nowMs time in milliseconds since 1970
+   * @return true if a sweep is due
+   */
+  public synchronized boolean isSweepDue(long nowMs) {
+    return table.isSweepDue(nowMs);
+  }
+
+  /**
+   * Returns the number of full records.
+   *
+   * @return the number
+   */
+  public synchronized int size() {
+    return table.records().size();
+  }
+
+  @Override
+  public synchronized byte[] snapshot() {
+    LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder().setTimeMs(table.timeMs());
+    table
+        .records()
+        .forEach(
+            stored ->
+                snapshot.addRecords(
+                    StoredRecordMessage.newBuilder()
+                        .setRecord(LedgerCodec.encode(stored.record()))
+                        .setLeaseEndMs(stored.leaseEndMs())
+                        .setDispatched(stored.dispatched())));
+    ByteBuffer digests = ByteBuffer.allocate(table.digests().size() * KeyDigest.BYTES);
+    table
+        .digests()
+        .forEach(
+            (digest, expiryMs) -> {
+              digests.putLong(digest.high()).putLong(digest.low());
+              snapshot.addDigestExpiryMs(expiryMs);
+            });
+    return snapshot.setDigests(ByteString.copyFrom(digests.flip())).build().toByteArray();
+  }
+
+  @Override
+  public synchronized void restore(byte[] snapshot) {
+    ExecutionTable restored = new ExecutionTable();
+    LedgerSnapshot decoded;
+    try {
+      decoded = LedgerSnapshot.parseFrom(snapshot);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException(
+          "a ledger snapshot cannot be decoded; run the same release on all control VMs", e);
+    }
+    restored.advanceTo(decoded.getTimeMs());
+    decoded
+        .getRecordsList()
+        .forEach(
+            message ->
+                restored.store(
+                    new StoredExecution(
+                        LedgerCodec.decode(message.getRecord()),
+                        message.getLeaseEndMs(),
+                        message.getDispatched())));
+    ByteBuffer digests = decoded.getDigests().asReadOnlyByteBuffer();
+    decoded
+        .getDigestExpiryMsList()
+        .forEach(
+            expiryMs ->
+                restored.storeDigest(
+                    new KeyDigest(digests.getLong(), digests.getLong()), expiryMs));
+    table = restored;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/ledger/DirectGroup.java
@@ -0,0 +1,59 @@
+package org.ragwortpick.ledger;
+
+import io.vavr.control.Either;
+import java.time.Clock;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.ragwortpick.consensus.Applied;
+import org.ragwortpick.consensus.ConsensusError;
+import org.ragwortpick.consensus.ConsensusGroup;
+import org.ragwortpick.consensus.Leadership;
+import org.ragwortpick.consensus.StateMachine;
+
+/** Consensus group that applies each command at once, or refuses it while it does not lead. */
+public final class DirectGroup implements ConsensusGroup {
+
+  private final StateMachine machine;
+  private final Clock clock;
+  private volatile Leadership leadership = new Leadership(true, 1, Optional.empty());
+  private volatile long confirmationAgeMs;
+  private long index;
+
+  public DirectGroup(StateMachine machine, Clock clock) {
+    this.machine = machine;
+    this.clock = clock;
+  }
+
+  public void setLeadership(boolean leader, long term, String leaderVm) {
+    leadership = new Leadership(leader, term, Optional.ofNullable(leaderVm));
+  }
+
+  public void setConfirmationAgeMs(long ageMs) {
+    confirmationAgeMs = ageMs;
+  }
+
+  @Override
+  public synchronized CompletionStage<Either<ConsensusError, Applied>> propose(byte[] command) {
+    if (!leadership.leader()) {
+      return CompletableFuture.completedFuture(
+          Either.left(new ConsensusError.NotLeader(leadership.leaderVm())));
+    }
+    index++;
+    return CompletableFuture.completedFuture(
+        Either.right(new Applied(index, machine.apply(index, command))));
+  }
+
+  @Override
+  public Leadership leadership() {
+    return leadership;
+  }
+
+  @Override
+  public OptionalLong confirmedAtMs() {
+    return leadership.leader()
+        ? OptionalLong.of(clock.millis() - confirmationAgeMs)
+        : OptionalLong.empty();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/ledger/LedgerRun.java
@@ -0,0 +1,381 @@
+package org.ragwortpick.ledger;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.error.ExecutionOutcome;
+import org.ragwortpick.proto.LedgerCall;
+import org.ragwortpick.proto.LedgerCommand;
+import org.ragwortpick.proto.LedgerReply;
+import org.ragwortpick.proto.StatusOperation;
+import org.ragwortpick.proto.SweepOperation;
+
+/** One random run: entry VMs, a lossy network and a service that checks nothing. */
+final class LedgerRun {
+
+  private static final String GROUP = "executions-0";
+  private static final int VMS = 3;
+  private static final int KEYS = 3;
+  private static final long LEASE_MS = 1_500;
+  private static final long DEADLINE_MS = 2_000;
+  private static final long END_MS = 20_000;
+
+  private final Random random;
+  private final ManualClock clock = new ManualClock();
+  private final long startMs = clock.millis();
+  private final ExecutionStateMachine machine = new ExecutionStateMachine();
+  private final DirectGroup group = new DirectGroup(machine, clock);
+  private final LedgerServer server =
+      new LedgerServer(
+          List.of(new LedgerGroup(GROUP, group, machine)),
+          clock,
+          clock,
+          null,
+          vm -> Optional.empty());
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+  private final List<Vm> vms = new ArrayList<>();
+  private final Map<ExecutionKey, Integer> executed = new HashMap<>();
+  private final Map<ExecutionKey, Long> lastNotRunAtMs = new HashMap<>();
+  private final Set<ExecutionKey> seenDone = new HashSet<>();
+  private final Set<String> toldNotRun = new HashSet<>();
+  private long eventOrder;
+  private int attempts;
+  private int notRunAnswers;
+  private int leaseRefusals;
+
+  LedgerRun(long seed) {
+    random = new Random(seed);
+  }
+
+  int executions() {
+    return executed.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  int notRunAnswers() {
+    return notRunAnswers;
+  }
+
+  int leaseRefusals() {
+    return leaseRefusals;
+  }
+
+  void run() {
+    for (int i = 0; i < VMS; i++) {
+      vms.add(new Vm("vm" + i));
+      scheduleTrouble(vms.get(i));
+    }
+    for (int i = 0; i < KEYS; i++) {
+      ExecutionKey key = new ExecutionKey("w" + i % 2, "k" + i);
+      after(random.nextInt(500), () -> sendCopies(key, 3));
+      after(random.nextInt(4_000), () -> observe(key));
+    }
+    after(250, this::sweep);
+    while (!events.isEmpty()) {
+      Event event = events.poll();
+      clock.advanceMs(event.atMs() - clock.millis());
+      event.action().run();
+    }
+    executed.forEach((key, count) -> check(count == 1, key + " ran " + count + " times"));
+  }
+
+  private boolean isOver() {
+    return clock.millis() - startMs > END_MS;
+  }
+
+  private void after(long delayMs, Runnable action) {
+    events.add(new Event(clock.millis() + delayMs, eventOrder++, action));
+  }
+
+  private void scheduleTrouble(Vm vm) {
+    after(
+        200 + random.nextInt(6_000),
+        () -> {
+          if (random.nextBoolean()) {
+            vm.incarnation++;
+          } else {
+            vm.frozenUntilMs = clock.millis() + random.nextInt(4_000);
+          }
+          if (!isOver()) {
+            scheduleTrouble(vm);
+          }
+        });
+  }
+
+  private void sweep() {
+    if (machine.isSweepDue(clock.millis())) {
+      group.propose(
+          LedgerCommand.newBuilder()
+              .setTimeMs(clock.millis())
+              .setSweep(SweepOperation.getDefaultInstance())
+              .build()
+              .toByteArray());
+    }
+    if (random.nextInt(20) == 0) {
+      machine.restore(machine.snapshot());
+    }
+    if (!isOver()) {
+      after(250, this::sweep);
+    }
+  }
+
+  /** The caller sends a request to one or two VMs at once and resends unless it is done. */
+  private void sendCopies(ExecutionKey key, int resends) {
+    for (int copies = 1 + random.nextInt(2); copies > 0; copies--) {
+      Vm vm = vms.get(random.nextInt(VMS));
+      after(random.nextInt(30), () -> vm.run(0, () -> new Copy(vm, key).begin()));
+    }
+    if (resends > 0) {
+      after(100 + random.nextInt(4_000), () -> sendCopies(key, resends - 1));
+    }
+  }
+
+  private void observe(ExecutionKey key) {
+    LedgerReply reply = handle(call().setStatus(status(key)).build());
+    LedgerCodec.decodeRecord(reply).get().ifPresent(this::checkRecord);
+    if (!isOver()) {
+      after(random.nextInt(1_000), () -> observe(key));
+    }
+  }
+
+  private void checkRecord(ExecutionRecord record) {
+    int count = executed.getOrDefault(record.key(), 0);
+    if (record.state() == ExecutionState.DONE) {
+      seenDone.add(record.key());
+      check(count == 1, "status DONE after " + count + " executions");
+    }
+    check(record.state() != ExecutionState.NOT_RUN || count == 0, "status NOT_RUN of a run call");
+    check(
+        record.state() == ExecutionState.DONE || !seenDone.contains(record.key()),
+        "DONE was followed by " + record.state());
+  }
+
+  /** The service checks nothing: each request that reaches it is executed. */
+  private void execute(Copy copy) {
+    ExecutionKey key = copy.key;
+    Optional<ExecutionRecord> record = machine.status(key);
+    executed.merge(key, 1, Integer::sum);
+    check(executed.get(key) == 1, key + " ran twice");
+    check(!toldNotRun.contains(copy.id), "a call that was answered not run was executed");
+    check(
+        copy.receivedAtMs > lastNotRunAtMs.getOrDefault(key, 0L),
+        "a copy that arrived before the NOT_RUN was executed");
+    check(
+        record.isPresent() && record.get().attemptId().equals(copy.id),
+        "a call was executed without its record");
+  }
+
+  private void tell(Copy copy, CallerAnswer answer) {
+    int count = executed.getOrDefault(copy.key, 0);
+    if (answer.outcome() == ExecutionOutcome.NOT_RUN) {
+      notRunAnswers++;
+      toldNotRun.add(copy.id);
+      check(!copy.executed, "a run call was answered not run");
+      check(lastNotRunAtMs.containsKey(copy.key), "not run was answered without a record");
+    }
+    if (answer.outcome() == ExecutionOutcome.DONE) {
+      check(count == 1, "done was answered after " + count + " executions");
+    }
+  }
+
+  private static void check(boolean condition, String message) {
+    if (!condition) {
+      throw new AssertionError(message);
+    }
+  }
+
+  private static LedgerCall.Builder call() {
+    return LedgerCall.newBuilder().setGroup(GROUP).setTimeoutMs(DEADLINE_MS);
+  }
+
+  private static StatusOperation status(ExecutionKey key) {
+    return StatusOperation.newBuilder().setKey(LedgerCodec.encode(key)).build();
+  }
+
+  private LedgerReply handle(LedgerCall call) {
+    LedgerReply reply = server.handle(call).toCompletableFuture().join();
+    if (call.hasFinish()) {
+      ExecutionKey key = LedgerCodec.decode(call.getFinish().getKey());
+      machine
+          .status(key)
+          .filter(record -> record.state() == ExecutionState.NOT_RUN)
+          .ifPresent(record -> lastNotRunAtMs.put(key, record.updatedAtMs()));
+    }
+    return reply;
+  }
+
+  /** Delay of a message; some arrive long after the sender has given up. */
+  private long delayMs() {
+    return random.nextInt(12) == 0 ? random.nextInt(5_000) : random.nextInt(40);
+  }
+
+  private boolean isLost() {
+    return random.nextInt(8) == 0;
+  }
+
+  private record Event(long atMs, long order, Runnable action) {}
+
+  private final class Vm {
+    private final String name;
+    private int incarnation;
+    private long frozenUntilMs;
+
+    Vm(String name) {
+      this.name = name;
+    }
+
+    /** Runs a step unless the VM has crashed since; a frozen VM runs it when it resumes. */
+    void run(long delayMs, Runnable step) {
+      int expected = incarnation;
+      after(delayMs, () -> runNow(expected, step));
+    }
+
+    private void runNow(int expected, Runnable step) {
+      if (incarnation != expected) {
+        return;
+      }
+      if (frozenUntilMs > clock.millis()) {
+        after(frozenUntilMs - clock.millis(), () -> runNow(expected, step));
+      } else {
+        step.run();
+      }
+    }
+  }
+
+  /** One copy of a request at one VM, driven by the production decisions. */
+  private final class Copy {
+    private final Vm vm;
+    private final ExecutionKey key;
+    private final String id;
+    private final long receivedAtMs = clock.millis();
+    private final DispatchAttempt attempt;
+    private boolean executed;
+    private boolean answered;
+
+    Copy(Vm vm, ExecutionKey key) {
+      this.vm = vm;
+      this.key = key;
+      this.id = "a" + attempts++;
+      this.attempt =
+          new DispatchAttempt(
+              new BeginRequest(key, "raspored", "d", vm.name, id, LEASE_MS, OptionalLong.empty()),
+              clock);
+      vm.run(DEADLINE_MS, () -> answer(attempt.atDeadline()));
+    }
+
+    private boolean isLate() {
+      return clock.millis() - receivedAtMs >= DEADLINE_MS;
+    }
+
+    void begin() {
+      vm.run(
+          random.nextInt(5),
+          () ->
+              send(
+                  call().setBegin(LedgerCodec.encode(attempt.begin())).build(),
+                  reply -> step(attempt.onBegin(reply.flatMap(LedgerCodec::decodeBegin)))));
+    }
+
+    private void step(DispatchStep step) {
+      if (step instanceof DispatchStep.Begin) {
+        begin();
+      } else if (step instanceof DispatchStep.Dispatch) {
+        vm.run(random.nextInt(3) == 0 ? random.nextInt(2_000) : 1, this::dispatch);
+      } else if (step instanceof DispatchStep.Finish finish) {
+        finish(finish.request());
+      } else if (step instanceof DispatchStep.AwaitOutcome && !isLate()) {
+        vm.run(50 + random.nextInt(200), this::readStatus);
+      } else if (step instanceof DispatchStep.Answer answer) {
+        answer(answer.answer());
+      }
+    }
+
+    private void dispatch() {
+      if (!attempt.tryDispatch()) {
+        leaseRefusals++;
+        finish(attempt.abandon());
+        return;
+      }
+      // The VM may freeze or crash between the check and the first byte.
+      vm.run(random.nextInt(3), this::write);
+    }
+
+    private void write() {
+      boolean arrives = random.nextInt(10) != 0;
+      boolean answerArrives = arrives && !isLost();
+      if (arrives) {
+        after(
+            random.nextInt(50),
+            () -> {
+              executed = true;
+              execute(this);
+            });
+      }
+      vm.run(
+          60 + random.nextInt(300),
+          () -> finish(answerArrives ? attempt.answered(200, id) : attempt.answerLost()));
+    }
+
+    private void finish(FinishRequest request) {
+      send(
+          call().setFinish(LedgerCodec.encode(request)).build(),
+          reply ->
+              step(
+                  attempt.onFinish(
+                      reply.flatMap(LedgerCodec::decodeRecord).map(record -> record.get()))));
+    }
+
+    private void readStatus() {
+      send(
+          call().setStatus(status(key)).build(),
+          reply -> step(attempt.onStatus(reply.flatMap(LedgerCodec::decodeRecord))));
+    }
+
+    private void answer(CallerAnswer answer) {
+      if (!answered) {
+        answered = true;
+        tell(this, answer);
+      }
+    }
+
+    /** Sends a call three times at most, as the client does, and hands on the first reply. */
+    private void send(LedgerCall call, Consumer<Either<LedgerError, LedgerReply>> onReply) {
+      boolean[] replied = new boolean[1];
+      Consumer<Either<LedgerError, LedgerReply>> once =
+          reply -> {
+            if (!replied[0]) {
+              replied[0] = true;
+              onReply.accept(reply);
+            }
+          };
+      for (int resend = 0; resend < 3; resend++) {
+        vm.run(
+            resend * 500L,
+            () -> {
+              if (!replied[0] && !isLost()) {
+                after(delayMs(), () -> deliver(call, once));
+              }
+            });
+      }
+      vm.run(1_500, () -> once.accept(Either.left(new LedgerError.Unreachable())));
+    }
+
+    private void deliver(LedgerCall call, Consumer<Either<LedgerError, LedgerReply>> onReply) {
+      LedgerReply reply = handle(call);
+      if (!isLost()) {
+        vm.run(delayMs(), () -> onReply.accept(Either.right(reply)));
+      }
+    }
+  }
+}
