Note every NOT_RUN in the random run of the ledger

Cause: the run noted a NOT_RUN only after a finish, so with lease ends that lead to NOT_RUN it failed on its own bookkeeping and not on the invariant. Change: the run notes NOT_RUN records after each command. Before: the variant without lease checks failed with 'answered without a record'.

--- a/src/test/java/org/ragwortpick/ledger/LedgerRun.java
+++ b/src/test/java/org/ragwortpick/ledger/LedgerRun.java
@@ -46,6 +46,7 @@
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
   private final List<Vm> vms = new ArrayList<>();
+  private final List<ExecutionKey> keys = new ArrayList<>();
   private final Map<ExecutionKey, Integer> executed = new HashMap<>();
   private final Map<ExecutionKey, Long> lastNotRunAtMs = new HashMap<>();
   private final Set<ExecutionKey> seenDone = new HashSet<>();
@@ -78,6 +79,7 @@
     }
     for (int i = 0; i < KEYS; i++) {
       ExecutionKey key = new ExecutionKey("w" + i % 2, "k" + i);
+      keys.add(key);
       after(random.nextInt(500), () -> sendCopies(key, 3));
       after(random.nextInt(4_000), () -> observe(key));
     }
@@ -121,6 +123,7 @@
               .setSweep(SweepOperation.getDefaultInstance())
               .build()
               .toByteArray());
+      noteNotRun();
     }
     if (random.nextInt(20) == 0) {
       machine.restore(machine.snapshot());
@@ -205,16 +208,19 @@
 
   private LedgerReply handle(LedgerCall call) {
     LedgerReply reply = server.handle(call).toCompletableFuture().join();
-    if (call.hasFinish()) {
-      ExecutionKey key = LedgerCodec.decode(call.getFinish().getKey());
-      machine
-          .status(key)
-          .filter(record -> record.state() == ExecutionState.NOT_RUN)
-          .ifPresent(record -> lastNotRunAtMs.put(key, record.updatedAtMs()));
-    }
+    noteNotRun();
     return reply;
   }
 
+  private void noteNotRun() {
+    keys.forEach(
+        key ->
+            machine
+                .status(key)
+                .filter(record -> record.state() == ExecutionState.NOT_RUN)
+                .ifPresent(record -> lastNotRunAtMs.put(key, record.updatedAtMs())));
+  }
+
   /** Delay of a message; some arrive long after the sender has given up. */
   private long delayMs() {
     return random.nextInt(12) == 0 ? random.nextInt(5_000) : random.nextInt(40);
