Let the fake consensus group of the ledger tests follow the interface

Cause: the consensus module added status and replaceMember to ConsensusGroup; the fake of the ledger tests was written against the earlier interface. Change: both methods refuse in the fake, because a group of one member has no replica. Before: test sources did not compile after the merge. Conclusion: no test was changed.

--- a/src/test/java/org/ragwortpick/ledger/DirectGroup.java
+++ b/src/test/java/org/ragwortpick/ledger/DirectGroup.java
@@ -9,6 +9,7 @@
 import org.ragwortpick.consensus.Applied;
 import org.ragwortpick.consensus.ConsensusError;
 import org.ragwortpick.consensus.ConsensusGroup;
+import org.ragwortpick.consensus.GroupStatus;
 import org.ragwortpick.consensus.Leadership;
 import org.ragwortpick.consensus.StateMachine;
 
@@ -56,4 +57,15 @@
         ? OptionalLong.of(clock.millis() - confirmationAgeMs)
         : OptionalLong.empty();
   }
+
+  @Override
+  public CompletionStage<Either<ConsensusError, Applied>> replaceMember(
+      String oldVm, String newVm, long timeoutMs) {
+    throw new UnsupportedOperationException("a group of one member has no other to replace it");
+  }
+
+  @Override
+  public GroupStatus status() {
+    throw new UnsupportedOperationException("a group of one member has no replica to describe");
+  }
 }
