Prove the request path against faults of upstreams, callers and records

Found and fixed by these tests: a chunked body of 96 KiB passed the limit of 64 KiB, because Undertow's entity size does not bound chunked bodies when it is set by a handler; the receiver now bounds the buffer. A second end of the same call released the place of a non-idempotent call twice, which the release check stopped; the listener now settles once.

--- a/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
+++ b/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
@@ -187,6 +187,7 @@
     private final Span span;
     private final long sentAtMs;
     private volatile long firstByteMs = -1;
+    private boolean settled;
 
     private Listener(UpstreamPlace place, AttemptId id, Span span, long sentAtMs) {
       this.place = place;
@@ -207,8 +208,16 @@
 
     @Override
     public void onEnd(UpstreamEnd end) {
+      request.serial().execute(() -> settle(end));
+    }
+
+    private void settle(UpstreamEnd end) {
+      if (settled) {
+        return;
+      }
+      settled = true;
       span.setAttribute("end", end.getClass().getSimpleName()).end();
-      request.serial().execute(() -> handleEnd(place, id, end, firstByteMs));
+      handleEnd(place, id, end, firstByteMs);
     }
   }
 }
--- a/src/main/java/org/ragwortpick/entry/http/CallerApi.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -1,8 +1,8 @@
 package org.ragwortpick.entry.http;
 
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
@@ -140,28 +140,28 @@
                         .execute(() -> IoUtils.safeClose(exchange.getConnection()));
                   }
                 });
-    exchange.setMaxEntitySize(limitBytes);
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (read, body) -> {
-              timer.cancel();
-              ended.set(true);
-              exchange.dispatch(
-                  SameThreadExecutor.INSTANCE, () -> guarded(exchange, () -> next.accept(body)));
-            },
-            (failed, cause) -> {
-              timer.cancel();
-              ended.set(true);
-              exchange.setPersistent(false);
-              exchange.dispatch(
-                  SameThreadExecutor.INSTANCE,
-                  () -> refuse(exchange, bodyError(cause, limitBytes), ExecutionOutcome.NOT_RUN));
-            });
+    // The entity size of the exchange does not bound chunked bodies; the receiver does.
+    Receiver receiver = exchange.getRequestReceiver();
+    receiver.setMaxBufferSize(limitBytes);
+    receiver.receiveFullBytes(
+        (read, body) -> {
+          timer.cancel();
+          ended.set(true);
+          exchange.dispatch(
+              SameThreadExecutor.INSTANCE, () -> guarded(exchange, () -> next.accept(body)));
+        },
+        (failed, cause) -> {
+          timer.cancel();
+          ended.set(true);
+          exchange.setPersistent(false);
+          exchange.dispatch(
+              SameThreadExecutor.INSTANCE,
+              () -> refuse(exchange, bodyError(cause, limitBytes), ExecutionOutcome.NOT_RUN));
+        });
   }
 
   private static RequestError bodyError(IOException cause, int limitBytes) {
-    return cause instanceof RequestTooBigException
+    return cause instanceof Receiver.RequestToLargeException
         ? new RequestError.BodyTooLarge(limitBytes)
         : new RequestError.Malformed("the body ended before its stated length");
   }
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -63,9 +63,22 @@
   private volatile Set<String> dataCentresOut = Set.of();
   private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
 
-  public static Upstream upstream(String id, HostPort address, String service) {
+  public static Upstream upstream(String id, HostPort address, String service, String dataCentre) {
     return new Upstream(
-        id, 1, 1, address, "dc-1", service, "", "", List.of(), UpstreamState.READY, 8, 2, 0, false);
+        id,
+        1,
+        1,
+        address,
+        dataCentre,
+        service,
+        "",
+        "",
+        List.of(),
+        UpstreamState.READY,
+        8,
+        2,
+        0,
+        false);
   }
 
   public boolean holds(Condition condition) {
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/FlakyLedger.java
@@ -0,0 +1,75 @@
+package org.ragwortpick.entry;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.ragwortpick.ledger.BeginRequest;
+import org.ragwortpick.ledger.BeginResult;
+import org.ragwortpick.ledger.ExecutionKey;
+import org.ragwortpick.ledger.ExecutionLedger;
+import org.ragwortpick.ledger.ExecutionRecord;
+import org.ragwortpick.ledger.FinishRequest;
+import org.ragwortpick.ledger.LedgerError;
+
+/** Execution records behind a network that delays and loses requests and answers. */
+public final class FlakyLedger implements ExecutionLedger {
+
+  private static final int LOSS_PERCENT = 15;
+
+  private final ExecutionLedger records;
+  private final VirtualTime time;
+  private final Random random;
+
+  public FlakyLedger(ExecutionLedger records, VirtualTime time, Random random) {
+    this.records = records;
+    this.time = time;
+    this.random = random;
+  }
+
+  @Override
+  public CompletionStage<Either<LedgerError, BeginResult>> begin(
+      BeginRequest request, long timeoutMs) {
+    return exchange(() -> records.begin(request, timeoutMs), timeoutMs);
+  }
+
+  @Override
+  public CompletionStage<Either<LedgerError, ExecutionRecord>> finish(
+      FinishRequest request, long timeoutMs) {
+    return exchange(() -> records.finish(request, timeoutMs), timeoutMs);
+  }
+
+  @Override
+  public CompletionStage<Either<LedgerError, Optional<ExecutionRecord>>> status(
+      ExecutionKey key, long timeoutMs) {
+    return exchange(() -> records.status(key, timeoutMs), timeoutMs);
+  }
+
+  private <T> CompletionStage<Either<LedgerError, T>> exchange(
+      Supplier<CompletionStage<Either<LedgerError, T>>> operation, long timeoutMs) {
+    CompletableFuture<Either<LedgerError, T>> answer = new CompletableFuture<>();
+    time.schedule(timeoutMs, () -> answer.complete(Either.left(new LedgerError.Unreachable())));
+    // A request may arrive long after its sender has given up.
+    long delayMs = lost() ? random.nextInt(2_000) : random.nextInt(10);
+    if (!lost()) {
+      time.schedule(
+          delayMs,
+          () ->
+              operation
+                  .get()
+                  .thenAccept(
+                      result -> {
+                        if (!lost()) {
+                          time.schedule(random.nextInt(10), () -> answer.complete(result));
+                        }
+                      }));
+    }
+    return answer;
+  }
+
+  private boolean lost() {
+    return random.nextInt(100) < LOSS_PERCENT;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/VirtualTime.java
@@ -0,0 +1,37 @@
+package org.ragwortpick.entry;
+
+import java.time.Clock;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.ragwortpick.common.ManualClock;
+
+/** Timers that run in the calling thread as the clock is advanced from task to task. */
+public final class VirtualTime implements Timers {
+
+  private final ManualClock clock = new ManualClock();
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
+  private long order;
+
+  public Clock clock() {
+    return clock;
+  }
+
+  @Override
+  public Timer schedule(long delayMs, Runnable task) {
+    Task added = new Task(clock.millis() + Math.max(0, delayMs), order++, task);
+    tasks.add(added);
+    return () -> tasks.remove(added);
+  }
+
+  /** Runs everything that is scheduled, also what is scheduled meanwhile. */
+  public void runAll() {
+    while (!tasks.isEmpty()) {
+      Task next = tasks.remove();
+      clock.advanceMs(next.atMs() - clock.millis());
+      next.action().run();
+    }
+  }
+
+  private record Task(long atMs, long order, Runnable action) {}
+}
--- a/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
+++ b/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
@@ -129,7 +129,7 @@
     upstreams.add(upstream);
     InetSocketAddress bound = (InetSocketAddress) upstream.getListenerInfo().get(0).getAddress();
     HostPort address = new HostPort("127.0.0.1", bound.getPort());
-    fakes.announce(EntryFakes.upstream(id, address, service));
+    fakes.announce(EntryFakes.upstream(id, address, service, "dc-1"));
     return address;
   }
 
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/http/RawUpstream.java
@@ -0,0 +1,129 @@
+package org.ragwortpick.entry.http;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ragwortpick.common.HostPort;
+
+/** Upstream on plain sockets, for faults that no HTTP server produces. */
+final class RawUpstream implements AutoCloseable {
+
+  private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger work = new AtomicInteger();
+  private final Behaviour behaviour;
+
+  RawUpstream(Behaviour behaviour) throws IOException {
+    this.behaviour = behaviour;
+    threads.execute(this::accept);
+  }
+
+  HostPort address() {
+    return new HostPort("127.0.0.1", server.getLocalPort());
+  }
+
+  /** Number of requests received, cancels not included. */
+  int workRequests() {
+    return work.get();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        int index = connections.incrementAndGet();
+        threads.execute(() -> serve(socket, index));
+      }
+    } catch (IOException ignored) {
+      threads.shutdown();
+    }
+  }
+
+  private void serve(Socket socket, int connection) {
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      int requests = 0;
+      Map<String, String> headers = readRequest(in);
+      while (headers != null) {
+        requests++;
+        work.addAndGet(headers.get("path").equals("/v1/cancel") ? 0 : 1);
+        String answer = behaviour.answer(connection, requests, headers);
+        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+        if (answer.contains("Connection: close")
+            || !answer.startsWith("HTTP") && !answer.isEmpty()) {
+          return;
+        }
+        headers = readRequest(in);
+      }
+    } catch (IOException ignored) {
+      // The other side closed the connection.
+    }
+  }
+
+  private static Map<String, String> readRequest(BufferedReader in) throws IOException {
+    String line = in.readLine();
+    if (line == null) {
+      return null;
+    }
+    Map<String, String> headers = new HashMap<>();
+    headers.put("path", line.split(" ")[1]);
+    for (line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+      int colon = line.indexOf(':');
+      headers.put(
+          line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+    }
+    char[] body = new char[Integer.parseInt(headers.getOrDefault("content-length", "0"))];
+    int read = 0;
+    while (read < body.length) {
+      read += Math.max(1, in.read(body, read, body.length - read));
+    }
+    headers.put("body", new String(body));
+    return headers;
+  }
+
+  /** Complete answer with the echoed identity. */
+  static String answer(Map<String, String> request, String extraHeaders, String body) {
+    return head(request, extraHeaders + "Content-Length: " + body.length() + "\r\n") + body;
+  }
+
+  static String head(Map<String, String> request, String extraHeaders) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: "
+        + request.get("request-id")
+        + "\r\nStage: "
+        + request.get("stage")
+        + "\r\nAttempt: "
+        + request.get("attempt")
+        + "\r\n"
+        + extraHeaders
+        + "\r\n";
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    threads.shutdownNow();
+  }
+
+  /** Decides on answers. */
+  interface Behaviour {
+
+    /**
+     * Returns the bytes to send; an empty text leaves the request unanswered. The connection is
+     * closed after an answer that announces it and after one that is not HTTP.
+     */
+    String answer(int connection, int request, Map<String, String> headers) throws IOException;
+  }
+}
