Answer refused keys from their record and test single stages and calls

Cause: a VM that refused a non-idempotent call whose key had run before told the caller "unknown", although the record held the answer.

Change: after NotHolder the call waits for the record, as a duplicate does. Tests on virtual time cover hedges, refusals, budgets, gaps, data centres that go out while a connection opens, frozen attempts, lost answers of begin and records that cannot be reached.

--- a/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
+++ b/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
@@ -242,6 +242,11 @@
             reply(Either.left(error), ExecutionOutcome.NOT_RUN);
           } else if (decided.isRight()) {
             replyRecord(decided.get());
+          } else if (decided.getLeft() instanceof LedgerError.NotHolder) {
+            // The key was used before, so what became of that attempt is the answer.
+            phase = Phase.WAIT;
+            pollStatus(STATUS_FIRST_POLL_MS);
+            return;
           } else {
             replyError(decided.getLeft());
           }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/call/NonIdempotentCallTest.java
@@ -0,0 +1,146 @@
+package org.ragwortpick.entry.call;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.entry.EntryFakes;
+import org.ragwortpick.entry.FakeLedger;
+import org.ragwortpick.entry.ScriptedUpstreams;
+import org.ragwortpick.entry.VirtualEntry;
+import org.ragwortpick.entry.upstream.UpstreamEnd;
+import org.ragwortpick.error.ExecutionOutcome;
+import org.ragwortpick.error.RequestError;
+import org.ragwortpick.ledger.ExecutionKey;
+import org.ragwortpick.ledger.ExecutionState;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against late dispatches and against answers that claim more than the record holds. */
+public final class NonIdempotentCallTest {
+
+  private static final ExecutionKey KEY = new ExecutionKey("w1", "k1");
+
+  private VirtualEntry entry;
+  private ScriptedUpstreams upstreams;
+  private FakeLedger ledger;
+  private List<CallResult> results;
+
+  @BeforeMethod
+  public void prepare() {
+    entry = new VirtualEntry();
+    upstreams = new ScriptedUpstreams();
+    ledger = new FakeLedger();
+    results = new ArrayList<>();
+    HostPort address = new HostPort("10.0.0.1", 80);
+    entry.fakes().announce(EntryFakes.upstream("b1", address, "booking", "dc-1"));
+  }
+
+  @AfterMethod
+  public void everyPlaceIsReleased() {
+    entry.time().runAll();
+    assertEquals(entry.fakes().openPlaces(), 0);
+  }
+
+  private void start(String body) {
+    CallRequest call = new CallRequest(KEY, "booking", body.getBytes(), body, OptionalLong.empty());
+    new NonIdempotentCall(
+            call, entry.request(1_000), entry.dependencies(upstreams), ledger, "vm", results::add)
+        .start();
+  }
+
+  private void afterMs(long delayMs, Runnable action) {
+    entry.time().schedule(delayMs, action);
+    entry.time().runAll();
+  }
+
+  @Test
+  public void attemptThatWasFrozenPastItsDeadlineIsNeverSent() {
+    start("a");
+    afterMs(5_000, () -> assertFalse(upstreams.work().get(0).write()));
+    assertEquals(ledger.state(KEY), ExecutionState.NOT_RUN);
+    assertEquals(results.get(0).execution(), ExecutionOutcome.UNKNOWN, "told at the deadline");
+  }
+
+  @Test
+  public void duplicateWaitsForTheOutcome() {
+    start("a");
+    start("a");
+    assertEquals(upstreams.work().size(), 1);
+    assertTrue(upstreams.work().get(0).write());
+    entry.time().schedule(200, () -> upstreams.work().get(0).answer(201, "booked"));
+    entry.time().runAll();
+    assertEquals(results.size(), 2);
+    for (CallResult result : results) {
+      assertEquals(result.answer().get(), new RecordedAnswer(201, "booked"));
+    }
+  }
+
+  @Test
+  public void duplicateIsToldUnknownAtTheDeadline() {
+    start("a");
+    assertTrue(upstreams.work().get(0).write());
+    start("a");
+    entry.time().runAll();
+    assertEquals(results.get(1).execution(), ExecutionOutcome.UNKNOWN);
+    upstreams.work().get(0).answer(201, "booked");
+    assertEquals(ledger.state(KEY), ExecutionState.DONE, "a late answer is still recorded");
+  }
+
+  @Test
+  public void keyOfAnotherBodyIsRefused() {
+    start("a");
+    start("b");
+    assertTrue(results.get(0).answer().getLeft() instanceof RequestError.IdempotencyKeyReused);
+    upstreams.work().get(0).end(new UpstreamEnd.NotConnected("refused"));
+    assertEquals(results.get(1).execution(), ExecutionOutcome.NOT_RUN);
+  }
+
+  @Test
+  public void lostAnswersOfBeginAreAskedAgainUnderTheSameAttempt() {
+    ledger.loseBeginAnswers(3);
+    start("a");
+    afterMs(300, () -> assertTrue(upstreams.work().get(0).write()));
+    upstreams.work().get(0).answer(200, "ok");
+    assertEquals(ledger.state(KEY), ExecutionState.DONE);
+    assertEquals(upstreams.work().size(), 1);
+  }
+
+  @Test
+  public void notRunIsToldOnlyAfterItIsCommitted() {
+    entry.fakes().turnOff(EntryFakes.Condition.ADMITS);
+    ledger.setReachable(false);
+    start("a");
+    entry.time().schedule(400, () -> ledger.setReachable(true));
+    assertTrue(results.isEmpty());
+    entry.time().runAll();
+    assertEquals(results.get(0).execution(), ExecutionOutcome.NOT_RUN);
+    assertEquals(ledger.state(KEY), ExecutionState.NOT_RUN);
+  }
+
+  @Test
+  public void refusalOfAKeyThatRanBeforeGivesTheRecordedAnswer() {
+    start("a");
+    assertTrue(upstreams.work().get(0).write());
+    upstreams.work().get(0).answer(200, "ok");
+    entry.fakes().turnOff(EntryFakes.Condition.ADMITS);
+    start("a");
+    entry.time().runAll();
+    assertEquals(results.get(1).answer().get(), new RecordedAnswer(200, "ok"));
+  }
+
+  @Test
+  public void answerIsDeliveredEvenIfItCannotBeRecorded() {
+    start("a");
+    assertTrue(upstreams.work().get(0).write());
+    ledger.setReachable(false);
+    upstreams.work().get(0).answer(200, "ok");
+    entry.time().runAll();
+    assertEquals(results.get(0).execution(), ExecutionOutcome.DONE);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/pipeline/StageRunTest.java
@@ -0,0 +1,154 @@
+package org.ragwortpick.entry.pipeline;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.entry.EntryFakes;
+import org.ragwortpick.entry.RequestContext;
+import org.ragwortpick.entry.ScriptedUpstreams;
+import org.ragwortpick.entry.VirtualEntry;
+import org.ragwortpick.entry.upstream.UpstreamEnd;
+import org.ragwortpick.error.RequestError;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against attempts beyond the budgets, lost places and work sent where none may go. */
+public final class StageRunTest {
+
+  private VirtualEntry entry;
+  private ScriptedUpstreams upstreams;
+  private List<StageResult> results;
+  private List<Integer> offsets;
+
+  @BeforeMethod
+  public void prepare() {
+    entry = new VirtualEntry();
+    upstreams = new ScriptedUpstreams();
+    results = new ArrayList<>();
+    offsets = new ArrayList<>();
+    for (int i = 1; i <= 2; i++) {
+      HostPort address = new HostPort("10.0.0." + i, 80);
+      entry.fakes().announce(EntryFakes.upstream("e" + i, address, "engine", "dc-" + i));
+    }
+  }
+
+  @AfterMethod
+  public void everyPlaceIsReleased() {
+    assertEquals(entry.fakes().openPlaces(), 0);
+  }
+
+  private void start(boolean stream, boolean idempotent) {
+    RequestContext request = entry.request(1_000);
+    StageTask task =
+        new StageTask(
+            "s", "engine", "/v1/x", stream, idempotent, false, 0, (offset, text) -> new byte[0]);
+    StageRun run =
+        new StageRun(
+            task,
+            800,
+            request,
+            entry.dependencies(upstreams),
+            (offset, text) -> offsets.add(offset),
+            results::add);
+    request.serial().execute(run::start);
+  }
+
+  private RequestError error() {
+    return results.get(0).answer().getLeft();
+  }
+
+  @Test
+  public void hedgeWinsAndTheSlowAttemptIsCancelled() {
+    entry.fakes().hedgeAfterMs(30);
+    start(false, true);
+    entry.time().schedule(50, () -> upstreams.work().get(1).answer(200, "{\"output\":7}"));
+    entry.time().schedule(60, () -> upstreams.work().get(0).answer(200, "{\"output\":8}"));
+    entry.time().runAll();
+    assertEquals(results.size(), 1);
+    assertEquals(results.get(0).answer().get().output().asInt(), 7);
+    assertEquals(results.get(0).cost().hedges(), 1);
+    assertEquals(
+        upstreams.cancels().get(0), "{\"requestId\":\"vm-1-1\",\"stage\":\"s\",\"attempt\":1}");
+  }
+
+  @Test
+  public void refusalIsReportedAndNotRepeatedWithoutBudget() {
+    entry.fakes().turnOff(EntryFakes.Condition.RETRIES);
+    start(false, true);
+    upstreams.work().get(0).answer(503, "");
+    assertTrue(error() instanceof RequestError.StageFailed, error().toString());
+    assertEquals(entry.fakes().coldReports(), 1);
+    assertEquals(upstreams.work().size(), 1);
+  }
+
+  @Test
+  public void nonIdempotentStageIsNeverRepeatedOnceSent() {
+    entry.fakes().hedgeAfterMs(30);
+    start(false, false);
+    upstreams.work().get(0).end(new UpstreamEnd.NotConnected("refused"));
+    upstreams.work().get(1).end(new UpstreamEnd.Broken("reset"));
+    entry.time().runAll();
+    assertEquals(upstreams.work().size(), 2);
+    assertTrue(error() instanceof RequestError.StageFailed);
+    assertTrue(upstreams.work().get(0).request().freshConnection());
+  }
+
+  @Test
+  public void dataCentreThatGoesOutWhileConnectingReceivesNothing() {
+    start(false, true);
+    entry.fakes().takeOut("dc-1");
+    assertFalse(upstreams.work().get(0).write());
+    assertTrue(upstreams.work().get(1).write());
+    assertEquals(upstreams.work().get(1).request().address().host(), "10.0.0.2");
+    upstreams.work().get(1).answer(200, "{\"output\":1}");
+    assertEquals(results.get(0).cost().attempts(), 1);
+  }
+
+  @Test
+  public void gapIsNeverDeliveredAndTheStreamResumesElsewhere() {
+    start(true, true);
+    upstreams.work().get(0).token(0);
+    upstreams.work().get(0).token(2);
+    assertEquals(upstreams.cancels().size(), 1);
+    upstreams.work().get(0).token(1);
+    assertEquals(offsets, List.of(0));
+    upstreams.work().get(1).token(1);
+    upstreams.work().get(1).done(2);
+    assertEquals(offsets, List.of(0, 1));
+    assertEquals(results.get(0).answer().get().output().asText(), "t0t1");
+  }
+
+  @Test
+  public void stageWaitsForAPlaceWithinItsBudget() {
+    entry.fakes().limitPlaces(0);
+    start(false, true);
+    entry.time().schedule(100, () -> entry.fakes().limitPlaces(1));
+    entry.time().schedule(200, () -> upstreams.work().get(0).answer(200, "{\"output\":1}"));
+    entry.time().runAll();
+    assertTrue(results.get(0).answer().isRight());
+  }
+
+  @Test
+  public void stageFailsAtTheEndOfItsBudgetWithoutAPlace() {
+    entry.fakes().limitPlaces(0);
+    start(false, true);
+    entry.time().runAll();
+    assertTrue(error() instanceof RequestError.NoUpstream);
+    assertFalse(results.get(0).sent());
+    assertTrue(results.get(0).cost().ms() >= 800 && results.get(0).cost().ms() < 900);
+  }
+
+  @Test
+  public void deadlineEndsASilentStageAndCancelsItsWork() {
+    start(true, true);
+    upstreams.work().get(0).token(0);
+    entry.time().runAll();
+    assertTrue(error() instanceof RequestError.DeadlineMissed);
+    assertEquals(upstreams.cancels().size(), 1);
+  }
+}
