Add configuration files, operator requests and the placement plan

Cause: operators edit an inventory and rules at the same time, resend requests after lost answers and take data centres out of service. Ruled out: evaluating a proposal whose base the leader has not applied as an empty change. If the base is current by the time the command is applied, the empty change would be accepted and the proposal lost; such a command is marked and never accepted. Ruled out: stopping at the first fault of a file; the reader notes every fault and goes on. A lease wait on the leader now ends before a client takes the leader for silent, and a call with little time left no longer replaces its channel. Conclusion: propose, take out now and return work from any VM against the group interface.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDelta.java
@@ -0,0 +1,82 @@
+package org.ragwortpick.config;
+
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Documents that changed between two revisions.
+ *
+ * @param fromRevision revision to which the delta applies
+ * @param toRevision revision after the delta
+ * @param puts new texts by document key
+ * @param deletes keys of removed documents
+ */
+public record ConfigurationDelta(
+    long fromRevision, long toRevision, SortedMap<String, String> puts, SortedSet<String> deletes) {
+
+  /** Copies the collections. */
+  public ConfigurationDelta {
+    puts = Collections.unmodifiableSortedMap(new TreeMap<>(puts));
+    deletes = Collections.unmodifiableSortedSet(new TreeSet<>(deletes));
+  }
+
+  /**
+   * Computes the change that turns one set of documents into another.
+   *
+   * @param revision revision of the old documents
+   * @param before old documents
+   * @param after new documents
+   * @return the change to the next revision
+   */
+  public static ConfigurationDelta between(
+      long revision, SortedMap<String, String> before, SortedMap<String, String> after) {
+    SortedMap<String, String> puts = new TreeMap<>(after);
+    puts.entrySet().removeIf(put -> put.getValue().equals(before.get(put.getKey())));
+    SortedSet<String> deletes = new TreeSet<>(before.keySet());
+    deletes.removeAll(after.keySet());
+    return new ConfigurationDelta(revision, revision + 1, puts, deletes);
+  }
+
+  /**
+   * Tells whether nothing changes.
+   *
+   * @return true if there are neither puts nor deletes
+   */
+  public boolean isEmpty() {
+    return puts.isEmpty() && deletes.isEmpty();
+  }
+
+  /**
+   * Applies the change to documents.
+   *
+   * @param documents documents at the revision from which the delta starts
+   */
+  public void applyTo(SortedMap<String, String> documents) {
+    deletes.forEach(documents::remove);
+    documents.putAll(puts);
+  }
+
+  /**
+   * Joins this change with the one that follows it.
+   *
+   * @param next change that starts at the revision after this one
+   * @return the joined change
+   * @throws IllegalArgumentException if the next change starts elsewhere
+   */
+  public ConfigurationDelta then(ConfigurationDelta next) {
+    if (next.fromRevision() != toRevision) {
+      throw new IllegalArgumentException(
+          "a delta from revision " + next.fromRevision() + " cannot follow " + toRevision);
+    }
+    SortedMap<String, String> joinedPuts = new TreeMap<>(puts);
+    SortedSet<String> joinedDeletes = new TreeSet<>(deletes);
+    next.deletes().forEach(joinedPuts::remove);
+    joinedDeletes.addAll(next.deletes());
+    joinedPuts.putAll(next.puts());
+    joinedDeletes.removeAll(next.puts().keySet());
+    return new ConfigurationDelta(fromRevision, next.toRevision(), joinedPuts, joinedDeletes);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/Administration.java
@@ -0,0 +1,48 @@
+package org.ragwortpick.control;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * Requests of operators. A request that is sent again under its request id gets the first answer.
+ */
+public interface Administration {
+
+  /**
+   * Changes the inventory, the rules or both.
+   *
+   * @param request the proposal
+   * @param timeoutMs time to wait in milliseconds
+   * @return the revision, or the reason for a refusal
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> propose(
+      ProposeRequest request, long timeoutMs);
+
+  /**
+   * Takes a data centre out of service.
+   *
+   * @param request the data centre
+   * @param timeoutMs time to wait in milliseconds
+   * @return the state PREPARING or OUT and what will not fit, or the reason for a refusal
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
+      TakeOutRequest request, long timeoutMs);
+
+  /**
+   * Returns a data centre to service.
+   *
+   * @param request the data centre
+   * @param timeoutMs time to wait in milliseconds
+   * @return the state RETURNING or IN, or the reason for a refusal
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
+      ReturnRequest request, long timeoutMs);
+
+  /**
+   * Reads the current configuration through the leader.
+   *
+   * @param timeoutMs time to wait in milliseconds
+   * @return the configuration, or the reason for which it cannot be read
+   */
+  CompletionStage<Either<AdministrationError, ConfigurationVersion>> read(long timeoutMs);
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/AdministrationServer.java
@@ -0,0 +1,133 @@
+package org.ragwortpick.control;
+
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.proto.AdministrationApiGrpc;
+import org.ragwortpick.proto.AdministrationCall;
+import org.ragwortpick.proto.AdministrationFailure;
+import org.ragwortpick.proto.AdministrationReply;
+import org.ragwortpick.proto.AnswerKind;
+import org.ragwortpick.proto.AnswerMessage;
+
+/** Serves operator requests that other VMs forward to the leader. */
+public final class AdministrationServer extends AdministrationApiGrpc.AdministrationApiImplBase {
+
+  private final Administration administration;
+  private final Function<String, Optional<HostPort>> peerAddressOf;
+
+  /**
+   * Creates the server.
+   *
+   * @param administration administration on the local replica
+   * @param peerAddressOf finds the peer address of a control VM by its name
+   */
+  public AdministrationServer(
+      Administration administration, Function<String, Optional<HostPort>> peerAddressOf) {
+    this.administration = administration;
+    this.peerAddressOf = peerAddressOf;
+  }
+
+  @Override
+  public void execute(AdministrationCall call, StreamObserver<AdministrationReply> observer) {
+    handle(call)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure != null) {
+                observer.onError(Status.INTERNAL.withCause(failure).asRuntimeException());
+              } else {
+                observer.onNext(reply);
+                observer.onCompleted();
+              }
+            });
+  }
+
+  private CompletionStage<AdministrationReply> handle(AdministrationCall call) {
+    long timeoutMs = call.getTimeoutMs();
+    return switch (call.getOperationCase()) {
+      case PROPOSE ->
+          administration
+              .propose(ControlCodec.decode(call.getPropose()), timeoutMs)
+              .thenApply(this::reply);
+      case TAKE_OUT ->
+          administration
+              .takeOut(
+                  new TakeOutRequest(
+                      call.getTakeOut().getRequestId(),
+                      call.getTakeOut().getDataCentre(),
+                      call.getTakeOut().getNow()),
+                  timeoutMs)
+              .thenApply(this::reply);
+      case RETURN_TO_SERVICE ->
+          administration
+              .returnToService(
+                  new ReturnRequest(
+                      call.getReturnToService().getRequestId(),
+                      call.getReturnToService().getDataCentre()),
+                  timeoutMs)
+              .thenApply(this::reply);
+      default -> administration.read(timeoutMs).thenApply(this::replyToRead);
+    };
+  }
+
+  private AdministrationReply reply(Either<AdministrationError, AcceptedChange> result) {
+    return result.fold(
+        this::refuse,
+        accepted ->
+            answer(
+                AnswerMessage.newBuilder()
+                    .setKind(AnswerKind.ANSWER_KIND_ACCEPTED)
+                    .setRevision(accepted.revision())
+                    .setDataCentreState(accepted.state().map(Enum::name).orElse(""))
+                    .addAllUnplaced(accepted.unplaced())));
+  }
+
+  private AdministrationReply replyToRead(Either<AdministrationError, ConfigurationVersion> read) {
+    return read.fold(
+        this::refuse,
+        version ->
+            AdministrationReply.newBuilder()
+                .setRevision(version.revision())
+                .putAllDocuments(version.documents())
+                .build());
+  }
+
+  private AdministrationReply refuse(AdministrationError error) {
+    if (error instanceof AdministrationError.NotLeader notLeader) {
+      AdministrationReply.Builder reply =
+          AdministrationReply.newBuilder()
+              .setFailure(AdministrationFailure.ADMINISTRATION_FAILURE_NOT_LEADER);
+      notLeader
+          .leaderVm()
+          .flatMap(peerAddressOf)
+          .ifPresent(address -> reply.setLeaderAddress(address.toString()));
+      return reply.build();
+    }
+    if (error instanceof AdministrationError.Conflict conflict) {
+      return answer(
+          AnswerMessage.newBuilder()
+              .setKind(AnswerKind.ANSWER_KIND_CONFLICT)
+              .setRevision(conflict.currentRevision()));
+    }
+    if (error instanceof AdministrationError.Invalid invalid) {
+      return answer(
+          AnswerMessage.newBuilder()
+              .setKind(AnswerKind.ANSWER_KIND_INVALID)
+              .addAllFindings(invalid.findings()));
+    }
+    if (error instanceof AdministrationError.RequestIdReused) {
+      return answer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_REQUEST_ID_REUSED));
+    }
+    return AdministrationReply.newBuilder()
+        .setFailure(AdministrationFailure.ADMINISTRATION_FAILURE_OUTCOME_UNKNOWN)
+        .build();
+  }
+
+  private static AdministrationReply answer(AnswerMessage.Builder answer) {
+    return AdministrationReply.newBuilder().setAnswer(answer).build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -0,0 +1,384 @@
+package org.ragwortpick.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.ragwortpick.common.StateChart;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.ConfigurationDelta;
+import org.ragwortpick.config.ConfigurationDocuments;
+import org.ragwortpick.config.ConfigurationProblem;
+import org.ragwortpick.config.ConfigurationValidator;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Rules;
+import org.ragwortpick.consensus.Applied;
+import org.ragwortpick.consensus.ConsensusError;
+import org.ragwortpick.consensus.ConsensusGroup;
+import org.ragwortpick.control.leader.LeaderLease;
+import org.ragwortpick.proto.AnswerKind;
+import org.ragwortpick.proto.AnswerMessage;
+import org.ragwortpick.proto.ChangeCommand;
+import org.ragwortpick.proto.ConfigurationCommand;
+
+/** Operator requests on the leader of the group {@code config}. */
+public final class LeaderAdministration implements Administration {
+
+  private static final String INVENTORY = "inventory";
+  private static final String RULES = "rules";
+  private static final String PREPARE = "PREPARE";
+  private static final String RETURN = "RETURN";
+  private static final String TAKE_OUT = "TAKE_OUT";
+
+  /** Most findings that a kept answer lists, so that 10,000 answers stay small. */
+  private static final int MAX_FINDINGS = 100;
+
+  /** Most times that a change of a data centre is computed again after a conflict. */
+  private static final int MAX_COMPUTATIONS = 10;
+
+  private final StateChart chart = StateChart.load("data-centre.json");
+  private final ConsensusGroup group;
+  private final ConfigurationStateMachine machine;
+  private final LeaderLease lease;
+  private final PlacementSource placement;
+
+  /**
+   * Creates the administration of one control VM.
+   *
+   * @param group the group {@code config}
+   * @param machine its local state machine
+   * @param lease lease of the local replica as leader of the group
+   * @param placement plans for the data centres that remain
+   */
+  public LeaderAdministration(
+      ConsensusGroup group,
+      ConfigurationStateMachine machine,
+      LeaderLease lease,
+      PlacementSource placement) {
+    this.group = group;
+    this.machine = machine;
+    this.lease = lease;
+    this.placement = placement;
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> propose(
+      ProposeRequest request, long timeoutMs) {
+    return requireId(request.requestId()).orElseGet(() -> propose(request, MAX_COMPUTATIONS));
+  }
+
+  private CompletionStage<Either<AdministrationError, AcceptedChange>> propose(
+      ProposeRequest request, int computations) {
+    ConfigurationVersion base = machine.current();
+    ChangeCommand.Builder change =
+        ChangeCommand.newBuilder()
+            .setRequestId(request.requestId())
+            .setRequestDigest(ControlCodec.digest(ControlCodec.encode(request)))
+            .setBaseRevision(request.baseRevision());
+    if (request.baseRevision() == base.revision()) {
+      fill(change, request, base);
+    } else {
+      // The state machine answers with the conflict, or with the first answer if this is a resend.
+      // A new leader that had not applied all changes yet is told so by a conflict that names the
+      // base revision itself.
+      change.setUnevaluated(true);
+    }
+    return propose(change)
+        .thenCompose(
+            result ->
+                isConflictAt(result, request.baseRevision()) && computations > 1
+                    ? propose(request, computations - 1)
+                    : CompletableFuture.completedFuture(result.flatMap(ControlCodec::decode)));
+  }
+
+  private static boolean isConflictAt(
+      Either<AdministrationError, AnswerMessage> result, long revision) {
+    return result.isRight()
+        && result.get().getKind() == AnswerKind.ANSWER_KIND_CONFLICT
+        && result.get().getRevision() == revision;
+  }
+
+  private static void fill(
+      ChangeCommand.Builder change, ProposeRequest request, ConfigurationVersion base) {
+    Configuration current = base.configuration();
+    Inventory inventory = request.inventory().orElse(current.inventory());
+    Rules rules = request.rules().orElse(current.rules());
+    List<String> findings = findings(request, inventory, rules, current.rules());
+    if (!findings.isEmpty()) {
+      refuse(change, findings);
+      return;
+    }
+    Map<String, DataCentreState> states = new HashMap<>(current.rules().dataCentres());
+    states.keySet().retainAll(inventory.dataCentres());
+    Configuration proposed =
+        new Configuration(
+            base.revision() + 1,
+            inventory,
+            new Rules(
+                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states));
+    put(change, base, proposed);
+    change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
+  }
+
+  private static List<String> findings(
+      ProposeRequest request, Inventory inventory, Rules rules, Rules currentRules) {
+    List<ConfigurationProblem> problems = new ArrayList<>();
+    if (request.inventory().isPresent()) {
+      problems.addAll(ConfigurationValidator.validate(INVENTORY, inventory));
+    }
+    Map<String, DataCentreState> states = new HashMap<>(rules.dataCentres());
+    boolean statesProposed = request.rules().isPresent() && !states.isEmpty();
+    if (statesProposed && !states.equals(currentRules.dataCentres())) {
+      problems.add(
+          new ConfigurationProblem.UnknownKey(
+              RULES,
+              "dataCentres",
+              states.toString(),
+              "leave it out; take a data centre out or return it instead"));
+    }
+    Rules withoutStates =
+        new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), null);
+    problems.addAll(ConfigurationValidator.validate(RULES, withoutStates, inventory));
+    return problems.stream().map(ConfigurationProblem::message).toList();
+  }
+
+  private static void refuse(ChangeCommand.Builder change, List<String> findings) {
+    change
+        .setRefused(true)
+        .setAnswer(
+            AnswerMessage.newBuilder()
+                .setKind(AnswerKind.ANSWER_KIND_INVALID)
+                .addAllFindings(findings.stream().limit(MAX_FINDINGS).toList()));
+  }
+
+  private static void put(
+      ChangeCommand.Builder change, ConfigurationVersion base, Configuration proposed) {
+    ConfigurationDelta delta =
+        ConfigurationDelta.between(
+            base.revision(), base.documents(), ConfigurationDocuments.toDocuments(proposed));
+    change.putAllPuts(delta.puts()).addAllDeletes(delta.deletes());
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
+      TakeOutRequest request, long timeoutMs) {
+    String digest = ControlCodec.digest(ControlCodec.encode(request));
+    return requireId(request.requestId())
+        .orElseGet(
+            () ->
+                move(
+                    base -> takeOut(request, base), request.requestId(), digest, MAX_COMPUTATIONS));
+  }
+
+  private ChangeCommand.Builder takeOut(TakeOutRequest request, ConfigurationVersion base) {
+    Configuration current = base.configuration();
+    ChangeCommand.Builder change = ChangeCommand.newBuilder();
+    String name = request.dataCentre();
+    if (!current.inventory().dataCentres().contains(name)) {
+      return refuseUnknown(change, current, name);
+    }
+    Set<String> remaining = remainingWithout(current, name);
+    if (remaining.isEmpty() && !request.now()) {
+      refuse(
+          change,
+          List.of(
+              "dataCentre: "
+                  + name
+                  + " is the last data centre in service; return another one first or use now"));
+      return change;
+    }
+    PlacementPlan plan = placement.plan(current.inventory(), remaining);
+    boolean immediate = request.now() || placement.isComplete() && plan.isReady();
+    List<String> unplaced = request.now() ? plan.missing() : plan.unplaced();
+    return transition(change, base, name, immediate ? TAKE_OUT : PREPARE, unplaced);
+  }
+
+  /**
+   * Lists the data centres that take work and are not about to leave, without one of them.
+   *
+   * @param current the configuration
+   * @param leaving data centre to leave out
+   * @return names of the other data centres
+   */
+  static Set<String> remainingWithout(Configuration current, String leaving) {
+    return current.inventory().dataCentres().stream()
+        .filter(name -> !name.equals(leaving))
+        .filter(current::takesWork)
+        .filter(name -> current.stateOf(name) != DataCentreState.PREPARING)
+        .collect(Collectors.toSet());
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
+      ReturnRequest request, long timeoutMs) {
+    String digest = ControlCodec.digest(ControlCodec.encode(request));
+    return requireId(request.requestId())
+        .orElseGet(
+            () ->
+                move(
+                    base -> returnToService(request, base),
+                    request.requestId(),
+                    digest,
+                    MAX_COMPUTATIONS));
+  }
+
+  private ChangeCommand.Builder returnToService(ReturnRequest request, ConfigurationVersion base) {
+    ChangeCommand.Builder change = ChangeCommand.newBuilder();
+    Configuration current = base.configuration();
+    if (!current.inventory().dataCentres().contains(request.dataCentre())) {
+      return refuseUnknown(change, current, request.dataCentre());
+    }
+    return transition(change, base, request.dataCentre(), RETURN, List.of());
+  }
+
+  /**
+   * Commits a transition of a data centre that no operator asked for, such as the end of a ramp.
+   *
+   * @param dataCentre name of the data centre
+   * @param expected state in which the transition applies
+   * @param event event of {@code data-centre.json}
+   * @return the accepted change, or the reason for which there is none
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> advance(
+      String dataCentre, DataCentreState expected, String event) {
+    ConfigurationVersion base = machine.current();
+    if (base.configuration().stateOf(dataCentre) != expected) {
+      return CompletableFuture.completedFuture(
+          Either.left(new AdministrationError.Conflict(base.revision())));
+    }
+    ChangeCommand.Builder change =
+        transition(ChangeCommand.newBuilder(), base, dataCentre, event, List.of());
+    return propose(change.setBaseRevision(base.revision()).setLeaderBase(true))
+        .thenApply(result -> result.flatMap(ControlCodec::decode));
+  }
+
+  /**
+   * An event that does not apply in the present state, such as a second take-out, has no effect.
+   */
+  private ChangeCommand.Builder transition(
+      ChangeCommand.Builder change,
+      ConfigurationVersion base,
+      String dataCentre,
+      String event,
+      List<String> unplaced) {
+    Configuration current = base.configuration();
+    DataCentreState before = current.stateOf(dataCentre);
+    DataCentreState after =
+        chart.next(before.name(), event).map(DataCentreState::valueOf).orElse(before);
+    Map<String, DataCentreState> states = new HashMap<>(current.rules().dataCentres());
+    states.put(dataCentre, after);
+    Rules rules = current.rules();
+    put(
+        change,
+        base,
+        new Configuration(
+            base.revision() + 1,
+            current.inventory(),
+            new Rules(
+                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states)));
+    return change.setAnswer(
+        AnswerMessage.newBuilder()
+            .setKind(AnswerKind.ANSWER_KIND_ACCEPTED)
+            .setDataCentreState(after.name())
+            .addAllUnplaced(unplaced));
+  }
+
+  private static ChangeCommand.Builder refuseUnknown(
+      ChangeCommand.Builder change, Configuration current, String name) {
+    List<String> known = current.inventory().dataCentres();
+    refuse(
+        change,
+        List.of(
+            new ConfigurationProblem.UnknownName(
+                    "request", "dataCentre", name, "data centre", known)
+                .message()));
+    return change;
+  }
+
+  /** Computes a change on the current revision, and again if another change was faster. */
+  private CompletionStage<Either<AdministrationError, AcceptedChange>> move(
+      Function<ConfigurationVersion, ChangeCommand.Builder> computation,
+      String requestId,
+      String digest,
+      int computations) {
+    ConfigurationVersion base = machine.current();
+    ChangeCommand.Builder change =
+        computation
+            .apply(base)
+            .setRequestId(requestId)
+            .setRequestDigest(digest)
+            .setBaseRevision(base.revision())
+            .setLeaderBase(true);
+    return propose(change)
+        .thenCompose(
+            result ->
+                result.isRight()
+                        && result.get().getKind() == AnswerKind.ANSWER_KIND_CONFLICT
+                        && computations > 1
+                    ? move(computation, requestId, digest, computations - 1)
+                    : CompletableFuture.completedFuture(result.flatMap(ControlCodec::decode)));
+  }
+
+  private CompletionStage<Either<AdministrationError, AnswerMessage>> propose(
+      ChangeCommand.Builder change) {
+    byte[] command = ConfigurationCommand.newBuilder().setChange(change).build().toByteArray();
+    return group
+        .propose(command)
+        .thenApply(
+            result ->
+                result.fold(
+                    error -> Either.left(refusal(error)),
+                    applied -> Either.right(decode(applied))));
+  }
+
+  private static AdministrationError refusal(ConsensusError error) {
+    if (error instanceof ConsensusError.NotLeader notLeader) {
+      return new AdministrationError.NotLeader(notLeader.leaderVm());
+    }
+    return error instanceof ConsensusError.StorageFailed
+        ? new AdministrationError.NotLeader(Optional.empty())
+        : new AdministrationError.OutcomeUnknown();
+  }
+
+  private static AnswerMessage decode(Applied applied) {
+    try {
+      return AnswerMessage.parseFrom(applied.result());
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("the result of a change cannot be decoded", e);
+    }
+  }
+
+  private static Optional<CompletionStage<Either<AdministrationError, AcceptedChange>>> requireId(
+      String requestId) {
+    if (!requestId.isBlank()) {
+      return Optional.empty();
+    }
+    String finding = "requestId: the value is absent; send a new id that resends of it repeat";
+    return Optional.of(
+        CompletableFuture.completedFuture(
+            Either.left(new AdministrationError.Invalid(List.of(finding)))));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, ConfigurationVersion>> read(long timeoutMs) {
+    return lease
+        .await(timeoutMs)
+        .thenApply(
+            held -> {
+              ConfigurationVersion version = machine.current();
+              // Checked after the read: a process that was frozen may have lost the lead.
+              return lease.isHeld()
+                  ? Either.right(version)
+                  : Either.left(new AdministrationError.NotLeader(group.leadership().leaderVm()));
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/OperatorRequests.java
@@ -0,0 +1,68 @@
+package org.ragwortpick.control;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.ragwortpick.proto.AnswerMessage;
+import org.ragwortpick.proto.RequestMessage;
+
+/** Answers to the last operator requests by request id, so that a resend gets the first answer. */
+final class OperatorRequests {
+
+  /** Number of answers that are kept; about five days at 2,100 changes a day. */
+  static final int MAX_REQUESTS = 10_000;
+
+  private final Map<String, RequestMessage> requests = new LinkedHashMap<>();
+
+  /**
+   * Finds the answer to a request.
+   *
+   * @param requestId identity of the request
+   * @return the request and its answer, or empty if it is not known
+   */
+  Optional<RequestMessage> find(String requestId) {
+    return Optional.ofNullable(requests.get(requestId));
+  }
+
+  /**
+   * Keeps the first answer to a request and drops the oldest one beyond the limit.
+   *
+   * @param request the request and its answer
+   * @throws IllegalStateException if another answer is kept under the request id
+   */
+  void keep(RequestMessage request) {
+    if (requests.putIfAbsent(request.getRequestId(), request) != null) {
+      throw new IllegalStateException(
+          "operator request " + request.getRequestId() + " was answered twice");
+    }
+    if (requests.size() > MAX_REQUESTS) {
+      requests.remove(requests.keySet().iterator().next());
+    }
+  }
+
+  /**
+   * Lists the requests.
+   *
+   * @return the requests, oldest first
+   */
+  Collection<RequestMessage> all() {
+    return requests.values();
+  }
+
+  /**
+   * Builds the entry of a request.
+   *
+   * @param requestId identity of the request
+   * @param digest digest of the request
+   * @param answer its answer
+   * @return the entry
+   */
+  static RequestMessage entry(String requestId, String digest, AnswerMessage answer) {
+    return RequestMessage.newBuilder()
+        .setRequestId(requestId)
+        .setRequestDigest(digest)
+        .setAnswer(answer)
+        .build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/PlacementSource.java
@@ -0,0 +1,25 @@
+package org.ragwortpick.control;
+
+import java.util.Set;
+import org.ragwortpick.config.Inventory;
+
+/** Plans on the upstreams that are known at the time of the call. */
+public interface PlacementSource {
+
+  /**
+   * Plans for a set of data centres.
+   *
+   * @param inventory what should run
+   * @param remaining names of the data centres that will take work
+   * @return the plan
+   */
+  PlacementPlan plan(Inventory inventory, Set<String> remaining);
+
+  /**
+   * Tells whether the known upstreams are all that announce themselves. A new leader learns them in
+   * the first seconds; until then a plan may lack some.
+   *
+   * @return true if a plan can be relied on
+   */
+  boolean isComplete();
+}
--- a/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
@@ -92,13 +92,12 @@
     }
     HostPort address = target.get();
     ManagedChannel channel = channels.channel(address);
+    long tryTimeoutMs = Math.min(remainingMs, TRY_TIMEOUT_MS);
     ClientCalls.asyncUnaryCall(
         channel.newCall(
-            method,
-            CallOptions.DEFAULT.withDeadlineAfter(
-                Math.min(remainingMs, TRY_TIMEOUT_MS), TimeUnit.MILLISECONDS)),
+            method, CallOptions.DEFAULT.withDeadlineAfter(tryTimeoutMs, TimeUnit.MILLISECONDS)),
         call.request(),
-        new ReplyObserver(call, address, channel));
+        new ReplyObserver(call, address, channel, tryTimeoutMs == TRY_TIMEOUT_MS));
   }
 
   private void sendLater(Call call) {
@@ -125,10 +124,7 @@
     sendLater(call);
   }
 
-  private void onFailure(Call call, HostPort address, ManagedChannel channel, Throwable failure) {
-    if (Status.fromThrowable(failure).getCode() == Status.Code.DEADLINE_EXCEEDED) {
-      channels.replace(address, channel);
-    }
+  private void onFailure(Call call, HostPort address) {
     turnFrom(address);
     sendLater(call);
   }
@@ -167,11 +163,13 @@
     private final Call call;
     private final HostPort address;
     private final ManagedChannel channel;
+    private final boolean fullTimeout;
 
-    ReplyObserver(Call call, HostPort address, ManagedChannel channel) {
+    ReplyObserver(Call call, HostPort address, ManagedChannel channel, boolean fullTimeout) {
       this.call = call;
       this.address = address;
       this.channel = channel;
+      this.fullTimeout = fullTimeout;
     }
 
     @Override
@@ -181,7 +179,11 @@
 
     @Override
     public void onError(Throwable failure) {
-      onFailure(call, address, channel, failure);
+      // A call that had little time left says nothing about the connection.
+      if (fullTimeout && Status.fromThrowable(failure).getCode() == Status.Code.DEADLINE_EXCEEDED) {
+        channels.replace(address, channel);
+      }
+      onFailure(call, address);
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
@@ -19,6 +19,9 @@
 
   private static final long POLL_INTERVAL_MS = 20;
 
+  /** Longest wait; shorter than the time after which a client takes this VM for silent. */
+  private static final long MAX_WAIT_MS = 300;
+
   private final ConsensusGroup group;
   private final Clock monotonicClock;
   private final ScheduledExecutorService scheduler;
@@ -51,12 +54,12 @@
   /**
    * Waits until the lease is held.
    *
-   * @param timeoutMs time to wait in milliseconds
+   * @param timeoutMs time to wait in milliseconds; at most 300 are used
    * @return true once the lease is held; false if the replica does not lead or the time is over
    */
   public CompletionStage<Boolean> await(long timeoutMs) {
     CompletableFuture<Boolean> held = new CompletableFuture<>();
-    poll(held, monotonicClock.millis() + timeoutMs);
+    poll(held, monotonicClock.millis() + Math.min(timeoutMs, MAX_WAIT_MS));
     return held;
   }
 
--- a/src/main/java/org/ragwortpick/control/package-info.java
+++ b/src/main/java/org/ragwortpick/control/package-info.java
@@ -1,2 +1,2 @@
-/** Replicated state machine of the control VMs. */
+/** Replicated state machine of the configuration, operator requests, placement and orders. */
 package org.ragwortpick.control;
--- /dev/null
+++ b/src/test/java/org/ragwortpick/control/OperatorRaceTest.java
@@ -0,0 +1,127 @@
+package org.ragwortpick.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Workspace;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against changes that are lost or applied twice when operators propose on equal base
+ * revisions and resend requests whose answers were lost. Each operator raises the weight of one
+ * workspace a few times, so every lost or repeated change shows in the sum.
+ */
+public final class OperatorRaceTest {
+
+  private static final int SEEDS = 2_000;
+  private static final int OPERATORS = 3;
+  private static final int RAISES = 3;
+  private static final int EXPECTED_WEIGHT = 1 + OPERATORS * RAISES;
+
+  @Test
+  public void everyRaiseCountsOnce() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      assertEquals(new Race(seed, true).run(), EXPECTED_WEIGHT, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void naiveVersionWithoutRequestIdsRepeatsChanges() {
+    int wrong = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      wrong += new Race(seed, false).run() == EXPECTED_WEIGHT ? 0 : 1;
+    }
+    assertTrue(wrong > SEEDS / 2, "the naive version went wrong in " + wrong + " runs only");
+  }
+
+  private static final class Race {
+    private final Random random;
+    private final boolean keepsRequestId;
+    private final ControlFixture control = new ControlFixture();
+    private final Map<String, Either<AdministrationError, AcceptedChange>> firstAnswers =
+        new HashMap<>();
+    private final List<ProposeRequest> late = new ArrayList<>();
+    private int ids;
+
+    Race(long seed, boolean keepsRequestId) {
+      random = new Random(seed);
+      this.keepsRequestId = keepsRequestId;
+    }
+
+    int run() {
+      control.propose(ControlFixture.inventory(List.of(), new Workspace("w1", 1)));
+      List<Operator> operators = new ArrayList<>();
+      for (int i = 0; i < OPERATORS; i++) {
+        operators.add(new Operator());
+      }
+      while (operators.stream().anyMatch(operator -> operator.open > 0)) {
+        operators.get(random.nextInt(OPERATORS)).step();
+        if (!late.isEmpty() && random.nextInt(4) == 0) {
+          deliver(late.remove(random.nextInt(late.size())));
+        }
+        if (random.nextInt(50) == 0) {
+          control.machine().restore(control.machine().snapshot());
+        }
+      }
+      late.forEach(this::deliver);
+      return control.machine().current().configuration().workspace("w1").orElseThrow().weight();
+    }
+
+    /** Delivers a request; every delivery of a request must give the same answer. */
+    private Either<AdministrationError, AcceptedChange> deliver(ProposeRequest request) {
+      Either<AdministrationError, AcceptedChange> answer =
+          ControlFixture.get(control.administration().propose(request, ControlFixture.TIMEOUT_MS));
+      Either<AdministrationError, AcceptedChange> first =
+          firstAnswers.putIfAbsent(request.requestId(), answer);
+      assertTrue(first == null || first.equals(answer), first + " was followed by " + answer);
+      return answer;
+    }
+
+    private final class Operator {
+      private int open = RAISES;
+      private Optional<ProposeRequest> request = Optional.empty();
+
+      void step() {
+        if (open == 0) {
+          return;
+        }
+        if (request.isEmpty()) {
+          request = Optional.of(newRequest());
+          return;
+        }
+        ProposeRequest sent = keepsRequestId ? request.get() : withNewId(request.get());
+        int fate = random.nextInt(4);
+        if (fate == 0) {
+          late.add(sent);
+          return;
+        }
+        Either<AdministrationError, AcceptedChange> answer = deliver(sent);
+        boolean answerLost = fate == 1;
+        if (!answerLost) {
+          open -= answer.isRight() ? 1 : 0;
+          request = Optional.empty();
+        }
+      }
+
+      private ProposeRequest newRequest() {
+        ConfigurationVersion base = control.machine().current();
+        int weight = base.configuration().workspace("w1").orElseThrow().weight();
+        Inventory raised = ControlFixture.inventory(List.of(), new Workspace("w1", weight + 1));
+        return withNewId(
+            new ProposeRequest("", base.revision(), Optional.of(raised), Optional.empty()));
+      }
+
+      private ProposeRequest withNewId(ProposeRequest of) {
+        return new ProposeRequest("r" + ids++, of.baseRevision(), of.inventory(), of.rules());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/control/PlacementPlannerTest.java
@@ -0,0 +1,68 @@
+package org.ragwortpick.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.sync.Upstream;
+import org.testng.annotations.Test;
+
+/** Guards against a model that nobody runs after a data centre has left. */
+public final class PlacementPlannerTest {
+
+  private static PlacementPlan plan(Inventory inventory, Upstream... upstreams) {
+    return PlacementPlanner.plan(
+        inventory, Set.of("norte-b"), Map.of("tutor-lm", List.of(upstreams)));
+  }
+
+  @Test
+  public void nothingToLoadWhenTheCapacityIsThere() {
+    Inventory inventory =
+        ControlFixture.inventory(List.of(ControlFixture.place("norte-a", "tutor", 1, "safety")));
+    PlacementPlan plan =
+        plan(
+            inventory,
+            ControlFixture.engine("e1", "norte-a", "tutor", "safety"),
+            ControlFixture.engine("e2", "norte-b", "tutor", "safety"));
+    assertTrue(plan.isReady());
+    assertEquals(plan.missing(), List.of());
+  }
+
+  @Test
+  public void keepsOneEngineForEachModelAndNamesTheRest() {
+    Inventory inventory =
+        ControlFixture.inventory(
+            List.of(
+                ControlFixture.place("norte-a", "rare", 1),
+                ControlFixture.place("norte-a", "tutor", 2),
+                ControlFixture.place("norte-b", "tutor", 2)));
+    PlacementPlan plan =
+        plan(
+            inventory,
+            ControlFixture.engine("e1", "norte-b", "tutor"),
+            ControlFixture.engine("e2", "norte-b", "tutor"));
+    assertEquals(
+        plan.loads(), List.of(new PlannedLoad("e2", OrderAction.LOAD_MODEL, "rare", "1", "")));
+    assertEquals(
+        plan.unplaced(),
+        List.of("service tutor-lm model tutor version 1: 3 of 4 replicas do not fit"));
+    assertEquals(plan.missing().size(), 2);
+  }
+
+  @Test
+  public void loadsOnlyTheAdapterWhereTheModelRuns() {
+    Inventory inventory =
+        ControlFixture.inventory(List.of(ControlFixture.place("norte-a", "tutor", 1, "safety")));
+    PlacementPlan plan =
+        plan(
+            inventory,
+            ControlFixture.engine("e1", "norte-b", "other"),
+            ControlFixture.engine("e2", "norte-b", "tutor"));
+    assertEquals(
+        plan.loads(),
+        List.of(new PlannedLoad("e2", OrderAction.LOAD_ADAPTER, "tutor", "1", "safety")));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/control/RemoteAdministrationTest.java
@@ -0,0 +1,66 @@
+package org.ragwortpick.control;
+
+import static org.testng.Assert.assertEquals;
+
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.config.Workspace;
+import org.ragwortpick.peer.PeerChannels;
+import org.testng.annotations.Test;
+
+/** Guards against answers that change on their way from the leader to another VM. */
+public final class RemoteAdministrationTest {
+
+  @Test
+  public void everyAnswerSurvivesTheCall() throws Exception {
+    ControlFixture control = new ControlFixture();
+    Server server =
+        NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+            .addService(new AdministrationServer(control.administration(), vm -> Optional.empty()))
+            .build()
+            .start();
+    ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+    try (PeerChannels channels = new PeerChannels()) {
+      RemoteAdministration remote =
+          new RemoteAdministration(
+              channels,
+              List.of(new HostPort("127.0.0.1", server.getPort())),
+              new MonotonicClock(),
+              scheduler);
+      ProposeRequest request =
+          new ProposeRequest(
+              "r1",
+              0,
+              Optional.of(ControlFixture.inventory(List.of(), new Workspace("w1", 1))),
+              Optional.empty());
+      assertEquals(ControlFixture.get(remote.propose(request, 5_000)).get().revision(), 1);
+      ProposeRequest stale = new ProposeRequest("r2", 0, request.inventory(), Optional.empty());
+      assertEquals(
+          ControlFixture.get(remote.propose(stale, 5_000)).getLeft(),
+          new AdministrationError.Conflict(1));
+      assertEquals(
+          ControlFixture.get(remote.takeOut(new TakeOutRequest("r3", "norte-a", true), 5_000))
+              .get(),
+          new AcceptedChange(2, Optional.of(DataCentreState.OUT), List.of()));
+      assertEquals(
+          ControlFixture.get(remote.read(5_000)).get().documents(),
+          control.machine().current().documents());
+      assertEquals(
+          ControlFixture.get(remote.returnToService(new ReturnRequest("r4", "norte-a"), 5_000))
+              .get()
+              .state(),
+          Optional.of(DataCentreState.RETURNING));
+    } finally {
+      server.shutdownNow();
+      scheduler.shutdownNow();
+    }
+  }
+}
