--- a/src/main/java/org/ragwortpick/control/EngineOrder.java
+++ b/src/main/java/org/ragwortpick/control/EngineOrder.java
@@ -1,5 +1,7 @@
 package org.ragwortpick.control;
 
+import org.ragwortpick.sync.Upstream;
+
 /**
  * Order to an engine, recorded before it is sent.
  *
@@ -23,27 +25,48 @@
     long term) {
 
   /**
-   * Tells whether another order asks the same of the same engine.
+   * Tells whether this order does what a planned load needs.
    *
-   * @param other the other order
-   * @return true if only the identity and the term differ
+   * @param load the load
+   * @return true if no further order is needed for it
    */
-  public boolean asksTheSameAs(EngineOrder other) {
-    return replaces(other)
-        && model.equals(other.model)
-        && version.equals(other.version)
-        && role.equals(other.role);
+  public boolean fulfils(PlannedLoad load) {
+    return upstreamId.equals(load.upstreamId())
+        && action == load.action()
+        && model.equals(load.model())
+        && version.equals(load.version())
+        && adapter.equals(load.adapter());
   }
 
   /**
-   * Tells whether this order, if it is recorded later, makes another one obsolete.
+   * Tells whether this order, recorded later, makes another one obsolete.
    *
    * @param other the earlier order
-   * @return true if both set the same property of the same engine
+   * @return true if both set the same property of the same engine, or if this one loads another
+   *     model beside which an adapter was to be loaded
    */
   public boolean replaces(EngineOrder other) {
-    return upstreamId.equals(other.upstreamId)
-        && action == other.action
-        && adapter.equals(other.adapter);
+    boolean sameProperty = action == other.action && adapter.equals(other.adapter);
+    boolean adapterOfOldModel =
+        action == OrderAction.LOAD_MODEL && other.action == OrderAction.LOAD_ADAPTER;
+    return upstreamId.equals(other.upstreamId) && (sameProperty || adapterOfOldModel);
+  }
+
+  /**
+   * Tells whether the announcement of the engine shows the effect of this order.
+   *
+   * @param announced the engine
+   * @return true if the order needs no repetition; always false for a role, which engines do not
+   *     announce
+   */
+  public boolean isDoneBy(Upstream announced) {
+    boolean model =
+        announced.model().equals(this.model)
+            && (version.isEmpty() || announced.version().equals(version));
+    return switch (action) {
+      case LOAD_MODEL -> model;
+      case LOAD_ADAPTER -> model && announced.adapters().contains(adapter);
+      case SET_ROLE -> false;
+    };
   }
 }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/control/TokenBucket.java
@@ -0,0 +1,57 @@
+package org.ragwortpick.control;
+
+import java.time.Clock;
+
+/**
+ * Rate limit that allows short bursts, used for the weight store. Safe for use by several threads.
+ */
+public final class TokenBucket {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final long ratePerSecond;
+  private final long burst;
+  private final Clock monotonicClock;
+
+  /** Tokens in thousandths, so that parts of a token add up without rounding. */
+  private long milliTokens;
+
+  private long updatedAtMs;
+
+  /**
+   * Creates a full bucket.
+   *
+   * @param ratePerSecond tokens that are added per second, at least 1
+   * @param burst most tokens that the bucket holds, at least 1
+   * @param monotonicClock clock for the rate
+   * @throws IllegalArgumentException if a number is below 1
+   */
+  public TokenBucket(long ratePerSecond, long burst, Clock monotonicClock) {
+    if (ratePerSecond < 1 || burst < 1) {
+      throw new IllegalArgumentException(
+          "rate " + ratePerSecond + " and burst " + burst + " must be 1 or more");
+    }
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.monotonicClock = monotonicClock;
+    this.milliTokens = burst * MILLIS_PER_SECOND;
+    this.updatedAtMs = monotonicClock.millis();
+  }
+
+  /**
+   * Takes one token if there is one.
+   *
+   * @return true if a token was taken
+   */
+  public synchronized boolean tryTake() {
+    long nowMs = monotonicClock.millis();
+    milliTokens =
+        Math.min(burst * MILLIS_PER_SECOND, milliTokens + (nowMs - updatedAtMs) * ratePerSecond);
+    updatedAtMs = nowMs;
+    if (milliTokens < MILLIS_PER_SECOND) {
+      return false;
+    }
+    milliTokens -= MILLIS_PER_SECOND;
+    return true;
+  }
+}
--- a/src/test/java/org/ragwortpick/control/ControlFixture.java
+++ b/src/test/java/org/ragwortpick/control/ControlFixture.java
@@ -62,6 +62,10 @@
     return directory;
   }
 
+  PlacementSource placement() {
+    return placement;
+  }
+
   LeaderAdministration administration() {
     return administration;
   }
