--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -25,6 +25,8 @@
       metaVar = "COMMAND",
       usage = "command to run")
   @SubCommands({
+    @SubCommand(name = "run", impl = RunCommand.class),
+    @SubCommand(name = "bootstrap", impl = BootstrapCommand.class),
     @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class),
     @SubCommand(name = "state", impl = StateCommand.class),
     @SubCommand(name = "configuration", impl = ConfigurationCommand.class),
@@ -33,6 +35,8 @@
     @SubCommand(name = "return", impl = ReturnCommand.class),
     @SubCommand(name = "stop", impl = StopCommand.class),
     @SubCommand(name = "call-status", impl = CallStatusCommand.class),
+    @SubCommand(name = "await", impl = AwaitCommand.class),
+    @SubCommand(name = "demonstrate", impl = DemonstrateCommand.class),
     @SubCommand(name = "stand-in", impl = StandInCommand.class),
   })
   private Command command;
--- a/src/main/java/org/ragwortpick/cli/ProcessEnd.java
+++ b/src/main/java/org/ragwortpick/cli/ProcessEnd.java
@@ -1,7 +1,10 @@
 package org.ragwortpick.cli;
 
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import org.jboss.logging.Logger;
+import org.ragwortpick.vm.VmProcess;
 
 /** Keeps a process running until it is told to end. */
 final class ProcessEnd {
@@ -11,7 +14,37 @@
   private ProcessEnd() {}
 
   /**
-   * Waits until the process receives a signal to end, then closes a resource.
+   * Waits for the graceful stop of a VM, which an operator or a termination signal requests.
+   *
+   * @param process the VM
+   * @return exit code
+   */
+  static int await(VmProcess process) {
+    CountDownLatch closed = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  process.requestStop();
+                  awaitUninterruptibly(closed);
+                }));
+    try {
+      process.stopped().get();
+      process.close();
+      return ExitCode.OK;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ExitCode.INTERNAL;
+    } catch (ExecutionException | IOException e) {
+      LOG.warn("the process did not close cleanly", e);
+      return ExitCode.INTERNAL;
+    } finally {
+      closed.countDown();
+    }
+  }
+
+  /**
+   * Waits for a termination signal, then closes a resource.
    *
    * @param resource resource to close
    * @return exit code
@@ -25,12 +58,15 @@
                   close(resource);
                   ended.countDown();
                 }));
+    awaitUninterruptibly(ended);
+    return ExitCode.OK;
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
-      ended.await();
-      return ExitCode.OK;
+      latch.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return ExitCode.INTERNAL;
     }
   }
 
--- a/src/main/java/org/ragwortpick/entry/EntrySettings.java
+++ b/src/main/java/org/ragwortpick/entry/EntrySettings.java
@@ -35,4 +35,26 @@
   public static final EntrySettings DEFAULTS =
       new EntrySettings(
           1024 * 1024, 4 * 1024 * 1024, 60_000, 3_000, 10_000, 300, 1_000, 5_000, 5, 4, 400, 2_000);
+
+  /**
+   * Replaces the limit of request bodies.
+   *
+   * @param bytes largest request body in bytes
+   * @return the changed settings
+   */
+  public EntrySettings withMaxBodyBytes(int bytes) {
+    return new EntrySettings(
+        bytes,
+        maxAnswerBytes,
+        maxDeadlineMs,
+        callDeadlineMs,
+        bodyTimeoutMs,
+        connectTimeoutMs,
+        progressTimeoutMs,
+        staleAfterMs,
+        placePollMs,
+        maxAttempts,
+        ledgerTryMs,
+        leaseMarginMs);
+  }
 }
--- a/src/main/java/org/ragwortpick/settings/Limits.java
+++ b/src/main/java/org/ragwortpick/settings/Limits.java
@@ -8,15 +8,15 @@
  * @param workerThreads threads that run blocking work
  * @param stopTimeoutMs time in milliseconds after which a graceful stop ends the process although
  *     requests are still in flight
- * @param weightLoadsPerMinute loads of models or adapters per minute that the weight store bears
+ * @param weightLoadsPerSecond loads of models or adapters per second that the weight store bears
  */
 public record Limits(
     int executionGroups,
     long maxBodyBytes,
     int workerThreads,
     long stopTimeoutMs,
-    int weightLoadsPerMinute) {
+    int weightLoadsPerSecond) {
 
   /** Limits used for keys that a settings file leaves out. */
-  public static final Limits DEFAULT = new Limits(1, 1_048_576, 16, 60_000, 60);
+  public static final Limits DEFAULT = new Limits(1, 1_048_576, 16, 60_000, 1);
 }
--- a/src/main/java/org/ragwortpick/settings/SettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/SettingsReader.java
@@ -23,7 +23,7 @@
   private static final int MAX_WORKER_THREADS = 512;
   private static final long MIN_STOP_TIMEOUT_MS = 10_000;
   private static final long MAX_STOP_TIMEOUT_MS = 600_000;
-  private static final int MAX_LOADS_PER_MINUTE = 100_000;
+  private static final int MAX_LOADS_PER_SECOND = 1_000;
   private static final Set<String> LOG_LEVELS = Set.of("TRACE", "DEBUG", "INFO", "WARN", "ERROR");
 
   private SettingsReader() {}
@@ -115,7 +115,7 @@
             "stopTimeoutMs", defaults.stopTimeoutMs(), MIN_STOP_TIMEOUT_MS, MAX_STOP_TIMEOUT_MS),
         (int)
             reader.optionalNumber(
-                "weightLoadsPerMinute", defaults.weightLoadsPerMinute(), 1, MAX_LOADS_PER_MINUTE));
+                "weightLoadsPerSecond", defaults.weightLoadsPerSecond(), 1, MAX_LOADS_PER_SECOND));
   }
 
   private static String readLogLevel(ObjectReader reader) {
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/EntryPart.java
@@ -0,0 +1,182 @@
+package org.ragwortpick.vm;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jboss.logging.Logger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.Service;
+import org.ragwortpick.entry.AddressAnswer;
+import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.EntrySettings;
+import org.ragwortpick.entry.ExecutorTimers;
+import org.ragwortpick.entry.RequestIds;
+import org.ragwortpick.entry.RequestMetrics;
+import org.ragwortpick.entry.RequestPolicies;
+import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.entry.http.CallerApi;
+import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.upstream.UndertowUpstreamClient;
+import org.ragwortpick.ledger.ExecutionLedger;
+import org.ragwortpick.policy.PolicySet;
+import org.ragwortpick.settings.Settings;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.rpc.SyncNode;
+import org.ragwortpick.tracing.JsonSpanExporter;
+import org.ragwortpick.tracing.TracingSetup;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Parts of a process that serve callers. */
+final class EntryPart implements AutoCloseable {
+
+  private static final Logger TRACES = Logger.getLogger("org.ragwortpick.traces");
+  private static final Logger LOG = Logger.getLogger(EntryPart.class);
+  private static final long POLICY_INTERVAL_MS = 250;
+  private static final long EXPIRY_INTERVAL_MS = 20;
+  private static final int IO_THREADS = 2;
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final TracingSetup tracing = new TracingSetup(JsonSpanExporter.toLog(TRACES));
+  private final WorkCounter work;
+  private final XnioWorker worker;
+  private final UndertowUpstreamClient client;
+  private final PolicySet policies;
+  private final EntryServer server;
+  private final SyncNode sync;
+
+  /**
+   * Creates the parts; nothing listens yet.
+   *
+   * @param settings settings of the process
+   * @param sync sync module of the process
+   * @param ledger execution records
+   * @param clock monotonic clock
+   * @param scheduler executor of timers
+   * @param registry metrics
+   * @param work counter of the requests in flight
+   * @throws IOException if the worker threads cannot be created
+   */
+  EntryPart(
+      Settings settings,
+      SyncNode sync,
+      ExecutionLedger ledger,
+      Clock clock,
+      ScheduledExecutorService scheduler,
+      PrometheusRegistry registry,
+      WorkCounter work)
+      throws IOException {
+    this.sync = sync;
+    this.work = work;
+    EntrySettings entrySettings =
+        EntrySettings.DEFAULTS.withMaxBodyBytes((int) settings.limits().maxBodyBytes());
+    this.worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    this.client = new UndertowUpstreamClient(worker, buffers, clock, entrySettings);
+    this.policies =
+        PolicySet.create(
+            settings.dataCentre(),
+            sync.configurationView().current(),
+            clock,
+            new SplittableRandom(new SecureRandom().nextLong()));
+    EntryDependencies dependencies =
+        new EntryDependencies(
+            requestPolicies(),
+            sync.configurationView(),
+            sync.upstreamDirectory(),
+            new TakenOutGate(
+                clock, sync.configurationView(), sync.lifeCycle()::state, settings.dataCentre()),
+            client,
+            new ExecutorTimers(scheduler),
+            clock,
+            entrySettings,
+            tracing.tracer(),
+            new RequestMetrics(registry),
+            work);
+    AtomicLong callers = new AtomicLong();
+    CallerApi api =
+        new CallerApi(
+            dependencies,
+            ledger,
+            () -> addresses(callers.incrementAndGet()),
+            new RequestIds(settings.vm(), new SecureRandom().nextLong()),
+            settings.vm());
+    HostPort address = settings.callerAddress();
+    this.server = new EntryServer(address.host(), address.port(), worker, buffers, api, work);
+    scheduler.scheduleWithFixedDelay(
+        this::updatePolicies, 0, POLICY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    scheduler.scheduleWithFixedDelay(
+        policies::expire, EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private RequestPolicies requestPolicies() {
+    return new RequestPolicies(
+        policies.admission(),
+        policies.deadlineBudget(),
+        policies.selector(),
+        policies.limiter(),
+        sync.coldAllowances(),
+        policies.retryBudget(),
+        policies.hedgePolicy());
+  }
+
+  private AddressAnswer addresses(long caller) {
+    var best = sync.addressAnswers().best(Long.toString(caller));
+    return new AddressAnswer(best.addresses(), (int) best.validForSeconds());
+  }
+
+  private void updatePolicies() {
+    try {
+      Configuration configuration = sync.configurationView().current();
+      List<Upstream> upstreams = new ArrayList<>();
+      for (Service service : configuration.inventory().services()) {
+        upstreams.addAll(sync.upstreamDirectory().upstreams(service.name()));
+      }
+      long entryVms =
+          sync.vmDirectory().vms().stream().filter(vm -> vm.state() == VmState.READY).count();
+      policies.update(configuration, (int) Math.max(1, entryVms), upstreams);
+    } catch (RuntimeException e) {
+      // An exception would end the periodic task.
+      LOG.error("the policies could not be updated; the update is repeated", e);
+    }
+  }
+
+  /** Starts to listen. */
+  void start() {
+    server.start();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+    client.close();
+    worker.shutdown();
+    try {
+      worker.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    tracing.close();
+    buffers.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/PeerServer.java
@@ -0,0 +1,60 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpick.common.HostPort;
+
+/** gRPC server for the other VMs. */
+final class PeerServer implements AutoCloseable {
+
+  private static final int MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+  private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+  /** Peers send keep-alive pings every 10 s; the default of gRPC would refuse them. */
+  private static final long LEAST_PING_INTERVAL_MS = 5_000;
+
+  private final Server server;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param address address to listen on
+   * @param services services to offer
+   */
+  PeerServer(HostPort address, List<BindableService> services) {
+    NettyServerBuilder builder =
+        NettyServerBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .permitKeepAliveTime(LEAST_PING_INTERVAL_MS, TimeUnit.MILLISECONDS)
+            .permitKeepAliveWithoutCalls(true);
+    services.forEach(builder::addService);
+    this.server = builder.build();
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  void start() throws IOException {
+    server.start();
+  }
+
+  @Override
+  public void close() {
+    server.shutdown();
+    try {
+      if (!server.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+        server.shutdownNow();
+      }
+    } catch (InterruptedException e) {
+      server.shutdownNow();
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -0,0 +1,178 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.ragwortpick.admin.AdminServer;
+import org.ragwortpick.admin.VmStatus;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.consensus.GroupStatus;
+import org.ragwortpick.control.RemoteAdministration;
+import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.ledger.LedgerGroups;
+import org.ragwortpick.ledger.RemoteExecutionLedger;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.settings.PeerVm;
+import org.ragwortpick.settings.Settings;
+import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.NoLeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.rpc.SyncNode;
+
+/** One process of the system with all its parts. */
+public final class VmProcess implements AutoCloseable {
+
+  private static final Logger LOG = Logger.getLogger(VmProcess.class);
+  private static final int TIMER_THREADS = 2;
+  private static final long STOP_POLL_MS = 50;
+
+  private final Settings settings;
+  private final Clock clock = new MonotonicClock();
+  private final PeerChannels channels = new PeerChannels();
+  private final ScheduledExecutorService scheduler =
+      Executors.newScheduledThreadPool(TIMER_THREADS);
+  private final WorkCounter work = new WorkCounter();
+  private final Optional<ControlPart> control;
+  private final SyncNode sync;
+  private final PeerServer peerServer;
+  private final EntryPart entry;
+  private final AdminServer admin;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+  /**
+   * Creates the process; nothing listens yet.
+   *
+   * @param settings checked settings
+   * @throws IOException if the data folder cannot be used
+   */
+  public VmProcess(Settings settings) throws IOException {
+    this.settings = settings;
+    PrometheusRegistry registry = new PrometheusRegistry();
+    List<HostPort> controlAddresses =
+        settings.controlVms().stream().map(PeerVm::peerAddress).toList();
+    this.control =
+        settings.isControl()
+            ? Optional.of(new ControlPart(settings, channels, clock, scheduler))
+            : Optional.empty();
+    LeaderSource leader =
+        control.<LeaderSource>map(ControlPart::leaderSource).orElseGet(NoLeaderSource::new);
+    this.sync = new SyncNode(identity(settings), clock, leader, channels, work::count);
+    List<BindableService> services = new ArrayList<>();
+    services.add(sync.service());
+    control.ifPresent(part -> services.addAll(part.services(sync.upstreamDirectory())));
+    this.peerServer = new PeerServer(settings.peerAddress(), services);
+    RemoteExecutionLedger ledger =
+        new RemoteExecutionLedger(
+            channels,
+            controlAddresses,
+            LedgerGroups.names(settings.limits().executionGroups()),
+            clock,
+            scheduler);
+    this.entry = new EntryPart(settings, sync, ledger, clock, scheduler, registry, work);
+    VmStatus status =
+        new VmStatus(
+            clock,
+            sync.lifeCycle()::record,
+            sync.configurationView(),
+            sync.vmDirectory(),
+            sync.upstreamDirectory(),
+            this::consensusGroups);
+    this.admin =
+        new AdminServer(
+            settings.adminAddress(),
+            new RemoteAdministration(channels, controlAddresses, clock, scheduler),
+            status,
+            registry,
+            this::requestStop);
+  }
+
+  private static SyncIdentity identity(Settings settings) {
+    return new SyncIdentity(
+        settings.vm(),
+        Clock.systemUTC().millis(),
+        settings.dataCentre(),
+        settings.callerAddress(),
+        settings.peerAddress(),
+        settings.controlVms().stream()
+            .map(vm -> new SyncIdentity.ControlVm(vm.vm(), vm.dataCentre(), vm.peerAddress()))
+            .toList(),
+        settings.peers().stream().map(PeerVm::peerAddress).toList());
+  }
+
+  private List<GroupStatus> consensusGroups() {
+    return control.map(ControlPart::statuses).orElse(List.of());
+  }
+
+  /**
+   * Starts to listen and to poll.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  public void start() throws IOException {
+    peerServer.start();
+    control.ifPresent(ControlPart::start);
+    sync.start();
+    admin.start();
+    entry.start();
+    LOG.infof("VM %s started in data centre %s", settings.vm(), settings.dataCentre());
+  }
+
+  /** Begins a graceful stop. Later requests change nothing. */
+  public void requestStop() {
+    if (sync.lifeCycle().state() == VmState.STOPPED) {
+      return;
+    }
+    LOG.info("graceful stop requested");
+    sync.lifeCycle().requestStop();
+    scheduler.scheduleWithFixedDelay(
+        this::checkStopped, STOP_POLL_MS, STOP_POLL_MS, TimeUnit.MILLISECONDS);
+    scheduler.schedule(
+        this::endOverdueStop, settings.limits().stopTimeoutMs(), TimeUnit.MILLISECONDS);
+  }
+
+  private void checkStopped() {
+    if (sync.lifeCycle().state() == VmState.STOPPED) {
+      stopped.complete(null);
+    }
+  }
+
+  private void endOverdueStop() {
+    if (!stopped.isDone()) {
+      LOG.warnf("%d requests are still in flight at the end of the stop timeout", work.count());
+      stopped.complete(null);
+    }
+  }
+
+  /**
+   * Completes when a graceful stop has finished all requests.
+   *
+   * @return the end of the stop
+   */
+  public CompletableFuture<Void> stopped() {
+    return stopped;
+  }
+
+  @Override
+  public void close() throws IOException {
+    entry.close();
+    admin.close();
+    sync.close();
+    if (control.isPresent()) {
+      control.get().close();
+    }
+    peerServer.close();
+    channels.close();
+    scheduler.shutdownNow();
+  }
+}
--- a/src/standin/java/org/ragwortpick/standin/RequestMarker.java
+++ b/src/standin/java/org/ragwortpick/standin/RequestMarker.java
@@ -11,7 +11,7 @@
   private static final String KEY = "marker";
 
   /** Generated text begins with the marker, see {@link TokenStream#tokenText}. */
-  private static final String TEXT_KEY = "text";
+  private static final String INPUT_KEY = "input";
 
   private RequestMarker() {}
 
@@ -26,7 +26,7 @@
     if (found != null) {
       return found.asText();
     }
-    JsonNode text = body.findValue(TEXT_KEY);
-    return text == null ? "" : text.asText().split("/", 2)[0];
+    JsonNode input = body.path(INPUT_KEY);
+    return input.isTextual() ? input.asText().split("/", 2)[0] : "";
   }
 }
--- /dev/null
+++ b/src/standin/java/org/ragwortpick/standin/demo/DemonstrationPlan.java
@@ -0,0 +1,31 @@
+package org.ragwortpick.standin.demo;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.standin.UpstreamSpec;
+import org.ragwortpick.standin.load.LoadPlan;
+
+/**
+ * What a demonstration does.
+ *
+ * @param callers caller addresses of the entry VMs
+ * @param admin administration address of one VM
+ * @param upstreams upstreams that stand-ins play
+ * @param dataCentre data centre to take out and to return
+ * @param bookingService service of the call that is sent twice
+ * @param load requests to send
+ */
+public record DemonstrationPlan(
+    List<HostPort> callers,
+    HostPort admin,
+    List<UpstreamSpec> upstreams,
+    String dataCentre,
+    String bookingService,
+    LoadPlan load) {
+
+  /** Copies the lists. */
+  public DemonstrationPlan {
+    callers = List.copyOf(callers);
+    upstreams = List.copyOf(upstreams);
+  }
+}
--- a/src/standin/java/org/ragwortpick/standin/load/AnswerCheck.java
+++ b/src/standin/java/org/ragwortpick/standin/load/AnswerCheck.java
@@ -19,14 +19,13 @@
    */
   static boolean isWhole(JsonNode body, String marker, int maxTokens) {
     JsonNode output = body.path("output");
-    JsonNode text = output.findValue("text");
-    if (text == null) {
+    if (!output.isTextual()) {
       return marker.equals(RequestMarker.find(output));
     }
     StringBuilder expected = new StringBuilder();
     for (int offset = 0; offset < maxTokens; offset++) {
       expected.append(marker).append('/').append(offset).append(' ');
     }
-    return text.asText().contentEquals(expected);
+    return output.asText().contentEquals(expected);
   }
 }
--- a/src/standin/java/org/ragwortpick/standin/load/Caller.java
+++ b/src/standin/java/org/ragwortpick/standin/load/Caller.java
@@ -119,6 +119,16 @@
                     : new Outcome(0, MissingNode.getInstance(), notSent(failure)));
   }
 
+  /**
+   * Says what an answer tells about a non-idempotent call.
+   *
+   * @param outcome end of the request
+   * @return {@code done}, {@code not_run} or {@code unknown}
+   */
+  public static String told(Outcome outcome) {
+    return outcome.isAnswered() ? "done" : outcome.isNotRun() ? "not_run" : "unknown";
+  }
+
   private static String notSent(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof ConnectException ? "not_run" : "";
--- a/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
+++ b/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
@@ -130,7 +130,7 @@
   }
 
   private boolean checkCall(Outcome outcome, String marker) {
-    String told = outcome.isAnswered() ? "done" : outcome.isNotRun() ? "not_run" : "unknown";
+    String told = Caller.told(outcome);
     results.recordCall(marker, told);
     results.count("calls " + told);
     if (outcome.isAnswered() && !marker.equals(RequestMarker.find(outcome.body()))) {
--- a/src/standin/java/org/ragwortpick/standin/load/Outcome.java
+++ b/src/standin/java/org/ragwortpick/standin/load/Outcome.java
@@ -9,7 +9,7 @@
  * @param body answer; a missing node if none arrived
  * @param execution what the answer says about the execution; empty if it says nothing
  */
-record Outcome(int status, JsonNode body, String execution) {
+public record Outcome(int status, JsonNode body, String execution) {
 
   private static final int OK = 200;
 
