Lease the requests that cold upstreams bear

Cause: an upstream in cold start must receive no more than it bears, whatever happens to leaders, holders and messages.

Ruled out: a static share per VM, which either exceeds the total or leaves most of it unused; and a wait of a new leader for the allowance leases alone, because another VM may know a warm flag that did not reach the new leader.

Change: coordinator with ramps and fair division on the leader, leases that count from the time of sending on each VM, routing over relays, early polls.

Faults found by the randomised runs and corrected: a warm flag of the old leader outlived its term on other VMs; reports about a new incarnation freed holdings of the old one; a deposed leader raised its ramps.

Tests: randomised runs of configuration views and of allowances over fakes of the links, 700 fixed seeds each.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/sync/allowance/AllowanceCoordinator.java
@@ -0,0 +1,214 @@
+package org.ragwortpick.sync.allowance;
+
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.config.Service;
+import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.directory.SoftRecord;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.Stamp;
+import org.ragwortpick.sync.directory.WarmFlags;
+
+/**
+ * Divides on the leader what cold upstreams bear, and judges which upstreams are warm.
+ *
+ * <p>The sum of the grants that are not drained never exceeds the total of an upstream. All times
+ * of other VMs are taken as the longest that their clocks may make of them.
+ */
+public final class AllowanceCoordinator {
+
+  /** Step of a service that states none. */
+  private static final long DEFAULT_RAMP_STEP_MS = 2_000;
+
+  /** Time after which no VM treats an upstream as warm whose flag was reset. */
+  private static final long WARM_END_MS =
+      SyncTimings.longestLocalMs(SyncTimings.CONFIG_LEASE_MS)
+          + SyncTimings.longestLocalMs(SyncTimings.LONGEST_STAGE_MS);
+
+  /**
+   * Time after which no request under a lease or a warm flag of the previous leader is in flight.
+   * The configuration lease, which bounds the use of warm flags, is longer than an allowance lease.
+   */
+  private static final long OLD_LEASES_END_MS =
+      SyncTimings.longestLocalMs(SyncTimings.LEADER_LEASE_MS) + WARM_END_MS;
+
+  private final Clock clock;
+  private final SoftTable table;
+  private final WarmFlags warmFlags;
+  private final Supplier<Stamp> stamps;
+  private final Map<String, Ramp> ramps = new HashMap<>();
+  private long grantsFromMs = Long.MAX_VALUE;
+
+  /**
+   * Creates a coordinator that grants nothing before {@link #startTerm}.
+   *
+   * @param clock monotonic clock
+   * @param table table that spreads the warm flags
+   * @param warmFlags warm upstreams
+   * @param stamps source of stamps of the leader's term
+   */
+  public AllowanceCoordinator(
+      Clock clock, SoftTable table, WarmFlags warmFlags, Supplier<Stamp> stamps) {
+    this.clock = clock;
+    this.table = table;
+    this.warmFlags = warmFlags;
+    this.stamps = stamps;
+  }
+
+  /**
+   * Starts a term of the local VM as the leader. Nothing is granted until all leases and warm flags
+   * of the previous leader have ended.
+   */
+  public synchronized void startTerm() {
+    ramps.clear();
+    grantsFromMs = clock.millis() + OLD_LEASES_END_MS;
+  }
+
+  /**
+   * Advances the ramps of all upstreams.
+   *
+   * @param configuration committed configuration
+   */
+  public synchronized void tick(Configuration configuration) {
+    long nowMs = clock.millis();
+    for (SoftRecord record : table.all()) {
+      if (record instanceof SoftRecord.OfUpstream of) {
+        advance(of.upstream(), configuration, nowMs);
+      }
+    }
+    ramps
+        .entrySet()
+        .removeIf(
+            entry ->
+                table.find(SoftRecord.OfUpstream.keyOf(entry.getKey())).isEmpty()
+                    && entry.getValue().outstanding(nowMs) == 0);
+  }
+
+  private void advance(Upstream upstream, Configuration configuration, long nowMs) {
+    Ramp ramp = rampOf(upstream, nowMs);
+    boolean out = configuration.stateOf(upstream.dataCentre()) == DataCentreState.OUT;
+    boolean cold = upstream.state() == UpstreamState.COLD || upstream.state() == UpstreamState.LOST;
+    if (cold || out) {
+      if (ramp.isWarm()) {
+        restart(upstream, ramp, nowMs);
+      }
+      ramp.hold(upstream.coldLimit(), nowMs);
+      return;
+    }
+    long stepMs =
+        configuration
+            .service(upstream.service())
+            .map(Service::rampStepMs)
+            .filter(ms -> ms > 0)
+            .orElse(DEFAULT_RAMP_STEP_MS);
+    if (upstream.state() == UpstreamState.READY && ramp.advance(upstream.slots(), stepMs, nowMs)) {
+      flag(upstream, true);
+    }
+  }
+
+  private Ramp rampOf(Upstream upstream, long nowMs) {
+    Ramp known = ramps.get(upstream.id());
+    if (known != null && known.incarnation() >= upstream.incarnation()) {
+      return known;
+    }
+    Ramp ramp = new Ramp(upstream.incarnation(), known);
+    ramps.put(upstream.id(), ramp);
+    ramp.restart(upstream.coldLimit(), Math.max(nowMs, grantsFromMs));
+    if (warmFlags.isSet(upstream.id(), upstream.incarnation())) {
+      ramp.adoptWarm();
+      return ramp;
+    }
+    if (warmFlags.isSetForAny(upstream.id())) {
+      // VMs that have not heard of the new incarnation still send to it as to a warm one.
+      ramp.restart(upstream.coldLimit(), nowMs + WARM_END_MS);
+    }
+    // Another VM may know a flag of the previous leader that did not reach this one.
+    flag(upstream, false);
+    return ramp;
+  }
+
+  private void restart(Upstream upstream, Ramp ramp, long nowMs) {
+    ramp.restart(upstream.coldLimit(), ramp.isWarm() ? nowMs + WARM_END_MS : nowMs);
+    flag(upstream, false);
+  }
+
+  private void flag(Upstream upstream, boolean warm) {
+    table.mergeFromAbove(
+        new SoftRecord.Flag(
+            SoftRecord.Flag.Kind.UPSTREAM_WARM,
+            upstream.id(),
+            upstream.incarnation(),
+            stamps.get(),
+            warm));
+  }
+
+  /**
+   * Takes a demand and grants a share of the total if one is free.
+   *
+   * @param demand demand and report of a VM
+   * @param mayGrant whether the quorum confirmation is younger than the leader lease
+   * @return the grant, or empty
+   */
+  public synchronized Optional<Grant> demand(Demand demand, boolean mayGrant) {
+    Optional<Upstream> found =
+        table
+            .find(SoftRecord.OfUpstream.keyOf(demand.upstream()))
+            .map(record -> ((SoftRecord.OfUpstream) record).upstream())
+            .filter(upstream -> upstream.incarnation() == demand.upstreamIncarnation());
+    if (found.isEmpty()) {
+      return Optional.empty();
+    }
+    long nowMs = clock.millis();
+    Ramp ramp = rampOf(found.get(), nowMs);
+    if (ramp.incarnation() != demand.upstreamIncarnation()) {
+      return Optional.empty();
+    }
+    if (needsRestart(demand, ramp)) {
+      restart(found.get(), ramp, nowMs);
+    }
+    OptionalInt amount = ramp.demand(demand, nowMs);
+    if (amount.isEmpty() || !mayGrant || nowMs < grantsFromMs) {
+      return Optional.empty();
+    }
+    Stamp stamp = stamps.get();
+    ramp.book(demand, amount.getAsInt(), stamp, nowMs);
+    return Optional.of(
+        new Grant(
+            demand.holder(),
+            demand.holderIncarnation(),
+            demand.sentAtMs(),
+            demand.upstream(),
+            demand.upstreamIncarnation(),
+            amount.getAsInt(),
+            stamp));
+  }
+
+  private boolean needsRestart(Demand demand, Ramp ramp) {
+    Stamp flag = warmFlags.stampOf(demand.upstream());
+    if (demand.suspected()) {
+      // A suspicion that is older than the last restart was answered by it.
+      return ramp.isWarm() || demand.warmFlag().compareTo(flag) >= 0;
+    }
+    // The previous leader restarted the ramp, and only the VM that demands has heard of it.
+    return ramp.isWarm() && demand.warmFlag().compareTo(flag) > 0;
+  }
+
+  /**
+   * Returns the requests that an upstream bears now.
+   *
+   * @param upstream identity of the upstream
+   * @return the total, or empty if the upstream is unknown or warm
+   */
+  public synchronized OptionalInt total(String upstream) {
+    Ramp ramp = ramps.get(upstream);
+    return ramp == null || ramp.isWarm() ? OptionalInt.empty() : OptionalInt.of(ramp.total());
+  }
+}
--- a/src/main/java/org/ragwortpick/sync/directory/WarmFlags.java
+++ b/src/main/java/org/ragwortpick/sync/directory/WarmFlags.java
@@ -52,6 +52,16 @@
         .isPresent();
   }
 
+  /**
+   * Tells whether the flag of any incarnation is set, whatever the age of the view.
+   *
+   * @param id identity of the upstream
+   * @return true if it is set and not void
+   */
+  public boolean isSetForAny(String id) {
+    return flag(id).filter(flag -> flag.set() && flag.stamp().term() >= floor.get()).isPresent();
+  }
+
   /**
    * Returns the stamp of the newest flag of an upstream.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
@@ -1,8 +1,13 @@
 package org.ragwortpick.sync.rpc;
 
 import java.time.Clock;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.allowance.AllowanceCoordinator;
+import org.ragwortpick.sync.allowance.Demand;
+import org.ragwortpick.sync.allowance.Grant;
 import org.ragwortpick.sync.directory.Stamp;
 import org.ragwortpick.sync.directory.VmJudge;
 
@@ -13,6 +18,7 @@
   private final LeaderSource leader;
   private final SyncState state;
   private final VmJudge vmJudge;
+  private final AllowanceCoordinator coordinator;
   private long leadingTerm;
   private long leadingSinceMs;
   private long stampNumber;
@@ -29,6 +35,8 @@
     this.leader = leader;
     this.state = state;
     this.vmJudge = new VmJudge(state.table(), state.heardVms(), this::nextStamp);
+    this.coordinator =
+        new AllowanceCoordinator(clock, state.table(), state.warmFlags(), this::nextStamp);
   }
 
   /** Takes note of gained or lost leadership and takes over the committed configuration. */
@@ -46,6 +54,7 @@
       if (!state.view().isInForce()) {
         state.warmFlags().raiseFloor(term);
       }
+      coordinator.startTerm();
     }
     // The confirmation is read before the configuration, which is then at least as new.
     OptionalLong confirmedAtMs = leader.confirmedAtMs();
@@ -62,6 +71,10 @@
     if (isLeading()) {
       state.heardVms().hear(state.identity().vm(), state.identity().incarnation(), 0);
       vmJudge.judge(clock.millis() - leadingSinceMs);
+      // A deposed leader must not call an upstream warm that its successor holds cold.
+      if (isWithinLeaderLease()) {
+        coordinator.tick(state.view().current());
+      }
     }
   }
 
@@ -74,6 +87,35 @@
     return leadingTerm != 0;
   }
 
+  /**
+   * Takes a demand while the local VM leads.
+   *
+   * @param demand demand of any VM
+   * @return the grant, or empty
+   */
+  public synchronized Optional<Grant> demand(Demand demand) {
+    if (!isLeading()) {
+      return Optional.empty();
+    }
+    return coordinator.demand(demand, isWithinLeaderLease());
+  }
+
+  private boolean isWithinLeaderLease() {
+    OptionalLong confirmedAtMs = leader.confirmedAtMs();
+    return confirmedAtMs.isPresent()
+        && leader.term() == leadingTerm
+        && clock.millis() - confirmedAtMs.getAsLong() < SyncTimings.LEADER_LEASE_MS;
+  }
+
+  /**
+   * Returns the coordinator of cold allowances.
+   *
+   * @return the coordinator
+   */
+  public AllowanceCoordinator coordinator() {
+    return coordinator;
+  }
+
   private Stamp nextStamp() {
     stampNumber++;
     return new Stamp(leadingTerm, stampNumber);
--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -27,6 +27,7 @@
   private final SyncIdentity identity;
   private final LeaderSource leader;
   private final VmDirectory vms;
+  private List<HostPort> candidates = List.of();
   private HostPort current;
   private int successes;
   private int failures;
@@ -51,12 +52,12 @@
    * @throws IllegalStateException if no other VM is known
    */
   public synchronized HostPort source() {
-    List<HostPort> candidates = candidates();
+    candidates = candidates();
     if (candidates.isEmpty()) {
       throw new IllegalStateException(
           "no VM to poll is known; name control VMs or relays in the settings");
     }
-    boolean retryFirst = successes >= POLLS_BEFORE_FIRST_CHOICE || leaderChanged(candidates);
+    boolean retryFirst = successes >= POLLS_BEFORE_FIRST_CHOICE || leaderChanged();
     if (retryFirst || current == null || !candidates.contains(current)) {
       successes = 0;
       current = candidates.get(0);
@@ -64,7 +65,7 @@
     return current;
   }
 
-  private boolean leaderChanged(List<HostPort> candidates) {
+  private boolean leaderChanged() {
     return isControlVm()
         && leader.leaderVm().isPresent()
         && failures == 0
@@ -78,7 +79,7 @@
    */
   public synchronized void succeeded(HostPort source) {
     failures = 0;
-    if (source.equals(current) && !source.equals(first())) {
+    if (source.equals(current) && candidates.indexOf(source) > 0) {
       successes++;
     }
   }
@@ -92,18 +93,12 @@
   public synchronized boolean failed(HostPort source) {
     failures++;
     successes = 0;
-    List<HostPort> candidates = candidates();
     if (!candidates.isEmpty()) {
       current = candidates.get((candidates.indexOf(source) + 1) % candidates.size());
     }
     return failures % Math.max(1, candidates.size()) != 0;
   }
 
-  private HostPort first() {
-    List<HostPort> candidates = candidates();
-    return candidates.isEmpty() ? null : candidates.get(0);
-  }
-
   private boolean isControlVm() {
     return identity.controlVms().stream().anyMatch(control -> control.vm().equals(identity.vm()));
   }
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -13,6 +14,9 @@
 import org.ragwortpick.proto.SyncResponse;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.allowance.AllowanceRouter;
+import org.ragwortpick.sync.allowance.Demand;
+import org.ragwortpick.sync.allowance.Grant;
 import org.ragwortpick.sync.directory.HeardVms;
 import org.ragwortpick.sync.directory.SoftRecord;
 import org.ragwortpick.sync.directory.SoftTable;
@@ -24,6 +28,7 @@
   private final LeaderSource leader;
   private final SyncState state;
   private final LeaderDuties duties;
+  private final AllowanceRouter router = new AllowanceRouter();
   private final Map<HostPort, Cursor> cursors = new HashMap<>();
 
   /**
@@ -66,6 +71,8 @@
               .setIncarnation(heard.incarnation())
               .setAgeMs(nowMs - heard.atMs()));
     }
+    state.allowances().demands().forEach(d -> request.addDemands(AllowanceCodec.encode(d)));
+    router.takeDemands().forEach(d -> request.addDemands(AllowanceCodec.encode(d)));
     return new Poll(source, nowMs, offers.version(), request.build());
   }
 
@@ -76,7 +83,13 @@
    */
   public synchronized boolean pollSelf() {
     duties.refresh();
-    return duties.isLeading();
+    if (!duties.isLeading()) {
+      return false;
+    }
+    for (Demand demand : state.allowances().demands()) {
+      duties.demand(demand).ifPresent(state.allowances()::accept);
+    }
+    return true;
   }
 
   /**
@@ -91,9 +104,11 @@
     for (HeardVm heard : request.getHeardList()) {
       state.heardVms().hear(heard.getVm(), heard.getIncarnation(), heard.getAgeMs());
     }
+    List<Demand> demands = request.getDemandsList().stream().map(AllowanceCodec::decode).toList();
     boolean complete = mergeFromBelow(request.getRecords(), request.getVm());
     boolean sameTable = request.getSourceIncarnation() == state.identity().incarnation();
     long cursor = sameTable ? request.getCursor() : 0;
+    List<Grant> grants = grants(request.getVm(), demands);
     long confirmedAtMs = state.view().confirmedAtMs();
     SoftTable.Changes changes = state.table().changedSince(cursor, request.getVm());
     return SyncResponse.newBuilder()
@@ -105,10 +120,19 @@
         .setCursor(changes.version())
         .setRecords(SyncCodec.encode(changes))
         .setOfferAll(!complete)
+        .addAllGrants(grants.stream().map(AllowanceCodec::encode).toList())
         .setWarmFloor(state.warmFlags().floor())
         .build();
   }
 
+  private List<Grant> grants(String fromVm, List<Demand> demands) {
+    if (duties.isLeading()) {
+      return demands.stream().map(duties::demand).flatMap(Optional::stream).toList();
+    }
+    router.receive(fromVm, demands);
+    return router.takeGrants(fromVm);
+  }
+
   private ConfigurationDelta configurationSince(long revision) {
     ConfigurationDelta delta = state.view().since(revision);
     // The leader keeps more history than its own view after a restart.
@@ -136,9 +160,18 @@
     // Records come before the confirmation: a confirmed view knows all older flags.
     cursor.known = mergeFromAbove(response.getRecords()) ? response.getCursor() : 0;
     state.warmFlags().raiseFloor(response.getWarmFloor());
+    response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::takeGrant);
     return state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
   }
 
+  private void takeGrant(Grant grant) {
+    if (grant.holder().equals(state.identity().vm())) {
+      state.allowances().accept(grant);
+    } else {
+      router.route(grant);
+    }
+  }
+
   private boolean mergeFromBelow(SoftRecords records, String fromVm) {
     return merge(records, incoming -> state.table().mergeFromBelow(incoming, fromVm));
   }
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -9,6 +9,7 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.sync.AddressAnswers;
+import org.ragwortpick.sync.ColdAllowances;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
@@ -54,7 +55,7 @@
               thread.setDaemon(true);
               return thread;
             });
-    this.state = new SyncState(identity, clock);
+    this.state = new SyncState(identity, clock, this::pollEarly);
     this.duties = new LeaderDuties(clock, leader, state);
     SyncExchange exchange = new SyncExchange(clock, leader, state, duties);
     SourceSelector selector = new SourceSelector(identity, leader, state.vms());
@@ -70,6 +71,10 @@
     scheduler.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void pollEarly() {
+    client.pollEarly();
+  }
+
   private void tick() {
     try {
       duties.tick();
@@ -117,6 +122,15 @@
     return state.upstreams();
   }
 
+  /**
+   * Returns the shares of cold upstreams.
+   *
+   * @return the allowances
+   */
+  public ColdAllowances coldAllowances() {
+    return state.allowances();
+  }
+
   /**
    * Returns the life cycle of the local VM.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import org.ragwortpick.sync.SyncIdentity;
 import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.allowance.LeasedColdAllowances;
 import org.ragwortpick.sync.directory.HeardVms;
 import org.ragwortpick.sync.directory.RecordRetention;
 import org.ragwortpick.sync.directory.SoftRecord;
@@ -25,14 +26,16 @@
   private final SyncedUpstreamDirectory upstreams;
   private final WarmFlags warmFlags;
   private final RecordRetention retention;
+  private final LeasedColdAllowances allowances;
 
   /**
    * Creates the state of a VM that knows nothing.
    *
    * @param identity identity of the local VM
    * @param clock monotonic clock
+   * @param demandArose called when a request found no share of a cold upstream, to poll early
    */
-  public SyncState(SyncIdentity identity, Clock clock) {
+  public SyncState(SyncIdentity identity, Clock clock, Runnable demandArose) {
     this.identity = identity;
     this.view = new SyncedConfiguration(clock);
     this.heardVms = new HeardVms(clock);
@@ -40,6 +43,9 @@
     this.vms = new SyncedVmDirectory(table);
     this.warmFlags = new WarmFlags(table, view);
     this.upstreams = new SyncedUpstreamDirectory(clock, table, vms, warmFlags, home);
+    this.allowances =
+        new LeasedColdAllowances(
+            identity.vm(), identity.incarnation(), clock, warmFlags, demandArose);
     this.retention = new RecordRetention(clock, table, vms);
   }
 
@@ -113,6 +119,15 @@
     return upstreams;
   }
 
+  /**
+   * Returns the shares of cold upstreams.
+   *
+   * @return the allowances
+   */
+  public LeasedColdAllowances allowances() {
+    return allowances;
+  }
+
   /**
    * Returns the warm upstreams.
    *
--- a/src/test/java/org/ragwortpick/sync/FakeLeader.java
+++ b/src/test/java/org/ragwortpick/sync/FakeLeader.java
@@ -19,6 +19,7 @@
   private volatile boolean leading;
   private volatile long term;
   private volatile String leaderVm;
+  private volatile long appliedRevision = Long.MAX_VALUE;
 
   public FakeLeader(Committed committed, LongSupplier confirmedAtMs) {
     this.committed = committed;
@@ -32,6 +33,11 @@
     leaderVm = newLeaderVm;
   }
 
+  /** Limits the replica to the changes up to a revision. */
+  public void applyUpTo(long revision) {
+    appliedRevision = revision;
+  }
+
   @Override
   public boolean isLeader() {
     return leading;
@@ -54,12 +60,12 @@
 
   @Override
   public Configuration configuration() {
-    return committed.configuration();
+    return committed.configuration(appliedRevision);
   }
 
   @Override
   public ConfigurationDelta deltaSince(long revision) {
-    return committed.deltaSince(revision);
+    return committed.deltaSince(revision, appliedRevision);
   }
 
   /** Committed revisions, shared by the replicas of one test. */
@@ -85,14 +91,14 @@
       return revisions.lastKey();
     }
 
-    Configuration configuration() {
-      Map.Entry<Long, SortedMap<String, String>> last = revisions.lastEntry();
+    Configuration configuration(long upTo) {
+      Map.Entry<Long, SortedMap<String, String>> last = revisions.floorEntry(upTo);
       return ConfigurationDocuments.fromDocuments(last.getKey(), last.getValue());
     }
 
-    ConfigurationDelta deltaSince(long from) {
+    ConfigurationDelta deltaSince(long from, long upTo) {
       SortedMap<String, String> old = revisions.get(from);
-      Map.Entry<Long, SortedMap<String, String>> last = revisions.lastEntry();
+      Map.Entry<Long, SortedMap<String, String>> last = revisions.floorEntry(upTo);
       SortedMap<String, String> puts = new TreeMap<>(last.getValue());
       if (from == 0 || old == null) {
         return new ConfigurationDelta(0, last.getKey(), true, puts, List.of());
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -0,0 +1,383 @@
+package org.ragwortpick.sync.rpc;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.proto.SyncResponse;
+import org.ragwortpick.sync.FakeLeader;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.VmLifeCycle;
+
+/**
+ * Fake of the links between the decision cores of some VMs: messages are delayed, duplicated, held
+ * back while a VM is frozen, and lost where a link is cut. Each VM has a clock with its own rate.
+ */
+final class LinkedVms {
+
+  static final int STEP_MS = 20;
+  private static final long TICK_MS = 100;
+  private static final long MIN_ELECTION_MS = 520;
+  private static final long CHECK_QUORUM_MS = 1_000;
+
+  private final Random random;
+  private final List<Vm> vms = new ArrayList<>();
+  private final List<Vm> controls = new ArrayList<>();
+  private final FakeLeader.Committed committed = new FakeLeader.Committed();
+
+  /** Time at which each revision was accepted; the index is the revision. */
+  private final List<Long> acceptedAtMs = new ArrayList<>(List.of(0L));
+
+  private long nowMs = 1_000_000;
+  private int maxDelayMs = 60;
+  private int duplicatePercent = 5;
+  private Vm leader;
+  private long term;
+  private long lastConfirmedMs;
+  private long electionDelayMs;
+  private final boolean[][] cut;
+  private long eventCount;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+
+  LinkedVms(long seed, int controlCount, int entryCount) {
+    random = new Random(seed);
+    cut = new boolean[controlCount + entryCount][controlCount + entryCount];
+    for (int i = 0; i < controlCount + entryCount; i++) {
+      Vm vm = new Vm(i, i < controlCount);
+      vms.add(vm);
+      if (vm.control) {
+        controls.add(vm);
+      }
+    }
+    vms.forEach(Vm::start);
+  }
+
+  Random random() {
+    return random;
+  }
+
+  List<Vm> vms() {
+    return vms;
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  Optional<Vm> leader() {
+    return Optional.ofNullable(leader);
+  }
+
+  List<Long> acceptedAtMs() {
+    return acceptedAtMs;
+  }
+
+  void setMaxDelayMs(int newMaxDelayMs) {
+    maxDelayMs = newMaxDelayMs;
+  }
+
+  void cut(Vm a, Vm b, boolean isCut) {
+    cut[a.index][b.index] = isCut;
+    cut[b.index][a.index] = isCut;
+  }
+
+  void heal() {
+    vms.forEach(a -> vms.forEach(b -> cut(a, b, false)));
+  }
+
+  boolean linked(Vm a, Vm b) {
+    return a == b || !cut[a.index][b.index];
+  }
+
+  Vm anyVm() {
+    return vms.get(random.nextInt(vms.size()));
+  }
+
+  boolean chance(double perSecond) {
+    return random.nextDouble() < perSecond * STEP_MS / 1_000;
+  }
+
+  /** Commits a change if the leader reaches a quorum now. */
+  void commit(String key, String text) {
+    if (leader != null && lastConfirmedMs == nowMs) {
+      committed.commit(key, text);
+      acceptedAtMs.add(nowMs);
+    }
+  }
+
+  void step() {
+    nowMs += STEP_MS;
+    elect();
+    while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+      events.poll().action().run();
+    }
+    vms.stream().filter(Vm::isRunning).forEach(Vm::step);
+  }
+
+  void at(long atMs, Runnable action) {
+    events.add(new Event(atMs, eventCount++, action));
+  }
+
+  private void elect() {
+    if (leader != null && leader.isRunning() && hasQuorum(leader)) {
+      lastConfirmedMs = nowMs;
+      leader.confirmedAtMs = leader.clock.millis();
+      for (Vm vm : controls) {
+        if (vm.isRunning() && linked(vm, leader)) {
+          vm.replica.applyUpTo(committed.revision());
+          vm.replica.lead(vm == leader, term, leader.name);
+        }
+      }
+    } else if (nowMs - lastConfirmedMs > MIN_ELECTION_MS + electionDelayMs) {
+      Vm candidate = controls.get(random.nextInt(controls.size()));
+      if (candidate.isRunning() && hasQuorum(candidate)) {
+        leader = candidate;
+        term++;
+        lastConfirmedMs = nowMs;
+        electionDelayMs = random.nextInt(600);
+        candidate.confirmedAtMs = candidate.clock.millis();
+        candidate.replica.applyUpTo(committed.revision());
+        candidate.replica.lead(true, term, candidate.name);
+      }
+    }
+    for (Vm vm : controls) {
+      boolean unconfirmed = vm.clock.millis() - vm.confirmedAtMs > CHECK_QUORUM_MS;
+      if (vm.isRunning() && vm != leader && vm.replica.isLeader() && unconfirmed) {
+        vm.replica.lead(false, vm.replica.term(), null);
+      }
+    }
+  }
+
+  private boolean hasQuorum(Vm vm) {
+    long reached = controls.stream().filter(c -> c.isRunning() && linked(vm, c)).count();
+    return 2 * reached > controls.size();
+  }
+
+  private int delayMs() {
+    return random.nextInt(maxDelayMs) + (random.nextInt(20) == 0 ? random.nextInt(600) : 0);
+  }
+
+  private Vm byAddress(HostPort address) {
+    return vms.get(address.port() - 1);
+  }
+
+  /** One VM; its process can be restarted, killed or frozen. */
+  final class Vm {
+    private final int index;
+    private final boolean control;
+    private final String name;
+    private final FakeLeader replica;
+    private final double clockRate;
+    private Clock clock;
+    private SyncState state;
+    private LeaderDuties duties;
+    private SyncExchange exchange;
+    private VmLifeCycle lifeCycle;
+    private SourceSelector selector;
+    private boolean up;
+    private long incarnation;
+    private long frozenUntilMs;
+    private long confirmedAtMs;
+    private SyncExchange.Poll pending;
+    private long sentAtMs;
+    private long nextPollAtMs;
+    private long nextTickAtMs;
+
+    Vm(int index, boolean control) {
+      this.index = index;
+      this.control = control;
+      this.name = (control ? "c" : "e") + index;
+      this.clockRate = 0.99 + 0.02 * random.nextDouble();
+      this.replica = new FakeLeader(committed, () -> confirmedAtMs);
+      replica.applyUpTo(0);
+    }
+
+    /** Starts a process without memory; a replica keeps its committed changes. */
+    void start() {
+      up = true;
+      incarnation++;
+      frozenUntilMs = 0;
+      pending = null;
+      nextPollAtMs = nowMs + random.nextInt(500);
+      clock = new RatedClock(nowMs, clockRate);
+      confirmedAtMs = 0;
+      replica.lead(false, 0, null);
+      List<SyncIdentity.ControlVm> known = new ArrayList<>();
+      int controlCount = (int) vms.stream().filter(vm -> vm.control).count();
+      for (int i = 0; i < Math.max(controlCount, controls.size()); i++) {
+        known.add(new SyncIdentity.ControlVm("c" + i, "dc" + i, address(i)));
+      }
+      SyncIdentity identity =
+          new SyncIdentity(
+              name,
+              incarnation,
+              "dc" + index % 3,
+              address(index),
+              address(index),
+              known,
+              List.of(address((index + 1) % cut.length)));
+      state =
+          new SyncState(
+              identity,
+              clock,
+              () -> nextPollAtMs = Math.min(nextPollAtMs, sentAtMs + SyncTimings.EARLY_POLL_MS));
+      duties = new LeaderDuties(clock, replica, state);
+      exchange = new SyncExchange(clock, replica, state, duties);
+      selector = new SourceSelector(identity, replica, state.vms());
+      lifeCycle = new VmLifeCycle(identity, clock, state.view(), () -> 0, state::publish);
+    }
+
+    void kill() {
+      up = false;
+      if (leader == this) {
+        leader = null;
+      }
+    }
+
+    boolean isRunning() {
+      return up && nowMs >= frozenUntilMs;
+    }
+
+    void freeze(long forMs) {
+      frozenUntilMs = nowMs + forMs;
+    }
+
+    long frozenUntilMs() {
+      return frozenUntilMs;
+    }
+
+    boolean isUp() {
+      return up;
+    }
+
+    boolean isControl() {
+      return control;
+    }
+
+    String process() {
+      return name + "/" + incarnation;
+    }
+
+    SyncState state() {
+      return state;
+    }
+
+    LeaderDuties duties() {
+      return duties;
+    }
+
+    VmLifeCycle lifeCycle() {
+      return lifeCycle;
+    }
+
+    private HostPort address(int i) {
+      return new HostPort("10.0.0.1", i + 1);
+    }
+
+    private void step() {
+      if (nowMs >= nextTickAtMs) {
+        nextTickAtMs = nowMs + TICK_MS;
+        duties.tick();
+        state.tick();
+        lifeCycle.tick();
+      }
+      if (pending != null && nowMs >= sentAtMs + SyncTimings.CALL_TIMEOUT_MS) {
+        failed();
+      }
+      if (pending == null && nowMs >= nextPollAtMs) {
+        poll();
+      }
+    }
+
+    private void poll() {
+      sentAtMs = nowMs;
+      nextPollAtMs = nowMs + SyncTimings.POLL_INTERVAL_MS;
+      if (exchange.pollSelf()) {
+        return;
+      }
+      SyncExchange.Poll poll = exchange.poll(selector.source());
+      pending = poll;
+      int copies = random.nextInt(100) < duplicatePercent ? 2 : 1;
+      long sender = incarnation;
+      for (int i = 0; i < copies; i++) {
+        at(nowMs + delayMs(), () -> arrive(poll, sender));
+      }
+    }
+
+    private void arrive(SyncExchange.Poll poll, long sender) {
+      Vm source = byAddress(poll.source());
+      if (!source.up || !linked(this, source)) {
+        return;
+      }
+      if (!source.isRunning()) {
+        at(source.frozenUntilMs, () -> arrive(poll, sender));
+        return;
+      }
+      SyncResponse response = source.exchange.respond(poll.request());
+      if (poll.request().getDemandsCount() > 0) {
+        source.nextPollAtMs =
+            Math.min(source.nextPollAtMs, source.sentAtMs + SyncTimings.EARLY_POLL_MS);
+      }
+      at(nowMs + delayMs(), () -> returned(poll, response, source, sender));
+    }
+
+    private void returned(SyncExchange.Poll poll, SyncResponse response, Vm source, long sender) {
+      if (!up || incarnation != sender || pending != poll || !linked(this, source)) {
+        return;
+      }
+      if (!isRunning()) {
+        // A response that arrived before the freeze is handled after it.
+        at(frozenUntilMs, () -> returned(poll, response, source, sender));
+        return;
+      }
+      if (exchange.accept(poll, response)) {
+        pending = null;
+        selector.succeeded(poll.source());
+      } else {
+        failed();
+      }
+    }
+
+    private void failed() {
+      boolean more = selector.failed(pending.source());
+      pending = null;
+      nextPollAtMs = sentAtMs + (more ? SyncTimings.EARLY_POLL_MS : SyncTimings.POLL_INTERVAL_MS);
+    }
+  }
+
+  private final class RatedClock extends Clock {
+    private final long startMs;
+    private final double rate;
+
+    RatedClock(long startMs, double rate) {
+      this.startMs = startMs;
+      this.rate = rate;
+    }
+
+    @Override
+    public ZoneId getZone() {
+      return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+      return this;
+    }
+
+    @Override
+    public Instant instant() {
+      return Instant.ofEpochMilli(1_000_000 + (long) ((nowMs - startMs) * rate));
+    }
+  }
+
+  private record Event(long atMs, long order, Runnable action) {}
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/Seeds.java
@@ -0,0 +1,38 @@
+package org.ragwortpick.sync.rpc;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.LongConsumer;
+import java.util.stream.LongStream;
+
+/** Randomised runs with fixed seeds; the property {@code sync.seed} selects a single one. */
+final class Seeds {
+
+  static final long COUNT = Long.getLong("sync.seeds", 700);
+  private static final Long SINGLE = Long.getLong("sync.seed");
+
+  private Seeds() {}
+
+  /** Runs all seeds and fails with the lowest failing one. */
+  static void forEach(LongConsumer run) {
+    ConcurrentSkipListMap<Long, Throwable> failures = new ConcurrentSkipListMap<>();
+    LongStream seeds = SINGLE == null ? LongStream.range(0, COUNT) : LongStream.of(SINGLE);
+    seeds
+        .parallel()
+        .forEach(
+            seed -> {
+              try {
+                run.accept(seed);
+              } catch (AssertionError | RuntimeException e) {
+                failures.put(seed, e);
+              }
+            });
+    if (!failures.isEmpty()) {
+      throw new AssertionError(
+          failures.size() + " seeds fail; the first is " + failures.firstKey(),
+          failures.firstEntry().getValue());
+    }
+    assertTrue(COUNT > 0, "no seeds were run");
+  }
+}
