--- a/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
+++ b/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.entry.call;
 
+import io.opentelemetry.api.trace.Span;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -58,6 +59,7 @@
   private Optional<RecordedAnswer> answer = Optional.empty();
   private boolean replied;
   private boolean admitted;
+  private boolean countedAsWork;
 
   /**
    * Creates a run.
@@ -88,7 +90,6 @@
 
   /** Starts the run. */
   public void start() {
-    dependencies.work().enter();
     dependencies.metrics().requestStarted();
     request.serial().onFailure(this::onInternalError);
     request.serial().execute(this::askAdmission);
@@ -146,10 +147,15 @@
             request.requestId(),
             leaseMs,
             call.keyCreatedAtMs());
+    Span span = dependencies.tracer().startHop(request.span(), "begin");
     ledger
         .begin(begin, Math.min(dependencies.settings().ledgerTryMs(), beginUntilMs - nowMs))
         .exceptionally(failure -> Either.left(new LedgerError.Unreachable()))
-        .thenAccept(result -> request.serial().execute(() -> onBegin(result, leaseEndsAtMs)));
+        .thenAccept(
+            result -> {
+              span.end();
+              request.serial().execute(() -> onBegin(result, leaseEndsAtMs));
+            });
   }
 
   private void onBegin(Either<LedgerError, BeginResult> result, long leaseEndsAtMs) {
@@ -323,6 +329,11 @@
             result.fold(RequestErrors::kind, ok -> "ok"),
             nowMs - startedAtMs,
             result.isRight() && nowMs <= request.deadlineAtMs());
+    if (phase != Phase.CLOSED) {
+      // From here on the exchange no longer counts as work, but the record may need some.
+      dependencies.work().enter();
+      countedAsWork = true;
+    }
     receiver.accept(new CallResult(result, execution, cost));
   }
 
@@ -332,7 +343,9 @@
     }
     phase = Phase.CLOSED;
     releaseAdmission();
-    dependencies.work().exit();
+    if (countedAsWork) {
+      dependencies.work().exit();
+    }
   }
 
   private void releaseAdmission() {
--- a/src/main/java/org/ragwortpick/entry/call/OutcomeRecorder.java
+++ b/src/main/java/org/ragwortpick/entry/call/OutcomeRecorder.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.entry.call;
 
+import io.opentelemetry.api.trace.Span;
 import io.vavr.control.Either;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
@@ -47,10 +48,15 @@
    * @param decided receiver of the decision; {@link LedgerError.Unreachable} after the last report
    */
   void record(FinishRequest report, Consumer<Either<LedgerError, ExecutionRecord>> decided) {
+    Span span = dependencies.tracer().startHop(request.span(), "finish");
     ledger
         .finish(report, dependencies.settings().ledgerTryMs())
         .exceptionally(failure -> Either.left(new LedgerError.Unreachable()))
-        .thenAccept(result -> request.serial().execute(() -> handle(report, result, decided)));
+        .thenAccept(
+            result -> {
+              span.end();
+              request.serial().execute(() -> handle(report, result, decided));
+            });
   }
 
   private void handle(
--- a/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
@@ -73,6 +73,7 @@
             dependencies.clock().millis() + deadlineMs,
             span,
             new SerialExecutor());
+    responder.identify(exchange, request);
     PipelinePlan plan =
         new PipelinePlan(configuration, pipeline.get(), input.get(), headers.workspace());
     String accept = exchange.getRequestHeaders().getFirst(Headers.ACCEPT);
@@ -86,18 +87,22 @@
 
   private Optional<RequestError> refusal(
       Configuration configuration, String name, CallerHeaders headers) {
-    if (!dependencies.view().isInForce()) {
-      return Optional.of(new RequestError.NotInForce());
-    }
     if (configuration.pipeline(name).isEmpty()) {
-      return Optional.of(new RequestError.UnknownName("pipeline", name));
+      return Optional.of(unknown("pipeline", name));
     }
     if (configuration.workspace(headers.workspace()).isEmpty()) {
-      return Optional.of(new RequestError.UnknownName("workspace", headers.workspace()));
+      return Optional.of(unknown("workspace", headers.workspace()));
     }
     return Optional.empty();
   }
 
+  /** A configuration that is not in force may miss a name that exists by now. */
+  private RequestError unknown(String type, String name) {
+    return dependencies.view().isInForce()
+        ? new RequestError.UnknownName(type, name)
+        : new RequestError.NotInForce();
+  }
+
   private static ExecutionOutcome execution(RequestResult result) {
     if (result.answer().isRight()) {
       return ExecutionOutcome.DONE;
--- a/src/main/java/org/ragwortpick/entry/http/Responder.java
+++ b/src/main/java/org/ragwortpick/entry/http/Responder.java
@@ -11,7 +11,9 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.entry.AddressSource;
+import org.ragwortpick.entry.RequestContext;
 import org.ragwortpick.entry.StageCost;
+import org.ragwortpick.entry.upstream.UpstreamHeaders;
 import org.ragwortpick.error.ApiError;
 import org.ragwortpick.error.ExecutionOutcome;
 import org.ragwortpick.error.RequestError;
@@ -35,6 +37,16 @@
     this.addresses = addresses;
   }
 
+  /**
+   * Adds the identity of the request to its answer.
+   *
+   * @param exchange exchange of the request
+   * @param request the request
+   */
+  void identify(HttpServerExchange exchange, RequestContext request) {
+    exchange.getResponseHeaders().put(UpstreamHeaders.REQUEST_ID, request.requestId());
+  }
+
   /**
    * Sends a JSON answer.
    *
--- a/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
@@ -92,7 +92,11 @@
             dependencies.clock().millis() + deadlineMs,
             dependencies.tracer().startRequest("service " + service, headers.traceparent()),
             new SerialExecutor());
-    if (configuration.isNonIdempotent(service) || !dependencies.view().isInForce()) {
+    responder.identify(exchange, request);
+    // Without confirmed configuration, whether the service is non-idempotent is not certain.
+    boolean mayBeNonIdempotent =
+        !dependencies.view().isInForce() && !headers.idempotencyKey().isEmpty();
+    if (configuration.isNonIdempotent(service) || mayBeNonIdempotent) {
       callOnce(exchange, service, headers, body, request);
     } else {
       callPlain(exchange, service, body, request);
@@ -102,8 +106,14 @@
   private Optional<RequestError> refusal(
       Configuration configuration, String service, CallerHeaders headers) {
     boolean hasKey = !headers.idempotencyKey().isEmpty();
-    if (!dependencies.view().isInForce()) {
-      return hasKey ? Optional.empty() : Optional.of(new RequestError.NotInForce());
+    if (!dependencies.view().isInForce() && hasKey) {
+      return Optional.empty();
+    }
+    boolean known =
+        configuration.service(service).isPresent()
+            && configuration.workspace(headers.workspace()).isPresent();
+    if (!dependencies.view().isInForce() && !known) {
+      return Optional.of(new RequestError.NotInForce());
     }
     if (configuration.service(service).isEmpty()) {
       return Optional.of(new RequestError.UnknownName("service", service));
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
@@ -41,6 +41,7 @@
   private UpstreamClient.UpstreamCall call;
   private int nextOffset;
   private long firstByteMs = -1;
+  private boolean callEnded;
   private boolean settled;
 
   /**
@@ -196,6 +197,7 @@
   }
 
   private void handleEnd(UpstreamEnd end) {
+    callEnded = true;
     if (!settled) {
       settle(AnswerParser.judge(task, end));
     }
@@ -220,7 +222,7 @@
   }
 
   private void abandon() {
-    if (call != null) {
+    if (call != null && !callEnded) {
       call.abort();
     }
     new CancelSender(dependencies).send(place.upstream().address(), id);
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -189,6 +189,8 @@
     if (!live.isEmpty()) {
       return;
     }
+    // The delay of a hedge counts from the first attempt and says nothing about later ones.
+    hedgeTimer.cancel();
     if (!nothingSent && !mayRepeat()) {
       fail(new RequestError.StageFailed(task.stage(), lastCause));
       return;
--- a/src/main/java/org/ragwortpick/entry/upstream/UndertowCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UndertowCall.java
@@ -21,6 +21,7 @@
 import org.ragwortpick.entry.EntrySettings;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
@@ -30,6 +31,9 @@
 
   private static final Logger LOG = Logger.getLogger(UndertowCall.class);
 
+  /** Headers and body are written apart; without this option the body may wait for an ACK. */
+  private static final OptionMap CONNECTION_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
   private final UpstreamRequest request;
   private final UpstreamListener listener;
   private final XnioIoThread thread;
@@ -95,10 +99,11 @@
     }
     startedAtMs = dependencies.clock().millis();
     progressAtMs = startedAtMs;
-    if (connection != null) {
+    if (connection != null && connection.isOpen()) {
       write();
       return;
     }
+    connection = null;
     armTimer(dependencies.settings().connectTimeoutMs(), this::onConnectTimeout);
     UndertowClient.getInstance()
         .connect(
@@ -108,7 +113,7 @@
             URI.create("http://" + request.address()),
             thread,
             dependencies.buffers(),
-            OptionMap.EMPTY);
+            CONNECTION_OPTIONS);
   }
 
   private void onConnectTimeout() {
@@ -178,8 +183,13 @@
     head = UpstreamHeaders.read(exchange.getResponse());
     streaming = request.stream() && head.status() == 200;
     closeAfterwards = "close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
-    String length = headers.getFirst(Headers.CONTENT_LENGTH);
-    expectedBytes = length == null ? -1 : Long.parseLong(length);
+    try {
+      String length = headers.getFirst(Headers.CONTENT_LENGTH);
+      expectedBytes = length == null ? -1 : Long.parseLong(length);
+    } catch (NumberFormatException e) {
+      end(new UpstreamEnd.Broken("the length of the answer is not a number"), true);
+      return;
+    }
     listener.onHead(head);
     StreamSourceChannel channel = exchange.getResponseChannel();
     channel.getReadSetter().set(this::read);
--- a/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.entry.EntryFakes;
@@ -84,6 +85,12 @@
     assertTrue(answer.startsWith("HTTP/1.1 400") && answer.contains("\"Malformed\""), answer);
   }
 
+  @Test
+  public void bodyThatNeverEndsIsCutOff() throws Exception {
+    assertEquals(exchange("Content-Length: 50\r\n\r\n{\"input\"", false), "");
+    entry.server().whenIdle().toCompletableFuture().get(2, TimeUnit.SECONDS);
+  }
+
   @Test
   public void chunkedBodyOverTheLimitIsRefused() throws Exception {
     String chunk = "8000\r\n" + "x".repeat(0x8000) + "\r\n";
--- a/src/test/java/org/ragwortpick/entry/pipeline/PipelineDifferentialTest.java
+++ b/src/test/java/org/ragwortpick/entry/pipeline/PipelineDifferentialTest.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.entry.pipeline;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.node.TextNode;
@@ -13,6 +14,7 @@
 import org.ragwortpick.entry.RequestContext;
 import org.ragwortpick.entry.RequestResult;
 import org.ragwortpick.entry.VirtualEntry;
+import org.ragwortpick.error.RequestError;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -133,6 +135,8 @@
       String expected = FaultyUpstreams.expected(input);
       assertTrue(expected.startsWith(streamed.toString()), "seed " + seed + ": " + streamed);
       if (result.answer().isLeft()) {
+        boolean internal = result.answer().getLeft() instanceof RequestError.Internal;
+        assertFalse(internal, "seed " + seed + ": a check of the program failed for " + input);
         return 0;
       }
       assertEquals(result.answer().get().output().asText(), expected, "seed " + seed);
