--- a/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
+++ b/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
@@ -27,6 +27,9 @@
   private static final long NO_WORK_AFTER_MS = 5_000;
 
   private static final long OUT_OBSERVED_MS = 5_000;
+  /** Time in milliseconds in which restarted upstreams have announced themselves. */
+  private static final long RESTARTED_KNOWN_AFTER_MS = 1_500;
+
   private static final long TWICE_AT_MS = 4_000;
   private static final String TWICE_MARKER = "sent-twice";
 
@@ -86,10 +89,11 @@
         .thenCompose(
             before ->
                 after(OUT_OBSERVED_MS, this::executed).thenApply(executed -> executed - before))
+        .thenCompose(work -> after(0, () -> restartUpstreams(work)))
         .thenCompose(
             work ->
                 after(
-                        0,
+                        RESTARTED_KNOWN_AFTER_MS,
                         () ->
                             http.post(
                                 plan.admin(), path + "/return", "{\"requestId\":\"demo-in\"}"))
@@ -104,6 +108,14 @@
             new IllegalStateException("the operator request was not accepted: " + answer));
   }
 
+  /** Restarts the upstreams of the data centre, so that they are cold when it returns. */
+  private long restartUpstreams(long work) {
+    plan.upstreams().stream()
+        .filter(spec -> spec.dataCentre().equals(plan.dataCentre()))
+        .forEach(spec -> http.post(spec.address(), "/stand-in/faults/rejoin", "{}"));
+    return work;
+  }
+
   private long executed() {
     return UpstreamReports.read(http, plan.upstreams()).executedIn(plan.dataCentre());
   }
