--- a/src/bench/java/org/ragwortpick/bench/UpstreamModel.java
+++ b/src/bench/java/org/ragwortpick/bench/UpstreamModel.java
@@ -122,9 +122,9 @@
   }
 
   /**
-   * Makes every request fail at once, or stops that.
+   * Makes the answer of every request get lost, or stops that.
    *
-   * @param isFailing whether requests fail
+   * @param isFailing whether answers get lost
    */
   void setFailing(boolean isFailing) {
     failing = isFailing;
@@ -242,6 +242,9 @@
    */
   void submit(Work work) {
     advance();
+    if (failing) {
+      result.recordExecution(service.name(), work.requestId());
+    }
     if (down || failing) {
       queue.after(REFUSE_MS, () -> end(work, AttemptResult.FAILED));
       return;
--- a/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
+++ b/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
@@ -25,6 +25,8 @@
   /** A stage with fewer samples counts as needing no time, so that a new pipeline can start. */
   private static final int MIN_SAMPLES = 20;
 
+  private static final Quantiles NOTHING = new Quantiles(0, 0, 0);
+
   private final Clock clock;
   private final ConcurrentHashMap<StageKey, SlidingQuantiles> stages = new ConcurrentHashMap<>();
 
@@ -57,7 +59,19 @@
 
   @Override
   public long needMs(Pipeline pipeline, int stageIndex) {
+<<<<<<< HEAD
     return needMs(pipeline, stageIndex, Quantiles::highMs);
+=======
+    long medianMs = 0;
+    double squares = 0;
+    for (int i = stageIndex; i < pipeline.stages().size(); i++) {
+      Quantiles stage = measured(pipeline, i);
+      double spreadMs = stage.highMs() - stage.medianMs();
+      medianMs += stage.medianMs();
+      squares += spreadMs * spreadMs;
+    }
+    return medianMs + (long) Math.sqrt(squares);
+>>>>>>> policy
   }
 
   @Override
@@ -72,12 +86,14 @@
   private long needMs(Pipeline pipeline, int from, ToLongFunction<Quantiles> need) {
     long sumMs = 0;
     for (int i = from; i < pipeline.stages().size(); i++) {
-      SlidingQuantiles stage = stages.get(new StageKey(pipeline.name(), i));
-      if (stage != null) {
-        Quantiles quantiles = stage.read();
-        sumMs += quantiles.count() < MIN_SAMPLES ? 0 : need.applyAsLong(quantiles);
-      }
+      sumMs += need.applyAsLong(measured(pipeline, i));
     }
     return sumMs;
   }
+
+  private Quantiles measured(Pipeline pipeline, int stageIndex) {
+    SlidingQuantiles stage = stages.get(new StageKey(pipeline.name(), stageIndex));
+    Quantiles quantiles = stage == null ? NOTHING : stage.read();
+    return quantiles.count() < MIN_SAMPLES ? NOTHING : quantiles;
+  }
 }
--- a/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
+++ b/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
@@ -27,6 +27,7 @@
   private static final long NO_WORK_AFTER_MS = 5_000;
 
   private static final long OUT_OBSERVED_MS = 5_000;
+
   /** Time in milliseconds in which restarted upstreams have announced themselves. */
   private static final long RESTARTED_KNOWN_AFTER_MS = 1_500;
 
