--- a/src/main/java/org/ragwortpick/policy/PolicySet.java
+++ b/src/main/java/org/ragwortpick/policy/PolicySet.java
@@ -20,16 +20,11 @@
 /** All decisions of one VM. */
 public final class PolicySet {
 
-<<<<<<< HEAD
-  /** Several VMs see the same free slots, so that each takes only a part of them. */
-  private static final int FREE_DIVISOR = 2;
-=======
   /**
    * Several VMs see the same free slots, so that each takes one and a half equal parts of them.
    * Half of them for each VM ran 190 requests on 64 slots at the start of a burst.
    */
   private static final double FREE_PARTS = 1.5;
->>>>>>> policy
 
   private final PrefixIndex prefixIndex;
   private final UpstreamSelector selector;
@@ -131,13 +126,8 @@
       slots += counts ? upstream.slots() : 0;
       free += counts ? Math.max(0, upstream.slots() - upstream.load()) : 0;
     }
-<<<<<<< HEAD
-    double share = Math.ceil((double) slots / Math.max(1, entryVms));
-    return (int) Math.max(1, share + free / FREE_DIVISOR);
-=======
     double vms = Math.max(1, entryVms);
     return (int) Math.max(1, Math.ceil(slots / vms) + free * FREE_PARTS / vms);
->>>>>>> policy
   }
 
   /**
--- a/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
+++ b/src/main/java/org/ragwortpick/policy/budget/MeasuredDeadlineBudget.java
@@ -59,9 +59,6 @@
 
   @Override
   public long needMs(Pipeline pipeline, int stageIndex) {
-<<<<<<< HEAD
-    return needMs(pipeline, stageIndex, Quantiles::highMs);
-=======
     long medianMs = 0;
     double squares = 0;
     for (int i = stageIndex; i < pipeline.stages().size(); i++) {
@@ -71,7 +68,6 @@
       squares += spreadMs * spreadMs;
     }
     return medianMs + (long) Math.sqrt(squares);
->>>>>>> policy
   }
 
   @Override
