Make the directories converge after leader changes and restarts

Faults found and corrected: an echo of a record withdrew the offer of it, so a leader that lost its memory never heard of it again; a flag of the previous leader that the new one did not know stayed in force; a late record of a dead home was given a new grace time; two VMs that relayed for each other stayed together until their views expired.

Change: echoes change nothing, the first judgement of a term is always spread, the grace of a home counts from when it was last seen alive, and a source whose confirmation is older than 2,000 ms is left for the next one.

--- a/src/main/java/org/ragwortpick/sync/SyncTimings.java
+++ b/src/main/java/org/ragwortpick/sync/SyncTimings.java
@@ -15,6 +15,12 @@
   /** Age of the last confirmation up to which a configuration is in force. */
   public static final long CONFIG_LEASE_MS = 4_000;
 
+  /**
+   * Age of a response above which the next poll goes to another source. Two VMs that relay for each
+   * other part before the VM timeout; a chain of two relays stays below it.
+   */
+  public static final long SOURCE_AGE_MS = 2_000;
+
   /** Silence after which a VM counts as lost. */
   public static final long VM_TIMEOUT_MS = 3_000;
 
--- a/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
@@ -83,16 +83,18 @@
    */
   public synchronized boolean mergeFromAbove(SoftRecord incoming) {
     boolean changed = merge(incoming);
-    Entry entry = entries.get(incoming.key());
-    if (changed) {
-      entry.fromVm = "";
+    if (!changed) {
+      // An echo changes nothing: the record is offered again to a source that lost its memory.
+      return false;
     }
+    Entry entry = entries.get(incoming.key());
+    entry.fromVm = "";
     if (entry.current.equals(incoming)) {
       withdraw(entry);
-    } else if (changed) {
+    } else {
       offer(entry);
     }
-    return changed;
+    return true;
   }
 
   private boolean merge(SoftRecord incoming) {
--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -26,7 +26,7 @@
   private final SyncedVmDirectory vms;
   private final WarmFlags warmFlags;
   private final UpstreamHome home;
-  private final Map<HomeKey, Long> lostSinceMs = new HashMap<>();
+  private final Map<HomeKey, Long> lastAliveMs = new HashMap<>();
   private volatile Snapshot snapshot = new Snapshot(-1, Map.of());
 
   /**
@@ -71,24 +71,24 @@
   public synchronized void refresh() {
     long version = table.version();
     long nowMs = clock.millis();
-    Set<HomeKey> lost = new HashSet<>();
-    Map<HomeKey, Boolean> alive = new HashMap<>();
+    Set<HomeKey> homes = new HashSet<>();
     Map<String, List<Upstream>> byService = new HashMap<>();
     for (SoftRecord record : table.all()) {
       if (record instanceof SoftRecord.OfUpstream of && isOffered(of.upstream().state())) {
         HomeKey key = new HomeKey(of.homeVm(), of.homeIncarnation());
-        if (!alive.computeIfAbsent(key, k -> vms.isAlive(k.vm(), k.incarnation()))) {
-          lost.add(key);
-          if (nowMs - lostSinceMs.computeIfAbsent(key, k -> nowMs) >= SyncTimings.HOME_GRACE_MS) {
-            continue;
-          }
+        if (homes.add(key) && vms.isAlive(key.vm(), key.incarnation())) {
+          lastAliveMs.put(key, nowMs);
+        }
+        // A late record whose home was never seen alive gets no grace.
+        Long aliveMs = lastAliveMs.get(key);
+        if (aliveMs != null && nowMs - aliveMs < SyncTimings.HOME_GRACE_MS) {
+          byService
+              .computeIfAbsent(of.upstream().service(), service -> new ArrayList<>())
+              .add(effective(of.upstream()));
         }
-        byService
-            .computeIfAbsent(of.upstream().service(), service -> new ArrayList<>())
-            .add(effective(of.upstream()));
       }
     }
-    lostSinceMs.keySet().retainAll(lost);
+    lastAliveMs.keySet().retainAll(homes);
     byService.replaceAll((service, upstreams) -> List.copyOf(upstreams));
     snapshot = new Snapshot(version, Map.copyOf(byService));
   }
--- a/src/main/java/org/ragwortpick/sync/directory/VmJudge.java
+++ b/src/main/java/org/ragwortpick/sync/directory/VmJudge.java
@@ -28,26 +28,34 @@
   }
 
   /**
-   * Sets the flag of each VM that was not heard from and clears it for those that were.
+   * Judges each VM. The first judgement of a term is spread even if it equals the known one,
+   * because another VM may know a later flag of the previous leader.
    *
-   * @param leadingForMs time since the local VM became the leader in milliseconds
+   * @param term term of the local VM as the leader
+   * @param leadingForMs time since it became the leader in milliseconds
    */
-  public void judge(long leadingForMs) {
+  public void judge(long term, long leadingForMs) {
     Map<String, Long> alive = new HashMap<>();
     heardVms.recent().forEach(heard -> alive.put(heard.vm(), heard.incarnation()));
     for (SoftRecord record : table.all()) {
       if (record instanceof SoftRecord.OfVm vm) {
-        judge(vm.record(), alive.get(vm.record().vm()), leadingForMs);
+        Long heardIncarnation = alive.get(vm.record().vm());
+        boolean lost = heardIncarnation == null || heardIncarnation < vm.record().incarnation();
+        // A new leader has heard from nobody yet, so it calls no VM lost before the timeout.
+        if (!lost || leadingForMs >= SyncTimings.VM_TIMEOUT_MS) {
+          judge(vm.record(), lost, term);
+        }
       }
     }
   }
 
-  private void judge(VmRecord vm, Long aliveIncarnation, long leadingForMs) {
-    boolean alive = aliveIncarnation != null && aliveIncarnation >= vm.incarnation();
-    boolean flagged = isLost(table, vm.vm(), vm.incarnation());
-    // A new leader has heard from nobody yet, so it does not judge before the timeout.
-    boolean lost = !alive && leadingForMs >= SyncTimings.VM_TIMEOUT_MS;
-    if ((lost && !flagged) || (alive && flagged)) {
+  private void judge(VmRecord vm, boolean lost, long term) {
+    boolean known =
+        flag(table, SoftRecord.Flag.Kind.VM_LOST, vm.vm())
+            .filter(flag -> flag.stamp().term() == term && flag.set() == lost)
+            .filter(flag -> flag.incarnation() == vm.incarnation())
+            .isPresent();
+    if (!known) {
       table.mergeFromAbove(
           new SoftRecord.Flag(
               SoftRecord.Flag.Kind.VM_LOST, vm.vm(), vm.incarnation(), stamps.get(), lost));
--- a/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
@@ -70,7 +70,7 @@
     refresh();
     if (isLeading()) {
       state.heardVms().hear(state.identity().vm(), state.identity().incarnation(), 0);
-      vmJudge.judge(clock.millis() - leadingSinceMs);
+      vmJudge.judge(leadingTerm, clock.millis() - leadingSinceMs);
       // A deposed leader must not call an upstream warm that its successor holds cold.
       if (isWithinLeaderLease()) {
         coordinator.tick(state.view().current());
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -14,6 +14,7 @@
 import org.ragwortpick.proto.SyncResponse;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.SyncTimings;
 import org.ragwortpick.sync.allowance.AllowanceRouter;
 import org.ragwortpick.sync.allowance.Demand;
 import org.ragwortpick.sync.allowance.Grant;
@@ -141,11 +142,11 @@
 
   /**
    * Takes the response to a poll. A response whose confirmation is older than the configuration
-   * lease is refused, and the next poll goes to another source.
+   * lease is refused. One that is usable but old tells to look for a better source.
    *
    * @param poll the poll
    * @param response the response
-   * @return true if it was accepted
+   * @return true if it was accepted and the source is worth to be polled again
    */
   public synchronized boolean accept(Poll poll, SyncResponse response) {
     // The age counts from the time of sending, so that a slow network never makes a view fresher.
@@ -161,7 +162,8 @@
     cursor.known = mergeFromAbove(response.getRecords()) ? response.getCursor() : 0;
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::takeGrant);
-    return state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
+    return state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs)
+        && clock.millis() - confirmedAtMs < SyncTimings.SOURCE_AGE_MS;
   }
 
   private void takeGrant(Grant grant) {
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/DirectoryRunsTest.java
@@ -0,0 +1,193 @@
+package org.ragwortpick.sync.rpc;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against VMs that disagree for good, offer a leaving upstream, or keep the upstreams of a
+ * dead home, when announcements are late, reordered, doubled or sent to two homes.
+ */
+public final class DirectoryRunsTest {
+
+  private static final long DISTURBED_MS = 16_000;
+  private static final long SETTLED_MS = 12_000;
+  private static final long LEAVING_BOUND_MS = 5_000;
+
+  @Test
+  public void allVmsConverge() {
+    Seeds.forEach(seed -> new Run(seed, true).run());
+  }
+
+  @Test
+  public void leavingUpstreamIsNotOfferedAfterTheBound() {
+    Seeds.forEach(seed -> new Run(seed, false).run());
+  }
+
+  private static final class Run {
+    private final long seed;
+    private final boolean partitions;
+    private final LinkedVms vms;
+    private final List<FakeUpstream> upstreams = new ArrayList<>();
+
+    Run(long seed, boolean partitions) {
+      this.seed = seed;
+      this.partitions = partitions;
+      this.vms = new LinkedVms(seed, 3, 3);
+      for (int i = 0; i < 4; i++) {
+        upstreams.add(new FakeUpstream("u" + i));
+      }
+    }
+
+    void run() {
+      for (long end = vms.nowMs() + DISTURBED_MS; vms.nowMs() < end; ) {
+        disturb();
+        step(true);
+      }
+      vms.heal();
+      vms.vms().stream().filter(vm -> !vm.isUp()).forEach(LinkedVms.Vm::start);
+      for (long end = vms.nowMs() + SETTLED_MS; vms.nowMs() < end; ) {
+        step(false);
+      }
+      List<String> expected = offered(vms.vms().get(0));
+      vms.vms().forEach(vm -> assertEquals(offered(vm), expected, "seed " + seed));
+      List<String> alive =
+          upstreams.stream()
+              .filter(u -> u.isOffered())
+              .map(u -> u.id + "/" + u.incarnation)
+              .toList();
+      assertEquals(expected, alive, "seed " + seed + ": offered instead of alive upstreams");
+    }
+
+    private void step(boolean disturbed) {
+      vms.step();
+      upstreams.forEach(upstream -> upstream.step(disturbed));
+    }
+
+    private void disturb() {
+      LinkedVms.Vm vm = vms.anyVm();
+      if (partitions && vms.chance(0.2)) {
+        vm.kill();
+        vms.at(vms.nowMs() + vms.random().nextInt(8_000), vm::start);
+      }
+      if (partitions && vms.chance(0.2)) {
+        vm.freeze(vms.random().nextInt(4_000));
+      }
+      if (partitions && vms.chance(0.2)) {
+        vms.vms().forEach(other -> vms.cut(vm, other, vms.random().nextBoolean()));
+      }
+    }
+
+    private static List<String> offered(LinkedVms.Vm vm) {
+      return vm.state().upstreams().upstreams("tutor-lm").stream()
+          .map(upstream -> upstream.id() + "/" + upstream.incarnation())
+          .sorted()
+          .toList();
+    }
+
+    /** Upstream that announces itself every second, to a home that it changes now and then. */
+    private final class FakeUpstream {
+      private final String id;
+      private long incarnation = 1;
+      private long sequence;
+      private boolean leaving;
+      private boolean dead;
+      private long leavingHeardMs = Long.MAX_VALUE;
+      private long nextAnnouncementMs;
+      private LinkedVms.Vm home;
+
+      FakeUpstream(String id) {
+        this.id = id;
+        this.home = vms.anyVm();
+      }
+
+      boolean isOffered() {
+        return !leaving && !dead;
+      }
+
+      void step(boolean disturbed) {
+        if (disturbed) {
+          change();
+        }
+        if (!dead && vms.nowMs() >= nextAnnouncementMs) {
+          nextAnnouncementMs = vms.nowMs() + 1_000;
+          announce(disturbed);
+        }
+        boolean due = vms.nowMs() - LEAVING_BOUND_MS > leavingHeardMs;
+        if (due && !partitions) {
+          vms.vms().stream()
+              .filter(vm -> offered(vm).contains(id + "/" + incarnation))
+              .min(Comparator.comparing(LinkedVms.Vm::process))
+              .ifPresent(
+                  vm -> {
+                    throw new AssertionError(
+                        "seed "
+                            + seed
+                            + " at "
+                            + vms.nowMs()
+                            + ": "
+                            + vm.process()
+                            + " offers "
+                            + id
+                            + ", which is leaving");
+                  });
+        }
+      }
+
+      private void change() {
+        if (vms.chance(0.1) || !home.isRunning()) {
+          home = vms.anyVm();
+        }
+        if (vms.chance(0.05)) {
+          leaving = true;
+        }
+        if (vms.chance(0.03)) {
+          dead = true;
+        }
+        if (vms.chance(0.05)) {
+          incarnation++;
+          sequence = 0;
+          leaving = false;
+          dead = false;
+          leavingHeardMs = Long.MAX_VALUE;
+        }
+      }
+
+      private void announce(boolean disturbed) {
+        sequence++;
+        // A faulty upstream may say ready after it said leaving.
+        boolean wavers = leaving && vms.random().nextInt(4) == 0;
+        UpstreamState state = leaving && !wavers ? UpstreamState.LEAVING : UpstreamState.READY;
+        Upstream announcement =
+            TestUpstreams.upstream(id, incarnation, sequence, state, vms.random().nextInt(16));
+        if (!home.isRunning()) {
+          home = vms.anyVm();
+        }
+        deliver(home, announcement, vms.random().nextInt(50));
+        if (disturbed && vms.random().nextInt(3) == 0) {
+          deliver(vms.anyVm(), announcement, vms.random().nextInt(4_000));
+        }
+      }
+
+      private void deliver(LinkedVms.Vm target, Upstream announcement, long delayMs) {
+        vms.at(
+            vms.nowMs() + delayMs,
+            () -> {
+              if (target.isRunning()) {
+                target.state().upstreams().announce(announcement);
+                boolean left = announcement.state() == UpstreamState.LEAVING;
+                if (left && announcement.incarnation() == incarnation) {
+                  leavingHeardMs = Math.min(leavingHeardMs, vms.nowMs());
+                }
+              }
+            });
+      }
+    }
+  }
+}
