--- a/src/main/java/org/ragwortpick/entry/http/CallerApi.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -135,7 +135,9 @@
                 dependencies.settings().bodyTimeoutMs(),
                 () -> {
                   if (ended.compareAndSet(false, true)) {
-                    exchange.getIoThread().execute(() -> closeConnection(exchange));
+                    exchange
+                        .getIoThread()
+                        .execute(() -> IoUtils.safeClose(exchange.getConnection()));
                   }
                 });
     // The entity size of the exchange does not bound chunked bodies; the receiver does.
@@ -158,12 +160,6 @@
         });
   }
 
-  private static void closeConnection(HttpServerExchange exchange) {
-    IoUtils.safeClose(exchange.getConnection());
-    // A read that waits for the body is not told about the close.
-    exchange.endExchange();
-  }
-
   private static RequestError bodyError(IOException cause, int limitBytes) {
     return cause instanceof Receiver.RequestToLargeException
         ? new RequestError.BodyTooLarge(limitBytes)
--- a/src/test/java/org/ragwortpick/entry/http/EntryServerTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/EntryServerTest.java
@@ -4,9 +4,14 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import java.io.ByteArrayOutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.ragwortpick.common.Json;
+import org.ragwortpick.entry.EntryFakes;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -76,6 +81,22 @@
     assertEquals(status.get("execution").asText(), "done");
   }
 
+  @Test
+  public void requestsAreCountedByOutcome() throws Exception {
+    send(entry.post("/v1/services/stock", "{}"));
+    entry.fakes().turnOff(EntryFakes.Condition.ADMITS);
+    assertEquals(send(entry.post("/v1/services/stock", "{}")).statusCode(), 429);
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    PrometheusTextFormatWriter.create().write(out, entry.registry().scrape());
+    String text = out.toString(StandardCharsets.UTF_8);
+    String labels = "target=\"stock\",workspace=\"w1\"} 1.0\n";
+    for (String outcome : List.of("Overloaded", "ok")) {
+      String line = "ragwortpick_requests_total{outcome=\"" + outcome + "\"," + labels;
+      assertTrue(text.contains(line), text);
+    }
+    assertTrue(text.contains("ragwortpick_requests_in_flight 0.0\n"), text);
+  }
+
   @Test
   public void plainCallPassesAnswerOn() throws Exception {
     HttpResponse<String> response = send(entry.post("/v1/services/stock", "{}"));
