--- a/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
+++ b/src/standin/java/org/ragwortpick/standin/demo/Demonstration.java
@@ -32,6 +32,14 @@
   private static final long RESTARTED_KNOWN_AFTER_MS = 1_500;
 
   private static final long TWICE_AT_MS = 4_000;
+
+  /** Second of the run in which the data centre is taken out. */
+  static final long TAKE_OUT_SECOND = TAKE_OUT_AT_MS / 1_000;
+
+  /** Second of the run in which the data centre returns. */
+  static final long RETURN_SECOND =
+      (TAKE_OUT_AT_MS + NO_WORK_AFTER_MS + OUT_OBSERVED_MS + RESTARTED_KNOWN_AFTER_MS) / 1_000;
+
   private static final String TWICE_MARKER = "sent-twice";
 
   private final DemonstrationPlan plan;
--- a/src/standin/java/org/ragwortpick/standin/demo/DemonstrationResult.java
+++ b/src/standin/java/org/ragwortpick/standin/demo/DemonstrationResult.java
@@ -91,6 +91,9 @@
     out.printf(
         "%-48s %d (%.1f%%)%n",
         "answered in full by the deadline", inTime, 100.0 * inTime / Math.max(1, sent));
+    attainment(out, "before the take-out", 0, Demonstration.TAKE_OUT_SECOND);
+    attainment(out, "while it is out", Demonstration.TAKE_OUT_SECOND, Demonstration.RETURN_SECOND);
+    attainment(out, "after its return", Demonstration.RETURN_SECOND, Long.MAX_VALUE);
     load.counts().forEach((name, count) -> printDetail(out, name, count));
     out.printf(
         "%-48s %d / %d%n", "latency p50 / p95 in ms", load.latencyMs(50), load.latencyMs(95));
@@ -105,6 +108,10 @@
     line(out, "peak load on a cold upstream, % of what it bears", reports.peakColdPercent());
   }
 
+  private void attainment(PrintStream out, String part, long from, long to) {
+    out.printf("%-48s %.1f%%%n", "  " + part, load.attainmentPercent(from, to));
+  }
+
   private static void printDetail(PrintStream out, String name, long count) {
     if (name.startsWith("refused") || name.startsWith("missed") || name.startsWith("in time ")) {
       line(out, "  " + name, count);
--- a/src/standin/java/org/ragwortpick/standin/load/LoadResults.java
+++ b/src/standin/java/org/ragwortpick/standin/load/LoadResults.java
@@ -16,6 +16,8 @@
 
   private final Histogram latencyMs = new ConcurrentHistogram(HIGHEST_MS, DIGITS);
   private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+  private final Map<Long, LongAdder> sentBySecond = new ConcurrentHashMap<>();
+  private final Map<Long, LongAdder> inTimeBySecond = new ConcurrentHashMap<>();
   private final Map<String, StageTotals> stages = new ConcurrentHashMap<>();
   private final Map<String, String> calls = new ConcurrentHashMap<>();
 
@@ -66,6 +68,38 @@
     calls.put(key, told);
   }
 
+  /**
+   * Records the end of a request by the second in which it was due.
+   *
+   * @param second second since the start of the run
+   * @param inTime whether it was answered in full by its deadline
+   */
+  void recordSecond(long second, boolean inTime) {
+    sentBySecond.computeIfAbsent(second, key -> new LongAdder()).increment();
+    if (inTime) {
+      inTimeBySecond.computeIfAbsent(second, key -> new LongAdder()).increment();
+    }
+  }
+
+  /**
+   * Returns the share of requests answered in full by their deadline in a part of the run.
+   *
+   * @param fromSecond first second of the part
+   * @param toSecond second after the last one of the part
+   * @return share in percent; 100 if no request was due
+   */
+  public double attainmentPercent(long fromSecond, long toSecond) {
+    long sent = sum(sentBySecond, fromSecond, toSecond);
+    return sent == 0 ? 100 : 100.0 * sum(inTimeBySecond, fromSecond, toSecond) / sent;
+  }
+
+  private static long sum(Map<Long, LongAdder> counts, long from, long to) {
+    return counts.entrySet().stream()
+        .filter(entry -> entry.getKey() >= from && entry.getKey() < to)
+        .mapToLong(entry -> entry.getValue().sum())
+        .sum();
+  }
+
   /**
    * Returns a count.
    *
--- a/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
+++ b/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
@@ -27,6 +27,7 @@
   private final String runId;
   private final LoadResults results = new LoadResults();
   private final AtomicInteger ended = new AtomicInteger();
+  private volatile long startMs;
   private final CompletableFuture<LoadResults> finished = new CompletableFuture<>();
 
   /**
@@ -57,7 +58,7 @@
    * @return the results after the last request has ended
    */
   public CompletableFuture<LoadResults> start() {
-    long startMs = clock.millis();
+    startMs = clock.millis();
     for (int i = 0; i < plan.requests(); i++) {
       int number = i;
       long dueMs = 1_000L * i / plan.requestsPerSecond();
@@ -145,6 +146,7 @@
     long nowMs = clock.millis();
     boolean inTime = failure == null && whole && nowMs <= deadlineAtMs;
     results.count(inTime ? "in time" : "missed");
+    results.recordSecond((dueAtMs - startMs) / 1_000, inTime);
     results.count((inTime ? "in time " : "missed ") + workspace);
     if (failure == null && whole) {
       results.recordLatency(nowMs - dueAtMs);
