Assert the identity of answers and free places at the end of a stage

Cause: the identity of an answer was checked, but nothing inside the program would have noticed a path around the check.

Change: an attempt that completes or delivers a token without a confirmed identity, and a stage that ends with a live attempt, fail a check and end the request. An answer whose client reported no head is judged by the head in its end. A test shows that a stream that cannot go on ends with an error event and without a done event.

--- a/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
@@ -5,6 +5,7 @@
 import io.opentelemetry.api.trace.StatusCode;
 import java.util.Optional;
 import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.Invariants;
 import org.ragwortpick.entry.RequestContext;
 import org.ragwortpick.entry.upstream.AttemptId;
 import org.ragwortpick.entry.upstream.ServerSentEvent;
@@ -42,6 +43,7 @@
   private UpstreamClient.UpstreamCall call;
   private int nextOffset;
   private long firstByteMs = -1;
+  private boolean confirmed;
   private boolean callEnded;
   private boolean settled;
 
@@ -162,6 +164,7 @@
       fail(head.status(), "the answer belongs to another attempt");
       return;
     }
+    confirmed = true;
     firstByteMs = dependencies.clock().millis() - sentAtMs;
     if (head.status() == OK) {
       dependencies.policies().hedges().recordFirstByte(task.service(), firstByteMs);
@@ -188,6 +191,7 @@
       return;
     }
     nextOffset++;
+    Invariants.check(confirmed, "a token without the identity of its attempt was accepted");
     owner.onToken(this, token.get().offset(), token.get().text());
   }
 
@@ -202,6 +206,9 @@
 
   private void handleEnd(UpstreamEnd end) {
     callEnded = true;
+    if (!settled && !confirmed && end instanceof UpstreamEnd.Answered answered) {
+      handleHead(answered.head());
+    }
     if (!settled) {
       settle(AnswerParser.judge(task, end));
     }
@@ -212,6 +219,9 @@
   }
 
   private void settle(AttemptEnd end) {
+    Invariants.check(
+        confirmed || end.kind() != AttemptEnd.Kind.COMPLETE,
+        "an answer without the identity of its attempt was accepted");
     settled = true;
     place.release(end.kind().result(), firstByteMs);
     span.setAttribute("end", end.kind().name());
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -240,6 +240,7 @@
     hedgeTimer.cancel();
     deadlineTimer.cancel();
     cancelOthers(null);
+    Invariants.check(live.isEmpty(), "a stage ended while an attempt held a place");
     long elapsedMs = dependencies.clock().millis() - startedAtMs;
     receiver.accept(
         new StageResult(
--- a/src/test/java/org/ragwortpick/entry/http/EntryServerTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/EntryServerTest.java
@@ -5,7 +5,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.undertow.server.handlers.BlockingHandler;
 import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -63,6 +65,30 @@
     assertTrue(body.contains("event: done"), body);
   }
 
+  @Test
+  public void streamThatCannotGoOnEndsWithAnError() throws Exception {
+    entry.fakes().turnOff(EntryFakes.Condition.RETRIES);
+    entry.upstream(
+        "eng-1",
+        "engine",
+        new BlockingHandler(
+            exchange -> {
+              OutputStream out = TestUpstreams.startStream(exchange);
+              TestUpstreams.token(out, 0);
+              TestUpstreams.token(out, 2);
+            }));
+    HttpRequest request =
+        entry
+            .request("/v1/pipelines/answer")
+            .header("Accept", "text/event-stream")
+            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+            .build();
+    String body = send(request).body();
+    assertTrue(body.startsWith("event: token\ndata: {\"offset\":0,"), body);
+    assertTrue(body.contains("event: error\ndata: {\"error\":\"StageFailed\""), body);
+    assertEquals(body.split("event: ").length, 3, body);
+  }
+
   @Test
   public void bookingIsRecordedAndRepliedAgain() throws Exception {
     HttpRequest request =
