--- a/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
@@ -2,9 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.ragwortpick.consensus.StateMachine;
+import org.ragwortpick.proto.DroppedKeysMessage;
 import org.ragwortpick.proto.LedgerCommand;
 import org.ragwortpick.proto.LedgerReply;
 import org.ragwortpick.proto.LedgerSnapshot;
@@ -100,15 +100,16 @@
                         .setRecord(LedgerCodec.encode(stored.record()))
                         .setLeaseEndMs(stored.leaseEndMs())
                         .setDispatched(stored.dispatched())));
-    ByteBuffer digests = ByteBuffer.allocate(table.digests().size() * KeyDigest.BYTES);
     table
-        .digests()
+        .droppedKeys()
+        .days()
         .forEach(
-            (digest, expiryMs) -> {
-              digests.putLong(digest.high()).putLong(digest.low());
-              snapshot.addDigestExpiryMs(expiryMs);
-            });
-    return snapshot.setDigests(ByteString.copyFrom(digests.flip())).build().toByteArray();
+            (day, digests) ->
+                snapshot.addDroppedKeys(
+                    DroppedKeysMessage.newBuilder()
+                        .setDay(day)
+                        .setDigests(ByteString.copyFrom(digests.encode()))));
+    return snapshot.build().toByteArray();
   }
 
   @Override
@@ -131,13 +132,13 @@
                         LedgerCodec.decode(message.getRecord()),
                         message.getLeaseEndMs(),
                         message.getDispatched())));
-    ByteBuffer digests = decoded.getDigests().asReadOnlyByteBuffer();
     decoded
-        .getDigestExpiryMsList()
+        .getDroppedKeysList()
         .forEach(
-            expiryMs ->
-                restored.storeDigest(
-                    new KeyDigest(digests.getLong(), digests.getLong()), expiryMs));
+            message ->
+                restored
+                    .droppedKeys()
+                    .restore(message.getDay(), message.getDigests().asReadOnlyByteBuffer()));
     table = restored;
   }
 }
--- a/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
@@ -19,9 +19,6 @@
   /** Time for which a full record is kept after its last change. */
   static final long RECORD_RETENTION_MS = 24L * 60 * 60 * 1000;
 
-  /** Time for which the digest of a key is kept after its record was dropped. */
-  static final long DIGEST_RETENTION_MS = 30L * 24 * 60 * 60 * 1000;
-
   /** Most changes of one sweep, so that a sweep delays the commands behind it by little. */
   static final int MAX_CHANGES_PER_SWEEP = 1_000;
 
@@ -36,9 +33,7 @@
   /** Records in the order of their last change, which is the order of their retention end. */
   private final Map<ExecutionKey, StoredExecution> records = new LinkedHashMap<>();
 
-  /** Expiry times of the digests, in the order of their expiry. */
-  private final Map<KeyDigest, Long> digests = new LinkedHashMap<>();
-
+  private final DroppedKeys droppedKeys = new DroppedKeys();
   private final TreeSet<LeaseEnd> leaseEnds = new TreeSet<>();
   private long timeMs;
 
@@ -180,13 +175,9 @@
     if (stored != null) {
       return Optional.of(stored.record());
     }
-    Long expiryMs = digests.isEmpty() ? null : digests.get(KeyDigest.of(key));
-    if (expiryMs == null) {
-      return Optional.empty();
-    }
-    return Optional.of(
-        new ExecutionRecord(
-            key, ExecutionState.EXPIRED, "", "", "", "", 0, "", expiryMs - DIGEST_RETENTION_MS));
+    return droppedKeys.contains(key)
+        ? Optional.of(new ExecutionRecord(key, ExecutionState.EXPIRED, "", "", "", "", 0, "", 0))
+        : Optional.empty();
   }
 
   /**
@@ -214,9 +205,8 @@
     if (oldest.isPresent() && isRetentionOver(oldest.get(), timeMs)) {
       return drop(oldest.get());
     }
-    Iterator<Long> expiries = digests.values().iterator();
-    if (expiries.hasNext() && expiries.next() <= timeMs) {
-      expiries.remove();
+    if (droppedKeys.isDue(timeMs)) {
+      droppedKeys.forgetOldest();
       return true;
     }
     return false;
@@ -236,8 +226,7 @@
     if (oldest.hasNext() && isRetentionOver(oldest.next(), nowMs)) {
       return true;
     }
-    Iterator<Long> expiries = digests.values().iterator();
-    return expiries.hasNext() && expiries.next() <= nowMs;
+    return droppedKeys.isDue(nowMs);
   }
 
   private boolean isRetentionOver(StoredExecution stored, long nowMs) {
@@ -248,7 +237,7 @@
   private boolean drop(StoredExecution stored) {
     ExecutionKey key = stored.record().key();
     records.remove(key);
-    storeDigest(KeyDigest.of(key), timeMs + DIGEST_RETENTION_MS);
+    droppedKeys.add(KeyDigest.of(key), timeMs);
     return true;
   }
 
@@ -258,7 +247,7 @@
     if (stored != null) {
       return isRetentionOver(stored, timeMs) && drop(stored);
     }
-    return !digests.isEmpty() && digests.getOrDefault(KeyDigest.of(key), 0L) > timeMs;
+    return droppedKeys.contains(key);
   }
 
   private Optional<ExecutionState> next(ExecutionState state, String event) {
@@ -305,18 +294,6 @@
     }
   }
 
-  /**
-   * Stores the digest of a dropped key.
-   *
-   * @param digest the digest
-   * @param expiryMs time in milliseconds since 1970 until which it is kept
-   */
-  void storeDigest(KeyDigest digest, long expiryMs) {
-    // An insertion of a present key would keep its old place in the order.
-    digests.remove(digest);
-    digests.put(digest, expiryMs);
-  }
-
   /**
    * Lists the records.
    *
@@ -327,12 +304,12 @@
   }
 
   /**
-   * Lists the digests of dropped keys.
+   * Returns the keys whose records were dropped.
    *
-   * @return expiry times in milliseconds since 1970 by digest, in the order of their expiry
+   * @return the keys
    */
-  Map<KeyDigest, Long> digests() {
-    return digests;
+  DroppedKeys droppedKeys() {
+    return droppedKeys;
   }
 
   private record LeaseEnd(long endMs, ExecutionKey key) implements Comparable<LeaseEnd> {
--- a/src/main/java/org/ragwortpick/ledger/LedgerCodec.java
+++ b/src/main/java/org/ragwortpick/ledger/LedgerCodec.java
@@ -217,6 +217,10 @@
   }
 
   private static ExecutionState decode(RecordState state) {
+    if (state == RecordState.UNRECOGNIZED) {
+      throw new IllegalArgumentException(
+          "a record state is not known; update the control VMs before the entry VMs");
+    }
     return ExecutionState.valueOf(state.name().substring(STATE_PREFIX.length()));
   }
 }
--- a/src/main/java/org/ragwortpick/ledger/LedgerServer.java
+++ b/src/main/java/org/ragwortpick/ledger/LedgerServer.java
@@ -54,16 +54,23 @@
 
   @Override
   public void execute(LedgerCall call, StreamObserver<LedgerReply> observer) {
-    handle(call)
-        .whenComplete(
-            (reply, failure) -> {
-              if (failure != null) {
-                observer.onError(Status.INTERNAL.withCause(failure).asRuntimeException());
-              } else {
-                observer.onNext(reply);
-                observer.onCompleted();
-              }
-            });
+    CompletionStage<LedgerReply> handled;
+    try {
+      handled = handle(call);
+    } catch (IllegalArgumentException e) {
+      observer.onError(
+          Status.INVALID_ARGUMENT.withDescription(e.getMessage()).asRuntimeException());
+      return;
+    }
+    handled.whenComplete(
+        (reply, failure) -> {
+          if (failure != null) {
+            observer.onError(Status.INTERNAL.withCause(failure).asRuntimeException());
+          } else {
+            observer.onNext(reply);
+            observer.onCompleted();
+          }
+        });
   }
 
   /**
@@ -71,6 +78,7 @@
    *
    * @param call the call
    * @return the reply
+   * @throws IllegalArgumentException if the call cannot be decoded
    */
   CompletionStage<LedgerReply> handle(LedgerCall call) {
     Member member = members.get(call.getGroup());
@@ -79,8 +87,14 @@
     }
     LedgerCommand.Builder command = LedgerCommand.newBuilder().setTimeMs(wallClock.millis());
     return switch (call.getOperationCase()) {
-      case BEGIN -> propose(member, command.setBegin(call.getBegin()).build());
-      case FINISH -> propose(member, command.setFinish(call.getFinish()).build());
+      case BEGIN -> {
+        requireAttempt(LedgerCodec.decode(call.getBegin()).attemptId());
+        yield propose(member, command.setBegin(call.getBegin()).build());
+      }
+      case FINISH -> {
+        requireAttempt(LedgerCodec.decode(call.getFinish()).attemptId());
+        yield propose(member, command.setFinish(call.getFinish()).build());
+      }
       case STATUS ->
           member
               .lease()
@@ -90,6 +104,13 @@
     };
   }
 
+  /** A command that cannot be decoded must not reach the log, where it would stop all replicas. */
+  private static void requireAttempt(String attemptId) {
+    if (attemptId.isEmpty()) {
+      throw new IllegalArgumentException("the attempt id is empty; give each attempt a new id");
+    }
+  }
+
   private LedgerReply status(Member member, ExecutionKey key) {
     LedgerReply.Builder reply = LedgerReply.newBuilder();
     member
--- a/src/test/java/org/ragwortpick/ledger/LedgerMeasurement.java
+++ b/src/test/java/org/ragwortpick/ledger/LedgerMeasurement.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.proto.LedgerCommand;
+import org.ragwortpick.proto.SweepOperation;
 
 /** Program that prints the size of the execution records and the time to apply commands. */
 public final class LedgerMeasurement {
@@ -23,6 +24,7 @@
         "records snapshot_bytes/record heap_bytes/record apply_us snapshot_ms restore_ms");
     for (int records : RECORDS) {
       measure(records);
+      measureDropped(records);
     }
   }
 
@@ -54,6 +56,25 @@
         restoreMs);
   }
 
+  private static void measureDropped(int records) {
+    long heapBefore = usedHeapBytes();
+    ExecutionStateMachine machine = fill(records);
+    for (int i = 0; i <= records / ExecutionTable.MAX_CHANGES_PER_SWEEP; i++) {
+      apply(
+          machine,
+          (int) ExecutionTable.RECORD_RETENTION_MS + records,
+          LedgerCommand.newBuilder().setSweep(SweepOperation.getDefaultInstance()));
+    }
+    long heapBytes = usedHeapBytes() - heapBefore;
+    System.out.printf(
+        Locale.ROOT,
+        "%d records, %d dropped: snapshot_bytes/key %d heap_bytes/key %d%n",
+        machine.size(),
+        records,
+        machine.snapshot().length / records,
+        heapBytes / records);
+  }
+
   private static ExecutionStateMachine fill(int records) {
     ExecutionStateMachine machine = new ExecutionStateMachine();
     for (int i = 0; i < records; i++) {
