Answer the caller even if a check fails at the end; encode status paths

Cause: a check that failed while a request ended left its caller without an answer until the connection closed. The status path of a key with reserved characters could not be used as it was given.

Change: the end of a request answers with an internal error in this case; the key in statusPath is encoded.

--- a/src/main/java/org/ragwortpick/entry/http/Responder.java
+++ b/src/main/java/org/ragwortpick/entry/http/Responder.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -103,7 +104,7 @@
   void unknown(HttpServerExchange exchange, String key, List<StageCost> stages) {
     ApiError api = apiError(new RequestError.OutcomeUnknown(), ExecutionOutcome.UNKNOWN);
     ObjectNode body = Json.MESSAGES.valueToTree(api);
-    body.put("statusPath", CALLS_PATH + key);
+    body.put("statusPath", CALLS_PATH + inPath(key));
     exchange.getResponseHeaders().put(EXECUTION, ExecutionOutcome.UNKNOWN.text());
     exchange.getResponseHeaders().put(STAGE_COST, text(stages));
     send(exchange, api.status(), bytes(body));
@@ -122,6 +123,11 @@
     return RequestErrors.toApiError(error, execution, texts);
   }
 
+  /** The server does not decode encoded slashes and does not need to: a key may have several. */
+  private static String inPath(String key) {
+    return URLEncoder.encode(key, StandardCharsets.UTF_8).replace("%2F", "/");
+  }
+
   private static void send(HttpServerExchange exchange, int status, byte[] body) {
     exchange
         .getIoThread()
--- a/src/main/java/org/ragwortpick/entry/pipeline/PipelineRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/PipelineRun.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import org.jboss.logging.Logger;
 import org.ragwortpick.config.Pipeline;
 import org.ragwortpick.entry.EntryDependencies;
 import org.ragwortpick.entry.Invariants;
@@ -18,6 +19,7 @@
 /** Run of one request: admission, then the stages in order under one deadline. */
 public final class PipelineRun {
 
+  private static final Logger LOG = Logger.getLogger(PipelineRun.class);
   private static final String ADMISSION = "admission";
   private static final TokenReceiver NO_TOKENS = (offset, text) -> {};
 
@@ -64,7 +66,7 @@
    */
   public void start(JsonNode input) {
     dependencies.metrics().requestStarted();
-    request.serial().onFailure(() -> end(Either.left(new RequestError.Internal())));
+    request.serial().onFailure(() -> end(internalError()));
     request.serial().execute(() -> askAdmission(input));
   }
 
@@ -181,22 +183,37 @@
     }
     finished = true;
     admissionTimer.cancel();
-    if (running != null) {
-      running.cancel();
-    }
+    Either<RequestError, StageAnswer> told = stopStage() ? answer : internalError();
     if (admitted) {
       dependencies.policies().admission().release(request.workspace());
     }
-    Invariants.check(running == null, "a request ended while a stage was running");
     long nowMs = dependencies.clock().millis();
     dependencies
         .metrics()
         .requestEnded(
             pipeline.name(),
             request.workspace(),
-            answer.fold(RequestErrors::kind, ok -> "ok"),
+            told.fold(RequestErrors::kind, ok -> "ok"),
             nowMs - startedAtMs,
-            answer.isRight() && nowMs <= request.deadlineAtMs());
-    receiver.onEnd(new RequestResult(answer, costs, sent));
+            told.isRight() && nowMs <= request.deadlineAtMs());
+    receiver.onEnd(new RequestResult(told, costs, sent));
+  }
+
+  /** Ends the running stage. A caller gets its error even if a check fails here. */
+  private boolean stopStage() {
+    try {
+      if (running != null) {
+        running.cancel();
+      }
+      Invariants.check(running == null, "a request ended while a stage was running");
+      return true;
+    } catch (IllegalStateException e) {
+      LOG.error("a stage could not be ended", e);
+      return false;
+    }
+  }
+
+  private static Either<RequestError, StageAnswer> internalError() {
+    return Either.left(new RequestError.Internal());
   }
 }
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -51,7 +51,8 @@
     IN_FORCE,
     STARTS_WORK,
     ADMITS,
-    RETRIES
+    RETRIES,
+    FINISHES_IN_TIME
   }
 
   private final Set<Condition> failing = ConcurrentHashMap.newKeySet();
@@ -277,7 +278,7 @@
 
   @Override
   public boolean canFinish(Pipeline pipeline, int stageIndex, long remainingMs) {
-    return remainingMs > 10;
+    return remainingMs > 10 && holds(Condition.FINISHES_IN_TIME);
   }
 
   @Override
--- a/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
@@ -49,7 +49,6 @@
       {"/v1/pipelines/answer", "w1", "60001", "{}", 400, "BadDeadline"},
       {"/v1/pipelines/answer", "w1", "soon", "{}", 400, "BadDeadline"},
       {"/v1/pipelines/answer", "w1", "9".repeat(40), "{}", 400, "BadDeadline"},
-      {"/v1/pipelines/answer", "w1", "5", "{}", 503, "DeadlineTooShort"},
       {"/v1/pipelines/answer", "w".repeat(201), "100", "{}", 400, "BadHeader"},
       {"/v1/pipelines/answer", "w 1", "100", "{}", 400, "BadHeader"},
       {"/v1/pipelines/answer", "w1", "100", "{\"input\":", 400, "Malformed"},
@@ -134,6 +133,16 @@
     assertEquals(spans, 2, "one span of the request and one of the call");
   }
 
+  @Test
+  public void requestThatCannotFinishInTimeIsRefusedAtAdmission() throws Exception {
+    entry.fakes().turnOff(EntryFakes.Condition.FINISHES_IN_TIME);
+    HttpResponse<String> response = entry.send(entry.post("/v1/pipelines/answer", "{}"));
+    entry.fakes().turnOn(EntryFakes.Condition.FINISHES_IN_TIME);
+    assertEquals(response.statusCode(), 503);
+    assertTrue(response.body().contains("\"DeadlineTooShort\""), response.body());
+    assertTrue(response.body().contains("\"not_run\""), response.body());
+  }
+
   @Test
   public void nothingRunsWhileTheConfigurationIsNotInForce() throws Exception {
     entry.fakes().turnOff(EntryFakes.Condition.IN_FORCE);
--- a/src/test/java/org/ragwortpick/entry/http/UpstreamFaultsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/UpstreamFaultsTest.java
@@ -160,11 +160,13 @@
       announce("book-0", upstream.address(), "booking");
       announce("book-1", upstream.address(), "booking");
       for (int i = 0; i < 2; i++) {
-        HttpResponse<String> response = book("k1");
+        HttpResponse<String> response = book("k/1?%+");
         assertEquals(response.statusCode(), 202, response.body());
         JsonNode body = Json.MESSAGES.readTree(response.body());
         assertEquals(body.get("execution").asText(), "unknown");
-        assertEquals(body.get("statusPath").asText(), "/v1/calls/k1");
+        HttpRequest status = entry.request(body.get("statusPath").asText()).GET().build();
+        JsonNode state = Json.MESSAGES.readTree(entry.send(status).body());
+        assertEquals(state.get("state").asText(), "UNKNOWN");
       }
       assertEquals(upstream.workRequests(), 1);
     }
