--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.consensus.GroupStatus;
 import org.ragwortpick.control.RemoteAdministration;
 import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.ledger.ExecutionLedger;
 import org.ragwortpick.ledger.LedgerGroups;
 import org.ragwortpick.ledger.RemoteExecutionLedger;
 import org.ragwortpick.peer.PeerChannels;
@@ -46,6 +47,7 @@
   private final Optional<ControlPart> control;
   private final SyncNode sync;
   private final PeerServer peerServer;
+  private final ExecutionLedger ledger;
   private final EntryPart entry;
   private final AdminServer admin;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -72,7 +74,7 @@
     services.add(sync.service());
     control.ifPresent(part -> services.addAll(part.services(sync.upstreamDirectory())));
     this.peerServer = new PeerServer(settings.peerAddress(), services);
-    RemoteExecutionLedger ledger =
+    this.ledger =
         new RemoteExecutionLedger(
             channels,
             controlAddresses,
@@ -125,6 +127,7 @@
     sync.start();
     admin.start();
     entry.start();
+    new LedgerWarmUp(ledger, scheduler).start(settings.limits().executionGroups());
     LOG.infof("VM %s started in data centre %s", settings.vm(), settings.dataCentre());
   }
 
