--- a/src/main/java/org/ragwortpick/consensus/raft/FollowerProgress.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/FollowerProgress.java
@@ -164,8 +164,8 @@
    */
   void onAppendResponse(Message.AppendResponse response, long nowMs) {
     heard(response.sentAtMs(), nowMs);
-    probeSent = false;
     if (response.success()) {
+      probeSent = false;
       acknowledge(Math.min(response.matchIndex(), log.lastIndex()));
       if (mode == Mode.SNAPSHOT && matchIndex >= transfer.index()) {
         transfer = null;
@@ -174,7 +174,7 @@
       } else if (mode == Mode.PROBE && nextIndex - 1 >= log.previousIndex()) {
         mode = Mode.REPLICATE;
       }
-    } else if (mode != Mode.SNAPSHOT) {
+    } else if (isCurrent(response)) {
       probeFrom(Math.max(matchIndex + 1, Math.min(nextIndex - 1, response.matchIndex() + 1)));
     }
   }
@@ -195,6 +195,15 @@
     }
   }
 
+  /**
+   * A repeated or late rejection must not cause another probe, or probes and rejections multiply.
+   */
+  private boolean isCurrent(Message.AppendResponse rejection) {
+    return rejection.rejectedIndex() > matchIndex
+        && (mode == Mode.REPLICATE
+            || mode == Mode.PROBE && rejection.rejectedIndex() == nextIndex - 1);
+  }
+
   private void heard(long sentAtMs, long nowMs) {
     acknowledgedSentAtMs = Math.max(acknowledgedSentAtMs, sentAtMs);
     lastResponseMs = nowMs;
--- a/src/main/java/org/ragwortpick/consensus/raft/Following.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Following.java
@@ -40,14 +40,14 @@
     RaftLog log = state.log();
     long previous = request.previousIndex();
     if (previous > log.lastIndex()) {
-      reject(from, log.lastIndex());
+      reject(from, previous, log.lastIndex());
       return;
     }
     // Entries before those held are committed, so they match.
     if (previous >= log.previousIndex() && log.termAt(previous) != request.previousTerm()) {
       long commitIndex = state.commitIndex();
       check(previous > commitIndex, "log matching of committed entries", previous, commitIndex);
-      reject(from, Math.max(commitIndex, log.indexBeforeTermOf(previous)));
+      reject(from, previous, Math.max(commitIndex, log.indexBeforeTermOf(previous)));
       return;
     }
     long heldFrom = log.previousIndex();
@@ -119,7 +119,7 @@
   /** Returns whether the request is of the current leader. Refuses those of earlier terms. */
   private boolean followLeader(String from, long term, long sentAtMs) {
     if (term < state.term()) {
-      state.sendAfterSync(from, new Message.AppendResponse(state.term(), false, 0, sentAtMs));
+      state.sendAfterSync(from, new Message.AppendResponse(state.term(), false, 0, 0, sentAtMs));
       return false;
     }
     Optional<String> known = term == state.term() ? state.leaderId() : Optional.of(from);
@@ -139,14 +139,15 @@
     return true;
   }
 
-  private void reject(String leader, long nextIndex) {
+  private void reject(String leader, long rejectedIndex, long nextIndex) {
     state.sendAfterSync(
-        leader, new Message.AppendResponse(state.term(), false, nextIndex, leaderSentAtMs));
+        leader,
+        new Message.AppendResponse(state.term(), false, nextIndex, rejectedIndex, leaderSentAtMs));
   }
 
   private void acknowledge(String leader) {
     long match = Math.min(verifiedIndex, state.durability().durableIndex());
     state.sendAfterSync(
-        leader, new Message.AppendResponse(state.term(), true, match, leaderSentAtMs));
+        leader, new Message.AppendResponse(state.term(), true, match, 0, leaderSentAtMs));
   }
 }
--- a/src/main/java/org/ragwortpick/consensus/raft/Message.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Message.java
@@ -58,9 +58,11 @@
    * @param success whether the log of the follower matched
    * @param matchIndex highest index known to match the leader and to be on disk; if not successful,
    *     the index at which the leader should try next
+   * @param rejectedIndex if not successful, the index that did not match
    * @param sentAtMs time of the latest request of the leader that was received
    */
-  record AppendResponse(long term, boolean success, long matchIndex, long sentAtMs)
+  record AppendResponse(
+      long term, boolean success, long matchIndex, long rejectedIndex, long sentAtMs)
       implements Message {}
 
   /**
--- a/src/main/java/org/ragwortpick/consensus/transport/MessageCodec.java
+++ b/src/main/java/org/ragwortpick/consensus/transport/MessageCodec.java
@@ -105,6 +105,7 @@
         .setTerm(response.term())
         .setSuccess(response.success())
         .setMatchIndex(response.matchIndex())
+        .setRejectedIndex(response.rejectedIndex())
         .setSentAtMs(response.sentAtMs())
         .build();
   }
@@ -156,6 +157,7 @@
         response.getTerm(),
         response.getSuccess(),
         response.getMatchIndex(),
+        response.getRejectedIndex(),
         response.getSentAtMs());
   }
 
