--- a/src/test/java/org/ragwortpick/consensus/ConsensusBenchmark.java
+++ b/src/test/java/org/ragwortpick/consensus/ConsensusBenchmark.java
@@ -114,6 +114,8 @@
       all[i] = leader.propose(command).toCompletableFuture();
     }
     CompletableFuture.allOf(all).orTimeout(60, TimeUnit.SECONDS).join();
+    // A snapshot that is due is taken after the commands before it have completed.
+    leader.propose(new byte[1]).toCompletableFuture().join();
     GroupStatus status = leader.status();
     cluster.stop("a");
     long bytes = size(cluster.options("a").dataFolder());
--- a/src/test/java/org/ragwortpick/consensus/RandomisedRunTest.java
+++ b/src/test/java/org/ragwortpick/consensus/RandomisedRunTest.java
@@ -64,6 +64,10 @@
         } else if (random.nextInt(3) == 0) {
           recover(group);
         }
+        if (random.nextInt(4) == 0) {
+          // Without proposals every log is complete, so any replica could be elected.
+          group.runFor(random.nextInt(2_000));
+        }
         for (int i = 0; i < 5; i++) {
           proposeSomewhere(group);
           group.runFor(random.nextInt(80));
@@ -88,12 +92,13 @@
   }
 
   private void fault(SimulatedGroup group, SimulatedVm vm) {
-    switch (group.random().nextInt(8)) {
+    switch (group.random().nextInt(10)) {
       case 0 -> vm.crash();
       case 1 -> group.isolate(Set.of(vm.name()));
       case 2 -> vm.freeze();
       case 3 -> vm.disk().failNextSync();
-      case 4 -> vm.disk().setFreeBytes(group.random().nextInt(500));
+      case 4, 5 -> cutOneLink(group, vm);
+      case 6 -> vm.disk().setFreeBytes(group.random().nextInt(500));
       default -> {
         // Losing a second disk before the repair of the first one may lose a quorum of copies.
         if (group.isRepaired()) {
@@ -105,6 +110,13 @@
     }
   }
 
+  private static void cutOneLink(SimulatedGroup group, SimulatedVm vm) {
+    group
+        .leader()
+        .filter(leader -> leader != vm)
+        .ifPresent(leader -> group.cutLink(leader.name(), vm.name()));
+  }
+
   private static void recover(SimulatedGroup group) {
     group.isolate(Set.of());
     for (SimulatedVm vm : group.vms()) {
--- a/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
+++ b/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
@@ -56,6 +56,16 @@
     assertTrue(leader.replica().leadership().leader());
   }
 
+  /** A replica that hears the leader and still votes would break the lease of the leader. */
+  @Test
+  public void replicaCutFromTheLeaderOnlyIsNotElected() {
+    long term = leader.status().term();
+    group.cutLink(leader.name(), follower().name());
+    group.runFor(5_000);
+    assertEquals(leader.status().term(), term);
+    assertTrue(leader.replica().leadership().leader());
+  }
+
   /** A vote under the identity of a lost disk could elect a leader without committed entries. */
   @Test
   public void lostDiskTakesNewIdentity() {
--- a/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
@@ -31,6 +31,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
   private final Map<Long, String> leaderByTerm = new HashMap<>();
   private final Set<String> isolated = new HashSet<>();
+  private final Set<String> cutLink = new HashSet<>();
   private double lossRate;
   private int maxDelayMs = 5;
   private int maxDiskDelayMs = 5;
@@ -93,6 +94,13 @@
   void isolate(Set<String> names) {
     isolated.clear();
     isolated.addAll(names);
+    cutLink.clear();
+  }
+
+  /** Cuts the link between two VMs only. */
+  void cutLink(String first, String second) {
+    cutLink.clear();
+    cutLink.addAll(List.of(first, second));
   }
 
   void after(long delayMs, Runnable action) {
@@ -231,7 +239,8 @@
         after(
             1 + random.nextInt(maxDelayMs),
             () -> {
-              if (isolated.contains(from) == isolated.contains(to)) {
+              boolean cut = cutLink.contains(from) && cutLink.contains(to);
+              if (!cut && isolated.contains(from) == isolated.contains(to)) {
                 vms.get(to).receive(envelope);
               }
             });
