--- a/src/main/java/org/ragwortpick/control/EngineOrders.java
+++ b/src/main/java/org/ragwortpick/control/EngineOrders.java
@@ -154,7 +154,9 @@
     if (!lease.isHeld()) {
       return;
     }
-    for (EngineOrder order : machine.orders()) {
+    List<EngineOrder> open = machine.orders();
+    sentAtMs.keySet().retainAll(open.stream().map(EngineOrder::orderId).toList());
+    for (EngineOrder order : open) {
       Optional<Upstream> engine = directory.find(order.upstreamId());
       boolean gone = engine.isEmpty() && tenure.leadingForMs() >= GONE_AFTER_MS;
       if (gone || engine.isPresent() && order.isDoneBy(engine.get())) {
--- a/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
@@ -2,6 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.ragwortpick.consensus.StateMachine;
 import org.ragwortpick.proto.DroppedKeysMessage;
@@ -89,26 +91,30 @@
   }
 
   @Override
-  public synchronized byte[] snapshot() {
-    LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder().setTimeMs(table.timeMs());
-    table
-        .records()
-        .forEach(
-            stored ->
-                snapshot.addRecords(
-                    StoredRecordMessage.newBuilder()
-                        .setRecord(LedgerCodec.encode(stored.record()))
-                        .setLeaseEndMs(stored.leaseEndMs())
-                        .setDispatched(stored.dispatched())));
-    table
-        .droppedKeys()
-        .days()
-        .forEach(
-            (day, digests) ->
-                snapshot.addDroppedKeys(
-                    DroppedKeysMessage.newBuilder()
-                        .setDay(day)
-                        .setDigests(ByteString.copyFrom(digests.encode()))));
+  public byte[] snapshot() {
+    LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder();
+    List<StoredExecution> records;
+    synchronized (this) {
+      snapshot.setTimeMs(table.timeMs());
+      records = new ArrayList<>(table.records());
+      table
+          .droppedKeys()
+          .days()
+          .forEach(
+              (day, digests) ->
+                  snapshot.addDroppedKeys(
+                      DroppedKeysMessage.newBuilder()
+                          .setDay(day)
+                          .setDigests(ByteString.copyFrom(digests.encode()))));
+    }
+    // Records are immutable; their encoding takes long and must not hold up status calls.
+    records.forEach(
+        stored ->
+            snapshot.addRecords(
+                StoredRecordMessage.newBuilder()
+                    .setRecord(LedgerCodec.encode(stored.record()))
+                    .setLeaseEndMs(stored.leaseEndMs())
+                    .setDispatched(stored.dispatched())));
     return snapshot.build().toByteArray();
   }
 
--- a/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
@@ -34,6 +34,7 @@
   private final Map<ExecutionKey, StoredExecution> records = new LinkedHashMap<>();
 
   private final DroppedKeys droppedKeys = new DroppedKeys();
+  private final NamePool names = new NamePool();
   private final TreeSet<LeaseEnd> leaseEnds = new TreeSet<>();
   private long timeMs;
 
@@ -288,12 +289,31 @@
       }
       leaseEnds.remove(new LeaseEnd(before.leaseEndMs(), key));
     }
-    records.put(key, changed);
+    StoredExecution shared = shareNames(changed);
+    records.put(shared.record().key(), shared);
     if (changed.record().state() == ExecutionState.PENDING) {
       leaseEnds.add(new LeaseEnd(changed.leaseEndMs(), key));
     }
   }
 
+  private StoredExecution shareNames(StoredExecution stored) {
+    ExecutionRecord record = stored.record();
+    ExecutionKey key = record.key();
+    return new StoredExecution(
+        new ExecutionRecord(
+            new ExecutionKey(names.share(key.workspace()), key.idempotencyKey()),
+            record.state(),
+            names.share(record.service()),
+            record.bodyDigest(),
+            names.share(record.holderVm()),
+            record.attemptId(),
+            record.status(),
+            record.answer(),
+            record.updatedAtMs()),
+        stored.leaseEndMs(),
+        stored.dispatched());
+  }
+
   /**
    * Lists the records.
    *
--- /dev/null
+++ b/src/main/java/org/ragwortpick/ledger/NamePool.java
@@ -0,0 +1,33 @@
+package org.ragwortpick.ledger;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Shares equal names among records: thousands of records carry the names of few workspaces,
+ * services and VMs. The number of names is limited, so that callers cannot fill the memory.
+ */
+final class NamePool {
+
+  private static final int MAX_NAMES = 65_536;
+
+  private final Map<String, String> names = new HashMap<>();
+
+  /**
+   * Returns the shared copy of a name.
+   *
+   * @param name the name
+   * @return an equal text
+   */
+  String share(String name) {
+    String shared = names.get(name);
+    if (shared != null) {
+      return shared;
+    }
+    if (names.size() >= MAX_NAMES) {
+      names.clear();
+    }
+    names.put(name, name);
+    return name;
+  }
+}
