State the age of a NOT_RUN record as a lower bound that wall clocks cannot raise

Cause: a begin after NOT_RUN is granted by the age of the record. The age was taken from the wall clocks of two leaders; with a new leader whose clock is ahead, a copy that had waited since before the NOT_RUN could run. Ruled out: the term as the identity of a clock, because a follower knows the term of another leader; each process uses a random number. Ruled out: steady time alone, because a quiet group would refuse the first resend after a change of the leader however late it comes. Change: SteadyTime adds up monotonic times of one process; BeginResult carries recordAgeMs. The random run now changes to leaders whose wall clocks differ by up to 4 s. Conclusion: 'not run' stays true while the wall clocks of control VMs differ by less than 5 s.

--- a/src/main/java/org/ragwortpick/ledger/BeginResult.java
+++ b/src/main/java/org/ragwortpick/ledger/BeginResult.java
@@ -5,18 +5,17 @@
  *
  * @param granted whether the attempt of the request holds the right to dispatch
  * @param record the record after the decision; the existing one if the right was not granted
- * @param decidedAtMs time of the decision in milliseconds since 1970 by the clock of the leader,
- *     comparable with the update time of the record
+ * @param recordAgeMs time in milliseconds for which the record has been in its state at least
  */
-public record BeginResult(boolean granted, ExecutionRecord record, long decidedAtMs) {
+public record BeginResult(boolean granted, ExecutionRecord record, long recordAgeMs) {
 
   /**
-   * Creates a decision made at the last change of the record.
+   * Creates a decision on a record of unknown age.
    *
    * @param granted whether the attempt of the request holds the right to dispatch
    * @param record the record after the decision
    */
   public BeginResult(boolean granted, ExecutionRecord record) {
-    this(granted, record, record.updatedAtMs());
+    this(granted, record, 0);
   }
 }
--- a/src/main/java/org/ragwortpick/ledger/DispatchAttempt.java
+++ b/src/main/java/org/ragwortpick/ledger/DispatchAttempt.java
@@ -101,7 +101,7 @@
    * age of the record; an age is shortened by the drift that the clocks may have.
    */
   private boolean isCommittedBeforeArrival(BeginResult decision) {
-    long ageMs = decision.decidedAtMs() - decision.record().updatedAtMs();
+    long ageMs = decision.recordAgeMs();
     long driftMs = ageMs / CLOCK_DRIFT_DIVISOR + 1;
     return monotonicClock.millis() - (ageMs - driftMs) < receivedAtMs;
   }
--- a/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
@@ -21,7 +21,8 @@
   public synchronized byte[] apply(long index, byte[] command) {
     LedgerCommand decoded = parse(command);
     table.advanceTo(decoded.getTimeMs());
-    return reply(decoded).toBuilder().setTimeMs(table.timeMs()).build().toByteArray();
+    table.setSteadyTime(table.steadyTime().at(decoded.getClockId(), decoded.getMonotonicMs()));
+    return reply(decoded).toByteArray();
   }
 
   private static LedgerCommand parse(byte[] command) {
@@ -43,6 +44,7 @@
                   result ->
                       LedgerReply.newBuilder()
                           .setGranted(result.granted())
+                          .setRecordAgeMs(result.recordAgeMs())
                           .setRecord(LedgerCodec.encode(result.record()))
                           .build());
       case FINISH ->
@@ -95,7 +97,12 @@
     LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder();
     List<StoredExecution> records;
     synchronized (this) {
-      snapshot.setTimeMs(table.timeMs());
+      SteadyTime steady = table.steadyTime();
+      snapshot
+          .setTimeMs(table.timeMs())
+          .setSteadyMs(steady.steadyMs())
+          .setClockId(steady.clockId())
+          .setMonotonicMs(steady.monotonicMs());
       records = new ArrayList<>(table.records());
       table
           .droppedKeys()
@@ -114,7 +121,8 @@
                 StoredRecordMessage.newBuilder()
                     .setRecord(LedgerCodec.encode(stored.record()))
                     .setLeaseEndMs(stored.leaseEndMs())
-                    .setDispatched(stored.dispatched())));
+                    .setDispatched(stored.dispatched())
+                    .setSteadyAtMs(stored.steadyAtMs())));
     return snapshot.build().toByteArray();
   }
 
@@ -129,6 +137,8 @@
           "a ledger snapshot cannot be decoded; run the same release on all control VMs", e);
     }
     restored.advanceTo(decoded.getTimeMs());
+    restored.setSteadyTime(
+        new SteadyTime(decoded.getSteadyMs(), decoded.getClockId(), decoded.getMonotonicMs()));
     decoded
         .getRecordsList()
         .forEach(
@@ -137,7 +147,8 @@
                     new StoredExecution(
                         LedgerCodec.decode(message.getRecord()),
                         message.getLeaseEndMs(),
-                        message.getDispatched())));
+                        message.getDispatched(),
+                        message.getSteadyAtMs())));
     decoded
         .getDroppedKeysList()
         .forEach(
--- a/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionTable.java
@@ -22,6 +22,9 @@
   /** Most changes of one sweep, so that a sweep delays the commands behind it by little. */
   static final int MAX_CHANGES_PER_SWEEP = 1_000;
 
+  /** Largest assumed difference between the wall clocks of control VMs; usual is 0.1 s or less. */
+  private static final long MAX_CLOCK_DIFFERENCE_MS = 5_000;
+
   private static final String ABANDON_BEFORE_BEGIN = "ABANDON_BEFORE_BEGIN";
   private static final String BEGIN = "BEGIN";
   private static final String FINISH_PREFIX = "FINISH_";
@@ -37,6 +40,7 @@
   private final NamePool names = new NamePool();
   private final TreeSet<LeaseEnd> leaseEnds = new TreeSet<>();
   private long timeMs;
+  private SteadyTime steadyTime = SteadyTime.START;
 
   /**
    * Moves the time of the table forward. An earlier time, as stamped by a leader whose clock is
@@ -48,6 +52,24 @@
     timeMs = Math.max(timeMs, stampedMs);
   }
 
+  /**
+   * Sets the steady time.
+   *
+   * @param time the time
+   */
+  void setSteadyTime(SteadyTime time) {
+    steadyTime = time;
+  }
+
+  /**
+   * Returns the steady time.
+   *
+   * @return the time
+   */
+  SteadyTime steadyTime() {
+    return steadyTime;
+  }
+
   /**
    * Returns the time of the table.
    *
@@ -77,7 +99,7 @@
       boolean own = existing.attemptId().equals(request.attemptId());
       if (own || !mayBeginAfter(existing, request)) {
         boolean granted = own && existing.state() == ExecutionState.PENDING;
-        return Either.right(new BeginResult(granted, existing, timeMs));
+        return Either.right(new BeginResult(granted, existing, ageMs(stored)));
       }
     }
     if (request.keyCreatedAtMs().isPresent()
@@ -95,8 +117,17 @@
             0,
             "",
             timeMs);
-    store(new StoredExecution(begun, timeMs + request.leaseMs(), false));
-    return Either.right(new BeginResult(true, begun, timeMs));
+    store(new StoredExecution(begun, timeMs + request.leaseMs(), false, steadyTime.steadyMs()));
+    return Either.right(new BeginResult(true, begun, 0));
+  }
+
+  /**
+   * Time since the last change at least: by steady time, or by wall clocks less their difference.
+   */
+  private long ageMs(StoredExecution stored) {
+    long steadyAgeMs = steadyTime.steadyMs() - stored.steadyAtMs();
+    long wallAgeMs = timeMs - stored.record().updatedAtMs();
+    return Math.max(steadyAgeMs, wallAgeMs - MAX_CLOCK_DIFFERENCE_MS);
   }
 
   /** Tells whether the record of an earlier attempt, seen by the holder, allows a new attempt. */
@@ -137,7 +168,7 @@
     ExecutionRecord finished =
         withState(
             existing, target.get(), done ? request.status() : 0, done ? request.answer() : "");
-    store(new StoredExecution(finished, 0, !abandon));
+    store(new StoredExecution(finished, 0, !abandon, steadyTime.steadyMs()));
     return Either.right(finished);
   }
 
@@ -160,7 +191,7 @@
             0,
             "",
             timeMs);
-    store(new StoredExecution(abandoned, 0, false));
+    store(new StoredExecution(abandoned, 0, false, steadyTime.steadyMs()));
     return Either.right(abandoned);
   }
 
@@ -199,7 +230,8 @@
     if (!leaseEnds.isEmpty() && leaseEnds.first().endMs() <= timeMs) {
       ExecutionRecord pending = records.get(leaseEnds.first().key()).record();
       ExecutionState target = next(pending.state(), LEASE_EXPIRED).orElseThrow();
-      store(new StoredExecution(withState(pending, target, 0, ""), 0, false));
+      store(
+          new StoredExecution(withState(pending, target, 0, ""), 0, false, steadyTime.steadyMs()));
       return true;
     }
     Optional<StoredExecution> oldest = records.values().stream().findFirst();
@@ -311,7 +343,8 @@
             record.answer(),
             record.updatedAtMs()),
         stored.leaseEndMs(),
-        stored.dispatched());
+        stored.dispatched(),
+        stored.steadyAtMs());
   }
 
   /**
--- a/src/main/java/org/ragwortpick/ledger/LedgerCodec.java
+++ b/src/main/java/org/ragwortpick/ledger/LedgerCodec.java
@@ -184,7 +184,7 @@
             () ->
                 Either.right(
                     new BeginResult(
-                        reply.getGranted(), decode(reply.getRecord()), reply.getTimeMs())));
+                        reply.getGranted(), decode(reply.getRecord()), reply.getRecordAgeMs())));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/ledger/LedgerServer.java
+++ b/src/main/java/org/ragwortpick/ledger/LedgerServer.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
+import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.List;
@@ -26,7 +27,12 @@
 public final class LedgerServer extends LedgerGrpc.LedgerImplBase {
 
   private final Map<String, Member> members = new HashMap<>();
+  private final Clock monotonicClock;
   private final Clock wallClock;
+
+  /** Tells apart the monotonic clocks of processes, which have different origins. */
+  private final long clockId = new SecureRandom().nextLong() | 1;
+
   private final Function<String, Optional<HostPort>> peerAddressOf;
 
   /**
@@ -48,6 +54,7 @@
       LeaderLease lease = new LeaderLease(group.consensus(), monotonicClock, scheduler);
       members.put(group.name(), new Member(group, lease));
     }
+    this.monotonicClock = monotonicClock;
     this.wallClock = wallClock;
     this.peerAddressOf = peerAddressOf;
   }
@@ -85,7 +92,11 @@
     if (member == null) {
       return answer(LedgerFailure.LEDGER_FAILURE_UNKNOWN_GROUP);
     }
-    LedgerCommand.Builder command = LedgerCommand.newBuilder().setTimeMs(wallClock.millis());
+    LedgerCommand.Builder command =
+        LedgerCommand.newBuilder()
+            .setTimeMs(wallClock.millis())
+            .setClockId(clockId)
+            .setMonotonicMs(monotonicClock.millis());
     return switch (call.getOperationCase()) {
       case BEGIN -> {
         requireAttempt(LedgerCodec.decode(call.getBegin()).attemptId());
--- a/src/main/java/org/ragwortpick/ledger/StoredExecution.java
+++ b/src/main/java/org/ragwortpick/ledger/StoredExecution.java
@@ -8,5 +8,7 @@
  *     leader; 0 unless the record is PENDING
  * @param dispatched whether the holder stated that it may have dispatched the call, so that it can
  *     no longer state NOT_RUN
+ * @param steadyAtMs steady time of the last change in milliseconds
  */
-record StoredExecution(ExecutionRecord record, long leaseEndMs, boolean dispatched) {}
+record StoredExecution(
+    ExecutionRecord record, long leaseEndMs, boolean dispatched, long steadyAtMs) {}
--- a/src/test/java/org/ragwortpick/ledger/DispatchAttemptTest.java
+++ b/src/test/java/org/ragwortpick/ledger/DispatchAttemptTest.java
@@ -29,7 +29,7 @@
       boolean granted, ExecutionState state, String attemptId, long ageMs) {
     ExecutionRecord record =
         new ExecutionRecord(KEY, state, "raspored", "d", "vm1", attemptId, 0, "", 5_000);
-    return Either.right(new BeginResult(granted, record, 5_000 + ageMs));
+    return Either.right(new BeginResult(granted, record, ageMs));
   }
 
   @Test
--- a/src/test/java/org/ragwortpick/ledger/LedgerMeasurement.java
+++ b/src/test/java/org/ragwortpick/ledger/LedgerMeasurement.java
@@ -111,7 +111,14 @@
 
   private static void apply(
       ExecutionStateMachine machine, int number, LedgerCommand.Builder command) {
-    machine.apply(number, command.setTimeMs(1_000_000L + number).build().toByteArray());
+    machine.apply(
+        number,
+        command
+            .setTimeMs(1_000_000L + number)
+            .setClockId(1)
+            .setMonotonicMs(1_000_000L + number)
+            .build()
+            .toByteArray());
   }
 
   private static long usedHeapBytes() {
--- a/src/test/java/org/ragwortpick/ledger/LedgerRun.java
+++ b/src/test/java/org/ragwortpick/ledger/LedgerRun.java
@@ -1,6 +1,8 @@
 package org.ragwortpick.ledger;
 
 import io.vavr.control.Either;
+import java.time.Clock;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -36,13 +38,7 @@
   private final long startMs = clock.millis();
   private final ExecutionStateMachine machine = new ExecutionStateMachine();
   private final DirectGroup group = new DirectGroup(machine, clock);
-  private final LedgerServer server =
-      new LedgerServer(
-          List.of(new LedgerGroup(GROUP, group, machine)),
-          clock,
-          clock,
-          null,
-          vm -> Optional.empty());
+  private LedgerServer server;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
   private final List<Vm> vms = new ArrayList<>();
@@ -50,6 +46,7 @@
   private final Map<ExecutionKey, Integer> executed = new HashMap<>();
   private final Map<ExecutionKey, Long> lastNotRunAtMs = new HashMap<>();
   private final Set<ExecutionKey> seenDone = new HashSet<>();
+  private final Set<String> notRunAttempts = new HashSet<>();
   private final Set<String> toldNotRun = new HashSet<>();
   private long eventOrder;
   private int attempts;
@@ -58,6 +55,7 @@
 
   LedgerRun(long seed) {
     random = new Random(seed);
+    server = newLeader();
   }
 
   int executions() {
@@ -92,6 +90,18 @@
     executed.forEach((key, count) -> check(count == 1, key + " ran " + count + " times"));
   }
 
+  /** Starts a leader whose wall clock and monotonic origin differ from those of the last one. */
+  private LedgerServer newLeader() {
+    Clock monotonic = Clock.offset(clock, Duration.ofMillis(random.nextInt(1_000_000)));
+    Clock wall = Clock.offset(clock, Duration.ofMillis(random.nextInt(4_000) - 2_000));
+    return new LedgerServer(
+        List.of(new LedgerGroup(GROUP, new DirectGroup(machine, monotonic), machine)),
+        monotonic,
+        wall,
+        null,
+        vm -> Optional.empty());
+  }
+
   private boolean isOver() {
     return clock.millis() - startMs > END_MS;
   }
@@ -127,6 +137,7 @@
     }
     if (random.nextInt(20) == 0) {
       machine.restore(machine.snapshot());
+      server = newLeader();
     }
     if (!isOver()) {
       after(250, this::sweep);
@@ -218,7 +229,8 @@
             machine
                 .status(key)
                 .filter(record -> record.state() == ExecutionState.NOT_RUN)
-                .ifPresent(record -> lastNotRunAtMs.put(key, record.updatedAtMs())));
+                .filter(record -> notRunAttempts.add(record.attemptId()))
+                .ifPresent(record -> lastNotRunAtMs.put(key, clock.millis())));
   }
 
   /** Delay of a message; some arrive long after the sender has given up. */
