--- a/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
+++ b/src/main/java/org/ragwortpick/ledger/ExecutionStateMachine.java
@@ -2,6 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.ragwortpick.consensus.StateMachine;
 import org.ragwortpick.proto.DroppedKeysMessage;
@@ -19,7 +21,8 @@
   public synchronized byte[] apply(long index, byte[] command) {
     LedgerCommand decoded = parse(command);
     table.advanceTo(decoded.getTimeMs());
-    return reply(decoded).toBuilder().setTimeMs(table.timeMs()).build().toByteArray();
+    table.setSteadyTime(table.steadyTime().at(decoded.getClockId(), decoded.getMonotonicMs()));
+    return reply(decoded).toByteArray();
   }
 
   private static LedgerCommand parse(byte[] command) {
@@ -41,6 +44,7 @@
                   result ->
                       LedgerReply.newBuilder()
                           .setGranted(result.granted())
+                          .setRecordAgeMs(result.recordAgeMs())
                           .setRecord(LedgerCodec.encode(result.record()))
                           .build());
       case FINISH ->
@@ -89,26 +93,36 @@
   }
 
   @Override
-  public synchronized byte[] snapshot() {
-    LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder().setTimeMs(table.timeMs());
-    table
-        .records()
-        .forEach(
-            stored ->
-                snapshot.addRecords(
-                    StoredRecordMessage.newBuilder()
-                        .setRecord(LedgerCodec.encode(stored.record()))
-                        .setLeaseEndMs(stored.leaseEndMs())
-                        .setDispatched(stored.dispatched())));
-    table
-        .droppedKeys()
-        .days()
-        .forEach(
-            (day, digests) ->
-                snapshot.addDroppedKeys(
-                    DroppedKeysMessage.newBuilder()
-                        .setDay(day)
-                        .setDigests(ByteString.copyFrom(digests.encode()))));
+  public byte[] snapshot() {
+    LedgerSnapshot.Builder snapshot = LedgerSnapshot.newBuilder();
+    List<StoredExecution> records;
+    synchronized (this) {
+      SteadyTime steady = table.steadyTime();
+      snapshot
+          .setTimeMs(table.timeMs())
+          .setSteadyMs(steady.steadyMs())
+          .setClockId(steady.clockId())
+          .setMonotonicMs(steady.monotonicMs());
+      records = new ArrayList<>(table.records());
+      table
+          .droppedKeys()
+          .days()
+          .forEach(
+              (day, digests) ->
+                  snapshot.addDroppedKeys(
+                      DroppedKeysMessage.newBuilder()
+                          .setDay(day)
+                          .setDigests(ByteString.copyFrom(digests.encode()))));
+    }
+    // Records are immutable; their encoding takes long and must not hold up status calls.
+    records.forEach(
+        stored ->
+            snapshot.addRecords(
+                StoredRecordMessage.newBuilder()
+                    .setRecord(LedgerCodec.encode(stored.record()))
+                    .setLeaseEndMs(stored.leaseEndMs())
+                    .setDispatched(stored.dispatched())
+                    .setSteadyAtMs(stored.steadyAtMs())));
     return snapshot.build().toByteArray();
   }
 
@@ -123,6 +137,8 @@
           "a ledger snapshot cannot be decoded; run the same release on all control VMs", e);
     }
     restored.advanceTo(decoded.getTimeMs());
+    restored.setSteadyTime(
+        new SteadyTime(decoded.getSteadyMs(), decoded.getClockId(), decoded.getMonotonicMs()));
     decoded
         .getRecordsList()
         .forEach(
@@ -131,7 +147,8 @@
                     new StoredExecution(
                         LedgerCodec.decode(message.getRecord()),
                         message.getLeaseEndMs(),
-                        message.getDispatched())));
+                        message.getDispatched(),
+                        message.getSteadyAtMs())));
     decoded
         .getDroppedKeysList()
         .forEach(
