--- a/src/test/java/org/ragwortpick/process/ProcessFailureTest.java
+++ b/src/test/java/org/ragwortpick/process/ProcessFailureTest.java
@@ -127,7 +127,8 @@
 
   @Test(priority = 4)
   public void lostDiskJoinsUnderNewIdentityAndSecondLossLosesNothing() throws Exception {
-    assertTrue(booked(deployment.vm("entry-4"), "kept"));
+    DeploymentUnderTest.Response kept = deployment.book(deployment.vm("entry-4"), "kept").join();
+    assertEquals(kept.status(), 200, kept + " " + deployment.state(deployment.vm("entry-4")));
     VmUnderTest lost = deployment.vm("control-2");
     VmUnderTest asked = deployment.vm("control-1");
     String oldIdentity = identity(lost);
