--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -21,12 +21,16 @@
  */
 public final class SyncedUpstreamDirectory implements UpstreamDirectory {
 
+  /** Interval at which unchanged records are judged again, because homes expire with time. */
+  private static final long REFRESH_INTERVAL_MS = 400;
+
   private final Clock clock;
   private final SoftTable table;
   private final SyncedVmDirectory vms;
   private final WarmFlags warmFlags;
   private final UpstreamHome home;
   private final Map<HomeKey, Long> lastAliveMs = new HashMap<>();
+  private long refreshedAtMs;
   private volatile Snapshot snapshot = new Snapshot(-1, Map.of());
 
   /**
@@ -67,10 +71,19 @@
     home.announce(announcement);
   }
 
+  /** Rebuilds the snapshot if a record has changed or the last one is old. */
+  public synchronized void refreshIfDue() {
+    boolean changed = snapshot.version() != table.version();
+    if (changed || clock.millis() - refreshedAtMs >= REFRESH_INTERVAL_MS) {
+      refresh();
+    }
+  }
+
   /** Rebuilds the snapshot. */
   public synchronized void refresh() {
     long version = table.version();
     long nowMs = clock.millis();
+    refreshedAtMs = nowMs;
     Set<HomeKey> homes = new HashSet<>();
     Map<String, List<Upstream>> byService = new HashMap<>();
     for (SoftRecord record : table.all()) {
--- a/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/LeaderDuties.java
@@ -14,6 +14,9 @@
 /** What a VM does while its replica leads: confirm its own view and judge the VMs. */
 public final class LeaderDuties {
 
+  /** Interval of the judgements, each of which visits all records. */
+  private static final long JUDGE_INTERVAL_MS = 250;
+
   private final Clock clock;
   private final LeaderSource leader;
   private final SyncState state;
@@ -22,6 +25,7 @@
   private long leadingTerm;
   private long leadingSinceMs;
   private long stampNumber;
+  private long judgedAtMs;
 
   /**
    * Creates the duties.
@@ -68,7 +72,8 @@
   /** Judges the VMs while the local VM leads. */
   public synchronized void tick() {
     refresh();
-    if (isLeading()) {
+    if (isLeading() && clock.millis() - judgedAtMs >= JUDGE_INTERVAL_MS) {
+      judgedAtMs = clock.millis();
       state.heardVms().hear(state.identity().vm(), state.identity().incarnation(), 0);
       vmJudge.judge(leadingTerm, clock.millis() - leadingSinceMs);
       // A deposed leader must not call an upstream warm that its successor holds cold.
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -17,7 +17,11 @@
 /** Everything that one VM knows through the polls. */
 public final class SyncState {
 
+  /** A retention of 60 s needs no finer judgement; each one visits all records. */
+  private static final long RETENTION_INTERVAL_MS = 5_000;
+
   private final SyncIdentity identity;
+  private final Clock clock;
   private final SyncedConfiguration view;
   private final SoftTable table = new SoftTable();
   private final HeardVms heardVms;
@@ -27,6 +31,7 @@
   private final WarmFlags warmFlags;
   private final RecordRetention retention;
   private final LeasedColdAllowances allowances;
+  private long retentionAtMs;
 
   /**
    * Creates the state of a VM that knows nothing.
@@ -37,6 +42,7 @@
    */
   public SyncState(SyncIdentity identity, Clock clock, Runnable demandArose) {
     this.identity = identity;
+    this.clock = clock;
     this.view = new SyncedConfiguration(clock);
     this.heardVms = new HeardVms(clock);
     this.home = new UpstreamHome(identity.vm(), identity.incarnation(), clock, table);
@@ -50,10 +56,13 @@
   }
 
   /** Judges silence and lets records expire. */
-  public void tick() {
+  public synchronized void tick() {
     home.tick();
-    retention.tick();
-    upstreams.refresh();
+    if (clock.millis() - retentionAtMs >= RETENTION_INTERVAL_MS) {
+      retentionAtMs = clock.millis();
+      retention.tick();
+    }
+    upstreams.refreshIfDue();
   }
 
   /**
