--- a/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
@@ -52,12 +52,19 @@
     nodes.get(0).replica.lead(true, 1, "vm0");
   }
 
+  /** Measures the costs, or with the argument {@code change} the time of a change. */
   public static void main(String[] args) throws InvalidProtocolBufferException {
+    int[][] sizes = {{9, 25, 3}, {90, 400, 5}, {340, 4_000, 9}};
+    if (args.length > 0) {
+      for (int[] size : sizes) {
+        measureChange(size[0], size[2]);
+      }
+      return;
+    }
     System.out.println(
         "| VMs | upstreams | changes | entry B/poll | entry B/s | entry us/poll | entry core % |"
             + " follower B/s | follower core % | leader B/s | leader core % | heap MB/VM |");
     System.out.println("|---|---|---|---|---|---|---|---|---|---|---|---|");
-    int[][] sizes = {{9, 25, 3}, {90, 400, 5}, {340, 4_000, 9}};
     for (int[] size : sizes) {
       for (int upstreams : new int[] {25, 400, 4_000}) {
         boolean isLarge = size[0] == 340;
@@ -66,9 +73,6 @@
         }
       }
     }
-    for (int[] size : sizes) {
-      measureChange(size[0], size[2]);
-    }
   }
 
   private void measure() throws InvalidProtocolBufferException {
