Judge no upstream by the local process's own pause

Change: the limiter detects a pause of its process from its periodic call and judges no latency or timeout for 5 s; timeouts at more than half of a service count as a slow service, as latency jumps already did. Conclusion: cold starts are still reported from refusals at once.

--- a/src/main/java/org/ragwortpick/policy/limit/AdaptiveUpstreamLimiter.java
+++ b/src/main/java/org/ragwortpick/policy/limit/AdaptiveUpstreamLimiter.java
@@ -26,6 +26,7 @@
   private final Clock clock;
   private final ConcurrentHashMap<String, UpstreamAccount> accounts = new ConcurrentHashMap<>();
   private final Object ejectionLock = new Object();
+  private final PauseDetector pauses;
   private volatile int entryVms;
 
   /**
@@ -36,6 +37,7 @@
    */
   public AdaptiveUpstreamLimiter(Clock clock, int entryVms) {
     this.clock = clock;
+    this.pauses = new PauseDetector(clock);
     this.entryVms = entryVms;
   }
 
@@ -56,7 +58,14 @@
   @Override
   public void release(Upstream upstream, AttemptResult result, long firstByteMs) {
     UpstreamAccount account = accounts.get(upstream.id());
-    if (account != null && account.release(upstream, result, firstByteMs, clock.millis())) {
+    if (account == null) {
+      return;
+    }
+    boolean judged = result == AttemptResult.REFUSED || !pauses.isAfterPause();
+    AttemptResult judgedResult =
+        judged || result == AttemptResult.SUCCESS ? result : AttemptResult.CANCELLED;
+    long judgedFirstByteMs = judged ? firstByteMs : -1;
+    if (account.release(upstream, judgedResult, judgedFirstByteMs, clock.millis())) {
       ejectIfAllowed(account);
     }
   }
@@ -78,8 +87,9 @@
     if (account == null) {
       return false;
     }
-    return account.hasColdEvidence(clock.millis())
-        || account.hasLatencyJump() && !mostHaveLatencyJump(upstream.service());
+    long nowMs = clock.millis();
+    return account.refusesWithoutLoad(nowMs)
+        || account.isSlow(nowMs) && !mostAreSlow(upstream.service(), nowMs);
   }
 
   /**
@@ -93,8 +103,12 @@
     return account != null && account.isEjected();
   }
 
-  /** Forgets upstreams that have not been seen for a minute. Called periodically. */
+  /**
+   * Forgets upstreams that have not been seen for a minute and notes that the process runs. Called
+   * at least every 100 ms.
+   */
   public void expire() {
+    pauses.tick();
     long forgetBeforeMs = clock.millis() - FORGET_MS;
     accounts
         .values()
@@ -128,16 +142,16 @@
     }
   }
 
-  /** A jump at most upstreams of a service is a slow service and no cold start of one of them. */
-  private boolean mostHaveLatencyJump(String service) {
+  /** Slowness of most upstreams of a service is a slow service and no cold start of one of them. */
+  private boolean mostAreSlow(String service, long nowMs) {
     int known = 0;
-    int jumped = 0;
+    int slow = 0;
     for (UpstreamAccount account : accounts.values()) {
       if (account.service().equals(service)) {
         known++;
-        jumped += account.hasLatencyJump() ? 1 : 0;
+        slow += account.isSlow(nowMs) ? 1 : 0;
       }
     }
-    return jumped * MAX_EJECTED_DIVISOR > known;
+    return slow * MAX_EJECTED_DIVISOR > known;
   }
 }
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamAccount.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamAccount.java
@@ -18,8 +18,6 @@
   private static final int FAILURES_BEFORE_EJECTION = 2;
   private static final long MIN_BACK_OFF_MS = 1_000;
   private static final long MAX_BACK_OFF_MS = 16_000;
-  private static final long EVIDENCE_MS = 2_000;
-  private static final int COLD_EVIDENCE = 2;
 
   /** A refusal below this part of the known places is not explained by load. */
   private static final double BUSY = 0.8;
@@ -39,8 +37,8 @@
   private boolean probing;
   private long probeAtMs;
   private long backOffMs = MIN_BACK_OFF_MS;
-  private int coldEvidence;
-  private long coldEvidenceAtMs = Long.MIN_VALUE / 2;
+  private final Evidence refusals = new Evidence();
+  private final Evidence timeouts = new Evidence();
   private long seenAtMs;
 
   /**
@@ -77,7 +75,8 @@
     }
     if (restarted) {
       latency.clear();
-      coldEvidence = 0;
+      refusals.clear();
+      timeouts.clear();
       ejected = false;
       failuresInRow = 0;
       backOffMs = MIN_BACK_OFF_MS;
@@ -149,7 +148,7 @@
       case TIMED_OUT -> {
         failuresInRow++;
         limit.decrease(nowMs);
-        recordColdEvidence(nowMs);
+        timeouts.record(nowMs);
       }
       default -> {
         // A cancelled attempt says nothing about the upstream.
@@ -189,22 +188,23 @@
   }
 
   /**
-   * Tells whether the time to the first byte is far above the usual one.
+   * Tells whether the upstream is far slower than usual: first bytes are late or missing.
    *
-   * @return true if it jumped
+   * @param nowMs current time
+   * @return true if its latency jumped or if attempts timed out
    */
-  synchronized boolean hasLatencyJump() {
-    return latency.hasJumped();
+  synchronized boolean isSlow(long nowMs) {
+    return latency.hasJumped() || timeouts.isEnough(nowMs);
   }
 
   /**
-   * Tells whether refusals or missing first bytes point to a cold start.
+   * Tells whether refusals without load point to a cold start.
    *
    * @param nowMs current time
    * @return true if there is enough recent evidence
    */
-  synchronized boolean hasColdEvidence(long nowMs) {
-    return coldEvidence >= COLD_EVIDENCE && nowMs - coldEvidenceAtMs <= EVIDENCE_MS;
+  synchronized boolean refusesWithoutLoad(long nowMs) {
+    return refusals.isEnough(nowMs);
   }
 
   /**
@@ -254,12 +254,7 @@
   private void recordRefusal(Upstream upstream, long nowMs) {
     boolean busy = upstream.load() + sentSinceReport >= BUSY * Math.max(1, slots);
     if (!busy) {
-      recordColdEvidence(nowMs);
+      refusals.record(nowMs);
     }
   }
-
-  private void recordColdEvidence(long nowMs) {
-    coldEvidence = nowMs - coldEvidenceAtMs > EVIDENCE_MS ? 1 : coldEvidence + 1;
-    coldEvidenceAtMs = nowMs;
-  }
 }
--- a/src/test/java/org/ragwortpick/policy/limit/AdaptiveUpstreamLimiterTest.java
+++ b/src/test/java/org/ragwortpick/policy/limit/AdaptiveUpstreamLimiterTest.java
@@ -60,6 +60,48 @@
     }
   }
 
+  /** A frozen VM marked all upstreams of a service cold when it was resumed. */
+  @Test
+  public void ownPauseIsNoEvidenceAgainstUpstreams() {
+    AdaptiveUpstreamLimiter limiter = new AdaptiveUpstreamLimiter(clock, 1);
+    Upstream upstream = TestUpstreams.ready("a", "a", 0);
+    limiter.describe(TestUpstreams.ready("b", "a", 0));
+    limiter.describe(TestUpstreams.ready("c", "a", 0));
+    limiter.expire();
+    for (int i = 0; i < 3; i++) {
+      assertTrue(limiter.tryAcquire(upstream));
+    }
+    clock.advanceMs(4_000);
+    for (int i = 0; i < 3; i++) {
+      limiter.release(upstream, AttemptResult.TIMED_OUT, -1);
+    }
+    assertFalse(limiter.looksCold(upstream));
+    assertFalse(limiter.isEjected("a"));
+  }
+
+  /** A slow service would otherwise stop altogether, because cold upstreams get work by leases. */
+  @Test
+  public void timeoutsAtMostUpstreamsAreNoColdStart() {
+    AdaptiveUpstreamLimiter limiter = new AdaptiveUpstreamLimiter(clock, 1);
+    List<Upstream> upstreams =
+        List.of(
+            TestUpstreams.ready("a", "a", 0),
+            TestUpstreams.ready("b", "a", 0),
+            TestUpstreams.ready("c", "a", 0));
+    upstreams.forEach(limiter::describe);
+    timeOutTwice(limiter, upstreams.get(0));
+    assertTrue(limiter.looksCold(upstreams.get(0)));
+    timeOutTwice(limiter, upstreams.get(1));
+    upstreams.forEach(upstream -> assertFalse(limiter.looksCold(upstream)));
+  }
+
+  private static void timeOutTwice(AdaptiveUpstreamLimiter limiter, Upstream upstream) {
+    for (int i = 0; i < 2; i++) {
+      limiter.tryAcquire(upstream);
+      limiter.release(upstream, AttemptResult.TIMED_OUT, -1);
+    }
+  }
+
   @Test
   public void probesEjectedUpstreamWithOneRequestAfterBackOff() {
     AdaptiveUpstreamLimiter limiter = new AdaptiveUpstreamLimiter(clock, 1);
