Run a booking that is sent again after it was refused as not run

Cause: the execution records grant a begin on a NOT_RUN record only if it names the attempt that left it, so that a waiting copy cannot run after another was told not run. The request path never named one, and the fake ledger of its tests granted such a begin to anyone, so that the gap did not show: a key that was once refused could never be used again. Service calls have their own admission, admission counts the time that the stages need, and hedges use the budget of the stage. Before: the new test fails with the rule switched off (2 failures in the class, the test and the check after it). After: 109 tests of the request path and the attempt pass. Conclusion: a refusal not run stays true, and the caller can try again with its key.

--- a/src/main/java/org/ragwortpick/entry/RequestPolicies.java
+++ b/src/main/java/org/ragwortpick/entry/RequestPolicies.java
@@ -11,7 +11,8 @@
 /**
  * Decisions that the request path asks for.
  *
- * @param admission places by workspace
+ * @param admission places of pipeline requests by workspace
+ * @param callAdmission places of service calls by workspace
  * @param deadlines division of deadlines over stages
  * @param selector selection of upstreams
  * @param limiter places by upstream
@@ -21,6 +22,7 @@
  */
 public record RequestPolicies(
     AdmissionController admission,
+    AdmissionController callAdmission,
     DeadlineBudget deadlines,
     UpstreamSelector selector,
     UpstreamLimiter limiter,
--- a/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
+++ b/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
@@ -34,6 +34,7 @@
   private final RequestContext request;
   private final EntryDependencies dependencies;
   private final long leaseEndsAtMs;
+  private final long searchUntilMs;
   private final Owner owner;
   private final DispatchGate gate;
   private final PlaceFinder places;
@@ -48,6 +49,8 @@
    * @param request the request
    * @param dependencies what all requests share
    * @param leaseEndsAtMs end of the lease of the attempt on the monotonic clock in milliseconds
+   * @param searchUntilMs time on the monotonic clock in milliseconds until which a place is waited
+   *     for; what remains of the deadline is needed to commit that the call was not run
    * @param owner receiver of the outcome
    */
   CallDispatch(
@@ -55,11 +58,13 @@
       RequestContext request,
       EntryDependencies dependencies,
       long leaseEndsAtMs,
+      long searchUntilMs,
       Owner owner) {
     this.call = call;
     this.request = request;
     this.dependencies = dependencies;
     this.leaseEndsAtMs = leaseEndsAtMs;
+    this.searchUntilMs = searchUntilMs;
     this.owner = owner;
     this.gate = new DispatchGate(dependencies);
     this.places = new PlaceFinder(dependencies, gate);
@@ -75,7 +80,7 @@
     PlaceFinder.Search search = places.find(call.service(), 0, excluded, Set.of());
     if (search.place().isPresent()) {
       send(search.place().get());
-    } else if (search.exhausted()) {
+    } else if (search.exhausted() || dependencies.clock().millis() >= searchUntilMs) {
       owner.onNotDispatched();
     } else {
       startLater();
--- a/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
+++ b/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
@@ -53,6 +53,7 @@
   private final long leaseMs;
   private Timers.Timer deadlineTimer = () -> {};
   private long beginUntilMs;
+  private Optional<String> afterAttemptId = Optional.empty();
   private OutcomeRecorder recorder;
   private CallDispatch dispatch;
   private Phase phase = Phase.ADMISSION;
@@ -114,7 +115,7 @@
     }
     dependencies
         .policies()
-        .admission()
+        .callAdmission()
         .admit(new AdmissionRequest(call.key().workspace(), beginUntilMs))
         .whenComplete(
             (granted, failure) ->
@@ -146,7 +147,8 @@
             vm,
             request.requestId(),
             leaseMs,
-            call.keyCreatedAtMs());
+            call.keyCreatedAtMs(),
+            afterAttemptId);
     Span span = dependencies.tracer().startHop(request.span(), "begin");
     ledger
         .begin(begin, Math.min(dependencies.settings().ledgerTryMs(), beginUntilMs - nowMs))
@@ -169,12 +171,29 @@
     } else if (result.get().granted()) {
       Invariants.check(phase == Phase.BEGIN, "a call was granted that was given up before");
       phase = Phase.DISPATCH;
-      dispatch = new CallDispatch(call, request, dependencies, leaseEndsAtMs, this);
+      dispatch = new CallDispatch(call, request, dependencies, leaseEndsAtMs, beginUntilMs, this);
       dispatch.start();
+    } else {
+      onNotGranted(result.get(), leaseEndsAtMs);
+    }
+  }
+
+  private void onNotGranted(BeginResult decision, long leaseEndsAtMs) {
+    ExecutionRecord record = decision.record();
+    boolean own = record.attemptId().equals(request.requestId());
+    if (own && record.state() == ExecutionState.UNKNOWN) {
+      // The lease of this attempt ended before the grant arrived; it was not dispatched.
+      abandon(new RequestError.CallNotRun());
+    } else if (!own
+        && record.state() == ExecutionState.NOT_RUN
+        && decision.isOlderThan(startedAtMs, dependencies.clock().millis())) {
+      // The caller sent this request after an earlier one was refused as not run.
+      afterAttemptId = Optional.of(record.attemptId());
+      begin(leaseEndsAtMs);
     } else {
       releaseAdmission();
       phase = Phase.WAIT;
-      onOtherRecord(result.get().record(), STATUS_FIRST_POLL_MS);
+      onOtherRecord(record, STATUS_FIRST_POLL_MS);
     }
   }
 
@@ -351,7 +370,7 @@
   private void releaseAdmission() {
     if (admitted) {
       admitted = false;
-      dependencies.policies().admission().release(call.key().workspace());
+      dependencies.policies().callAdmission().release(call.key().workspace());
     }
   }
 
--- a/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
@@ -80,7 +80,14 @@
     boolean events = accept != null && accept.contains("text/event-stream");
     RequestReceiver receiver =
         events ? new EventReceiver(exchange, request) : new JsonReceiver(exchange, request);
-    PipelineRun run = new PipelineRun(pipeline.get(), plan, request, dependencies, receiver);
+    PipelineRun run =
+        new PipelineRun(
+            pipeline.get(),
+            plan,
+            request,
+            dependencies,
+            dependencies.policies().admission(),
+            receiver);
     CallerConnection.watch(exchange, run::cancel);
     run.start(input.get().input());
   }
--- a/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
@@ -190,6 +190,7 @@
             (index, input) -> task,
             request,
             dependencies,
+            dependencies.policies().callAdmission(),
             new PlainReceiver(exchange, request));
     CallerConnection.watch(exchange, run::cancel);
     run.start(NullNode.getInstance());
--- a/src/main/java/org/ragwortpick/entry/pipeline/PipelineRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/PipelineRun.java
@@ -14,6 +14,7 @@
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.error.RequestError;
 import org.ragwortpick.error.RequestErrors;
+import org.ragwortpick.policy.AdmissionController;
 import org.ragwortpick.policy.AdmissionRequest;
 
 /** Run of one request: admission, then the stages in order under one deadline. */
@@ -27,6 +28,7 @@
   private final StagePlan plan;
   private final RequestContext request;
   private final EntryDependencies dependencies;
+  private final AdmissionController admissionController;
   private final RequestReceiver receiver;
   private final List<StageCost> costs = new ArrayList<>();
   private final long startedAtMs;
@@ -43,6 +45,7 @@
    * @param plan work of the stages
    * @param request the request
    * @param dependencies what all requests share
+   * @param admissionController places of requests of this kind
    * @param receiver receiver of tokens of the last stage and of the end
    */
   public PipelineRun(
@@ -50,11 +53,13 @@
       StagePlan plan,
       RequestContext request,
       EntryDependencies dependencies,
+      AdmissionController admissionController,
       RequestReceiver receiver) {
     this.pipeline = pipeline;
     this.plan = plan;
     this.request = request;
     this.dependencies = dependencies;
+    this.admissionController = admissionController;
     this.receiver = receiver;
     this.startedAtMs = dependencies.clock().millis();
   }
@@ -93,10 +98,10 @@
                         .serial()
                         .execute(
                             () -> end(Either.left(new RequestError.DeadlineMissed(ADMISSION)))));
-    dependencies
-        .policies()
-        .admission()
-        .admit(new AdmissionRequest(request.workspace(), request.deadlineAtMs()))
+    long startUntilMs =
+        request.deadlineAtMs() - dependencies.policies().deadlines().needMs(pipeline, 0);
+    admissionController
+        .admit(new AdmissionRequest(request.workspace(), startUntilMs))
         .whenComplete(
             (granted, failure) ->
                 request.serial().execute(() -> onAdmission(failure == null && granted, input)));
@@ -106,7 +111,7 @@
     admissionTimer.cancel();
     if (finished) {
       if (granted) {
-        dependencies.policies().admission().release(request.workspace());
+        admissionController.release(request.workspace());
       }
       return;
     }
@@ -185,7 +190,7 @@
     admissionTimer.cancel();
     Either<RequestError, StageAnswer> told = stopStage() ? answer : internalError();
     if (admitted) {
-      dependencies.policies().admission().release(request.workspace());
+      admissionController.release(request.workspace());
     }
     long nowMs = dependencies.clock().millis();
     dependencies
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -126,7 +126,9 @@
     live.add(attempt);
     attempt.send();
     if (mayHedge && task.idempotent()) {
-      OptionalLong delayMs = dependencies.policies().hedges().delayMs(task.service());
+      long remainingMs = budgetEndsAtMs - dependencies.clock().millis();
+      OptionalLong delayMs =
+          dependencies.policies().hedges().delayMs(task.service(), Math.max(0, remainingMs));
       if (delayMs.isPresent()) {
         hedgeTimer = schedule(delayMs.getAsLong(), this::hedge);
       }
--- a/src/main/java/org/ragwortpick/ledger/DispatchAttempt.java
+++ b/src/main/java/org/ragwortpick/ledger/DispatchAttempt.java
@@ -21,9 +21,6 @@
   private static final String REFUSE = "REFUSE";
   private static final StateChart CHART = StateChart.load("dispatch-attempt.json");
 
-  /** Share of a measured time by which the clocks of two VMs may differ: 1 in 100. */
-  private static final long CLOCK_DRIFT_DIVISOR = 100;
-
   private final Clock monotonicClock;
   private final long receivedAtMs;
   private BeginRequest request;
@@ -97,13 +94,10 @@
   /**
    * Tells whether the NOT_RUN of another attempt is older than the request of the caller. Copies of
    * a request that arrived before a NOT_RUN was committed must not run, because one of them was
-   * answered "not run". The record changed at the latest at the arrival of the decision less the
-   * age of the record; an age is shortened by the drift that the clocks may have.
+   * answered "not run".
    */
   private boolean isCommittedBeforeArrival(BeginResult decision) {
-    long ageMs = decision.recordAgeMs();
-    long driftMs = ageMs / CLOCK_DRIFT_DIVISOR + 1;
-    return monotonicClock.millis() - (ageMs - driftMs) < receivedAtMs;
+    return decision.isOlderThan(receivedAtMs, monotonicClock.millis());
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/EntryPart.java
+++ b/src/main/java/org/ragwortpick/vm/EntryPart.java
@@ -132,6 +132,7 @@
   private RequestPolicies requestPolicies() {
     return new RequestPolicies(
         policies.admission(),
+        policies.callAdmission(),
         policies.deadlineBudget(),
         policies.selector(),
         policies.limiter(),
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -131,6 +131,7 @@
 
   public RequestPolicies policies() {
     return new RequestPolicies(
+        this,
         this,
         this,
         (request, candidates) ->
--- a/src/test/java/org/ragwortpick/entry/FakeLedger.java
+++ b/src/test/java/org/ragwortpick/entry/FakeLedger.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.entry;
 
 import io.vavr.control.Either;
+import java.time.Clock;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -19,9 +20,14 @@
 public final class FakeLedger implements ExecutionLedger {
 
   private final Map<ExecutionKey, ExecutionRecord> records = new HashMap<>();
+  private final Clock clock;
   private int beginAnswersToLose;
   private boolean reachable = true;
 
+  public FakeLedger(Clock clock) {
+    this.clock = clock;
+  }
+
   /** Loses the answers of the next begin requests after they took effect. */
   public synchronized void loseBeginAnswers(int count) {
     beginAnswersToLose = count;
@@ -43,7 +49,7 @@
     }
     ExecutionRecord known = records.get(request.key());
     boolean own = known != null && known.attemptId().equals(request.attemptId());
-    boolean free = known == null || known.state() == ExecutionState.NOT_RUN && !own;
+    boolean free = known == null || mayBeginAgain(known, request) && !own;
     if (known != null && !free && !known.bodyDigest().equals(request.bodyDigest())) {
       return CompletableFuture.completedFuture(Either.left(new LedgerError.KeyReused()));
     }
@@ -58,7 +64,7 @@
               request.attemptId(),
               0,
               "",
-              0);
+              clock.millis());
       records.put(request.key(), known);
     }
     boolean granted = known.state() == ExecutionState.PENDING && (free || own);
@@ -66,7 +72,13 @@
       beginAnswersToLose--;
       return unreachable();
     }
-    return CompletableFuture.completedFuture(Either.right(new BeginResult(granted, known)));
+    return CompletableFuture.completedFuture(
+        Either.right(new BeginResult(granted, known, clock.millis() - known.updatedAtMs())));
+  }
+
+  private static boolean mayBeginAgain(ExecutionRecord known, BeginRequest request) {
+    return known.state() == ExecutionState.NOT_RUN
+        && request.afterAttemptId().filter(known.attemptId()::equals).isPresent();
   }
 
   @Override
@@ -89,7 +101,7 @@
             request.attemptId(),
             request.status(),
             request.answer(),
-            0);
+            clock.millis());
     records.put(request.key(), finished);
     return CompletableFuture.completedFuture(Either.right(finished));
   }
--- a/src/test/java/org/ragwortpick/entry/call/CallDifferentialTest.java
+++ b/src/test/java/org/ragwortpick/entry/call/CallDifferentialTest.java
@@ -50,7 +50,7 @@
     VirtualEntry entry = new VirtualEntry();
     Random random = new Random(seed);
     FaultyUpstreams upstreams = new FaultyUpstreams(random, entry.time(), entry.fakes(), 100);
-    FakeLedger records = new FakeLedger();
+    FakeLedger records = new FakeLedger(entry.time().clock());
     FlakyLedger ledger = new FlakyLedger(records, entry.time(), random);
     entry.fakes().limitPlaces(20);
     List<List<CallResult>> results = new ArrayList<>();
--- a/src/test/java/org/ragwortpick/entry/call/NonIdempotentCallTest.java
+++ b/src/test/java/org/ragwortpick/entry/call/NonIdempotentCallTest.java
@@ -35,7 +35,7 @@
   public void prepare() {
     entry = new VirtualEntry();
     upstreams = new ScriptedUpstreams();
-    ledger = new FakeLedger();
+    ledger = new FakeLedger(entry.time().clock());
     results = new ArrayList<>();
     HostPort address = new HostPort("10.0.0.1", 80);
     entry.fakes().announce(EntryFakes.upstream("b1", address, "booking", "dc-1"));
@@ -67,6 +67,21 @@
     assertEquals(results.get(0).execution(), ExecutionOutcome.UNKNOWN, "told at the deadline");
   }
 
+  /** A caller that was told "not run" could never use its key again. */
+  @Test
+  public void resendAfterNotRunIsRun() {
+    start("a");
+    upstreams.work().get(0).end(new UpstreamEnd.NotConnected("refused"));
+    entry.time().runAll();
+    assertEquals(results.get(0).execution(), ExecutionOutcome.NOT_RUN);
+    entry.time().schedule(1_000, () -> start("a"));
+    entry.time().schedule(1_100, () -> assertTrue(upstreams.work().get(1).write()));
+    entry.time().schedule(1_200, () -> upstreams.work().get(1).answer(201, "booked"));
+    entry.time().runAll();
+    assertEquals(results.get(1).answer().get(), new RecordedAnswer(201, "booked"));
+    assertEquals(ledger.state(KEY), ExecutionState.DONE);
+  }
+
   @Test
   public void duplicateWaitsForTheOutcome() {
     start("a");
--- a/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
+++ b/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
@@ -42,7 +42,8 @@
           64 * 1024, 64 * 1024, 60_000, 3_000, 1_000, 300, 300, 5_000, 5, 4, 100, 1_000);
 
   private final EntryFakes fakes = new EntryFakes();
-  private final FakeLedger ledger = new FakeLedger();
+  private final MonotonicClock clock = new MonotonicClock();
+  private final FakeLedger ledger = new FakeLedger(clock);
   private final List<String> spans = new CopyOnWriteArrayList<>();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final TracingSetup tracing =
--- a/src/test/java/org/ragwortpick/entry/pipeline/PipelineDifferentialTest.java
+++ b/src/test/java/org/ragwortpick/entry/pipeline/PipelineDifferentialTest.java
@@ -91,7 +91,13 @@
     PipelinePlan plan =
         new PipelinePlan(entry.fakes().current(), pipeline, new PipelineInput(input, "", 0), "w1");
     PipelineRun run =
-        new PipelineRun(pipeline, plan, request, entry.dependencies(upstreams), receiver);
+        new PipelineRun(
+            pipeline,
+            plan,
+            request,
+            entry.dependencies(upstreams),
+            entry.dependencies(upstreams).policies().admission(),
+            receiver);
     run.start(input);
     if (random.nextInt(20) == 0) {
       entry.time().schedule(random.nextInt(200), run::cancel);
