--- a/src/main/java/org/ragwortpick/cli/AwaitCommand.java
+++ b/src/main/java/org/ragwortpick/cli/AwaitCommand.java
@@ -11,7 +11,7 @@
 import org.ragwortpick.common.Json;
 import org.ragwortpick.common.MonotonicClock;
 
-/** Waits until a VM knows enough ready VMs and upstreams. */
+/** Waits until a VM knows enough ready VMs and warm upstreams. */
 public final class AwaitCommand extends AdminCommand {
 
   private static final long POLL_NANOS = 200_000_000;
@@ -19,7 +19,7 @@
   @Option(name = "--vms", metaVar = "N", usage = "number of VMs that must be ready")
   private int vms = 1;
 
-  @Option(name = "--upstreams", metaVar = "N", usage = "number of upstreams that must be known")
+  @Option(name = "--upstreams", metaVar = "N", usage = "number of upstreams that must be warm")
   private int upstreams;
 
   @Option(name = "--voters", metaVar = "N", usage = "number of voters that each group must have")
@@ -30,7 +30,7 @@
 
   /** Creates the command. */
   public AwaitCommand() {
-    super("wait until a VM knows enough ready VMs, upstreams and voters");
+    super("wait until a VM knows enough ready VMs, warm upstreams and voters");
   }
 
   @Override
@@ -54,17 +54,23 @@
   private boolean isEnough(OperatorResponse response) {
     try {
       JsonNode state = Json.MESSAGES.readTree(response.body());
-      long ready = 0;
-      for (JsonNode vm : state.path("vms")) {
-        ready += vm.path("state").asText().equals("READY") ? 1 : 0;
-      }
       boolean complete = true;
       for (JsonNode group : state.path("consensusGroups")) {
         complete &= group.path("voters").size() >= voters;
       }
-      return ready >= vms && state.path("upstreams").size() >= upstreams && complete;
+      return ready(state.path("vms")) >= vms
+          && ready(state.path("upstreams")) >= upstreams
+          && complete;
     } catch (JsonProcessingException e) {
       return false;
     }
   }
+
+  private static long ready(JsonNode list) {
+    long ready = 0;
+    for (JsonNode entry : list) {
+      ready += entry.path("state").asText().equals("READY") ? 1 : 0;
+    }
+    return ready;
+  }
 }
