--- a/src/main/java/org/ragwortpick/entry/RequestPolicies.java
+++ b/src/main/java/org/ragwortpick/entry/RequestPolicies.java
@@ -3,6 +3,7 @@
 import org.ragwortpick.policy.AdmissionController;
 import org.ragwortpick.policy.DeadlineBudget;
 import org.ragwortpick.policy.HedgePolicy;
+import org.ragwortpick.policy.PrefixIndex;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.UpstreamLimiter;
 import org.ragwortpick.policy.UpstreamSelector;
@@ -19,6 +20,7 @@
  * @param allowances leased shares of upstreams in cold start
  * @param retries budget of further attempts
  * @param hedges delays of hedges
+ * @param prefixes engines that hold prompt prefixes
  */
 public record RequestPolicies(
     AdmissionController admission,
@@ -28,4 +30,5 @@
     UpstreamLimiter limiter,
     ColdAllowances allowances,
     RetryBudget retries,
-    HedgePolicy hedges) {}
+    HedgePolicy hedges,
+    PrefixIndex prefixes) {}
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -184,7 +184,10 @@
     }
     lastCause = end.cause();
     switch (end.kind()) {
-      case COMPLETE -> finish(Either.right(end.answer()));
+      case COMPLETE -> {
+        dependencies.policies().prefixes().recordAnswer(attempt.upstream().id(), task.prefixHash());
+        finish(Either.right(end.answer()));
+      }
       case REJECTED -> fail(new RequestError.StageRejected(task.stage(), end.status()));
       case NOT_PERMITTED ->
           // What changed is seen by the next search, so the upstream itself is not excluded.
--- a/src/main/java/org/ragwortpick/vm/EntryPart.java
+++ b/src/main/java/org/ragwortpick/vm/EntryPart.java
@@ -138,7 +138,8 @@
         policies.limiter(),
         sync.coldAllowances(),
         policies.retryBudget(),
-        policies.hedgePolicy());
+        policies.hedgePolicy(),
+        policies.prefixIndex());
   }
 
   private AddressAnswer addresses(long caller) {
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -29,6 +29,7 @@
 import org.ragwortpick.policy.HedgePolicy;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.UpstreamLimiter;
+import org.ragwortpick.policy.select.BoundedPrefixIndex;
 import org.ragwortpick.sync.ColdAllowances;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.Upstream;
@@ -141,7 +142,8 @@
         this,
         this,
         this,
-        this);
+        this,
+        new BoundedPrefixIndex(100, 100));
   }
 
   /** Number of places that are taken; 0 once every attempt has ended. */
--- a/src/test/java/org/ragwortpick/process/DeploymentUnderTest.java
+++ b/src/test/java/org/ragwortpick/process/DeploymentUnderTest.java
@@ -228,7 +228,12 @@
     standIns.close();
   }
 
-  /** Answer of a process; status 0 if none arrived. */
+  /**
+   * Answer of a process.
+   *
+   * @param status HTTP status; 0 if no answer arrived
+   * @param body JSON body
+   */
   record Response(int status, JsonNode body) {
     String execution() {
       return body.path("execution").asText();
