Let the request path decide by the proved attempt

Cause: the randomised run of the ledger proves DispatchAttempt, but the request path had decisions of its own for the same steps, so that the proof did not cover the code that runs; the rule on a begin after NOT_RUN had already been missing there. Change: NonIdempotentCall and CallDispatch ask DispatchAttempt at each step; the right to write the first byte comes from it. Conclusion: one place decides what may be sent and what a caller is told.

--- a/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
+++ b/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
@@ -18,6 +18,7 @@
 import org.ragwortpick.entry.upstream.UpstreamHead;
 import org.ragwortpick.entry.upstream.UpstreamListener;
 import org.ragwortpick.entry.upstream.UpstreamRequest;
+import org.ragwortpick.ledger.DispatchAttempt;
 import org.ragwortpick.policy.AttemptResult;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.tracing.RequestTracer;
@@ -33,6 +34,7 @@
   private final CallRequest call;
   private final RequestContext request;
   private final EntryDependencies dependencies;
+  private final DispatchAttempt decisions;
   private final long leaseEndsAtMs;
   private final long searchUntilMs;
   private final Owner owner;
@@ -48,6 +50,7 @@
    * @param call the call
    * @param request the request
    * @param dependencies what all requests share
+   * @param decisions decides whether the call may be sent
    * @param leaseEndsAtMs end of the lease of the attempt on the monotonic clock in milliseconds
    * @param searchUntilMs time on the monotonic clock in milliseconds until which a place is waited
    *     for; what remains of the deadline is needed to commit that the call was not run
@@ -57,12 +60,14 @@
       CallRequest call,
       RequestContext request,
       EntryDependencies dependencies,
+      DispatchAttempt decisions,
       long leaseEndsAtMs,
       long searchUntilMs,
       Owner owner) {
     this.call = call;
     this.request = request;
     this.dependencies = dependencies;
+    this.decisions = decisions;
     this.leaseEndsAtMs = leaseEndsAtMs;
     this.searchUntilMs = searchUntilMs;
     this.owner = owner;
@@ -112,7 +117,7 @@
 
   /** Runs on the I/O thread immediately before the first byte is written. */
   private boolean permit(Upstream upstream) {
-    if (!isInTime() || !gate.maySend(upstream)) {
+    if (!isInTime() || !gate.maySend(upstream) || !decisions.tryDispatch()) {
       return false;
     }
     Invariants.check(
--- a/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
+++ b/src/main/java/org/ragwortpick/entry/call/NonIdempotentCall.java
@@ -14,10 +14,11 @@
 import org.ragwortpick.error.RequestErrors;
 import org.ragwortpick.ledger.BeginRequest;
 import org.ragwortpick.ledger.BeginResult;
+import org.ragwortpick.ledger.DispatchAttempt;
+import org.ragwortpick.ledger.DispatchStep;
 import org.ragwortpick.ledger.ExecutionLedger;
 import org.ragwortpick.ledger.ExecutionRecord;
 import org.ragwortpick.ledger.ExecutionState;
-import org.ragwortpick.ledger.FinishRequest;
 import org.ragwortpick.ledger.LedgerError;
 import org.ragwortpick.policy.AdmissionRequest;
 
@@ -47,13 +48,12 @@
   private final RequestContext request;
   private final EntryDependencies dependencies;
   private final ExecutionLedger ledger;
-  private final String vm;
   private final Consumer<CallResult> receiver;
   private final long startedAtMs;
   private final long leaseMs;
+  private final DispatchAttempt attempt;
   private Timers.Timer deadlineTimer = () -> {};
   private long beginUntilMs;
-  private Optional<String> afterAttemptId = Optional.empty();
   private OutcomeRecorder recorder;
   private CallDispatch dispatch;
   private Phase phase = Phase.ADMISSION;
@@ -83,10 +83,20 @@
     this.request = request;
     this.dependencies = dependencies;
     this.ledger = ledger;
-    this.vm = vm;
     this.receiver = receiver;
     this.startedAtMs = dependencies.clock().millis();
     this.leaseMs = request.deadlineAtMs() - startedAtMs + dependencies.settings().leaseMarginMs();
+    this.attempt =
+        new DispatchAttempt(
+            new BeginRequest(
+                call.key(),
+                call.service(),
+                call.bodyDigest(),
+                vm,
+                request.requestId(),
+                leaseMs,
+                call.keyCreatedAtMs()),
+            dependencies.clock());
   }
 
   /** Starts the run. */
@@ -139,16 +149,7 @@
       abandon(new RequestError.CallNotRun());
       return;
     }
-    BeginRequest begin =
-        new BeginRequest(
-            call.key(),
-            call.service(),
-            call.bodyDigest(),
-            vm,
-            request.requestId(),
-            leaseMs,
-            call.keyCreatedAtMs(),
-            afterAttemptId);
+    BeginRequest begin = attempt.begin();
     Span span = dependencies.tracer().startHop(request.span(), "begin");
     ledger
         .begin(begin, Math.min(dependencies.settings().ledgerTryMs(), beginUntilMs - nowMs))
@@ -161,39 +162,28 @@
   }
 
   private void onBegin(Either<LedgerError, BeginResult> result, long leaseEndsAtMs) {
-    if (result.isLeft()) {
-      if (result.getLeft() instanceof LedgerError.Unreachable) {
-        schedule(BEGIN_RETRY_MS, () -> begin(leaseEndsAtMs));
-      } else {
-        replyError(result.getLeft());
-        close();
-      }
-    } else if (result.get().granted()) {
+    if (result.isLeft() && result.getLeft() instanceof LedgerError.Unreachable) {
+      schedule(BEGIN_RETRY_MS, () -> begin(leaseEndsAtMs));
+      return;
+    }
+    DispatchStep step = attempt.onBegin(result);
+    if (step instanceof DispatchStep.Dispatch) {
       Invariants.check(phase == Phase.BEGIN, "a call was granted that was given up before");
       phase = Phase.DISPATCH;
-      dispatch = new CallDispatch(call, request, dependencies, leaseEndsAtMs, beginUntilMs, this);
+      dispatch =
+          new CallDispatch(call, request, dependencies, attempt, leaseEndsAtMs, beginUntilMs, this);
       dispatch.start();
-    } else {
-      onNotGranted(result.get(), leaseEndsAtMs);
-    }
-  }
-
-  private void onNotGranted(BeginResult decision, long leaseEndsAtMs) {
-    ExecutionRecord record = decision.record();
-    boolean own = record.attemptId().equals(request.requestId());
-    if (own && record.state() == ExecutionState.UNKNOWN) {
-      // The lease of this attempt ended before the grant arrived; it was not dispatched.
-      abandon(new RequestError.CallNotRun());
-    } else if (!own
-        && record.state() == ExecutionState.NOT_RUN
-        && decision.isOlderThan(startedAtMs, dependencies.clock().millis())) {
-      // The caller sent this request after an earlier one was refused as not run.
-      afterAttemptId = Optional.of(record.attemptId());
+    } else if (step instanceof DispatchStep.Begin) {
       begin(leaseEndsAtMs);
+    } else if (step instanceof DispatchStep.Finish) {
+      abandon(new RequestError.CallNotRun());
+    } else if (result.isLeft()) {
+      replyError(result.getLeft());
+      close();
     } else {
       releaseAdmission();
       phase = Phase.WAIT;
-      onOtherRecord(record, STATUS_FIRST_POLL_MS);
+      onOtherRecord(result.get().record(), STATUS_FIRST_POLL_MS);
     }
   }
 
@@ -236,7 +226,7 @@
     phase = Phase.RECORD;
     answer = Optional.of(recorded);
     recorder.record(
-        report(ExecutionState.DONE, recorded.status(), recorded.body()),
+        attempt.answered(recorded.status(), recorded.body()),
         decided -> {
           reply(Either.right(recorded), ExecutionOutcome.DONE);
           close();
@@ -248,7 +238,7 @@
     releaseAdmission();
     phase = Phase.RECORD;
     replyUnknown();
-    recorder.record(report(ExecutionState.UNKNOWN, 0, ""), decided -> close());
+    recorder.record(attempt.answerLost(), decided -> close());
   }
 
   @Override
@@ -261,7 +251,7 @@
     releaseAdmission();
     phase = Phase.RECORD;
     recorder.record(
-        report(ExecutionState.NOT_RUN, 0, ""),
+        attempt.abandon(),
         decided -> {
           if (decided.isRight() && decided.get().state() == ExecutionState.NOT_RUN) {
             reply(Either.left(error), ExecutionOutcome.NOT_RUN);
@@ -279,10 +269,6 @@
         });
   }
 
-  private FinishRequest report(ExecutionState state, int status, String body) {
-    return new FinishRequest(call.key(), request.requestId(), state, status, body);
-  }
-
   private void onDeadline() {
     if (answer.isPresent()) {
       reply(Either.right(answer.get()), ExecutionOutcome.DONE);
