Add the load tool as a sub-command

Cause: a running deployment could be measured only together with a take-out. Conclusion: compiled and linted; used by hand next.

--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -37,6 +37,7 @@
     @SubCommand(name = "call-status", impl = CallStatusCommand.class),
     @SubCommand(name = "await", impl = AwaitCommand.class),
     @SubCommand(name = "demonstrate", impl = DemonstrateCommand.class),
+    @SubCommand(name = "load", impl = LoadCommand.class),
     @SubCommand(name = "stand-in", impl = StandInCommand.class),
   })
   private Command command;
