--- a/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/PipelineEndpoint.java
@@ -73,6 +73,7 @@
             dependencies.clock().millis() + deadlineMs,
             span,
             new SerialExecutor());
+    span.setAttribute(Responder.REQUEST_ID_ATTRIBUTE, request.requestId());
     responder.identify(exchange, request);
     PipelinePlan plan =
         new PipelinePlan(configuration, pipeline.get(), input.get(), headers.workspace());
--- a/src/main/java/org/ragwortpick/entry/http/Responder.java
+++ b/src/main/java/org/ragwortpick/entry/http/Responder.java
@@ -23,6 +23,9 @@
 /** Writes answers to callers. May be called from any thread. */
 public final class Responder {
 
+  /** Attribute of the span of a request that holds its identity, as it is sent to upstreams. */
+  static final String REQUEST_ID_ATTRIBUTE = "requestId";
+
   private static final HttpString STAGE_COST = HttpString.tryFromString("Stage-Cost");
   private static final HttpString EXECUTION = HttpString.tryFromString("Execution");
   private static final String CALLS_PATH = "/v1/calls/";
--- a/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
+++ b/src/main/java/org/ragwortpick/entry/http/ServiceEndpoint.java
@@ -92,6 +92,7 @@
             dependencies.clock().millis() + deadlineMs,
             dependencies.tracer().startRequest("service " + service, headers.traceparent()),
             new SerialExecutor());
+    request.span().setAttribute(Responder.REQUEST_ID_ATTRIBUTE, request.requestId());
     responder.identify(exchange, request);
     // Without confirmed configuration, whether the service is non-idempotent is not certain.
     boolean mayBeNonIdempotent =
