Bind the sync test to addresses of its own

Ruled out: a server that was left over; the test opens three servers once. Change: each VM of the test has a loopback address of its own and a port below the range for outgoing connections. The assertions are unchanged. Conclusion: no other test looks for a free port and closes it.

--- a/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -7,7 +7,6 @@
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,10 +36,15 @@
 
   private final Clock clock = new MonotonicClock();
   private final FakeLeader.Committed committed = new FakeLeader.Committed();
+
+  /** Below the range from which the system takes ports for outgoing connections. */
+  private static final int PEER_PORT = 7300;
+
   private final List<AutoCloseable> opened = new ArrayList<>();
   private SyncNode control;
   private SyncNode entry;
   private SyncNode relayed;
+  private int addresses;
 
   /** One control VM, one entry VM that polls it, and one that reaches the entry VM only. */
   @BeforeMethod
@@ -116,10 +120,13 @@
     return node;
   }
 
-  private static HostPort freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new HostPort("127.0.0.1", socket.getLocalPort());
-    }
+  /**
+   * An address that nothing else binds. A port that was free a moment ago may since have become the
+   * local port of an outgoing connection, which made this test fail once in CI.
+   */
+  private HostPort freeAddress() {
+    addresses++;
+    return new HostPort("127.74.1." + addresses, PEER_PORT);
   }
 
   private void await(String what, BooleanSupplier condition) throws InterruptedException {
