Bind the consensus test to addresses of its own

Change: a loopback address for each VM and a port below the range for outgoing connections. Before: not seen failing here.

--- a/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
+++ b/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -33,6 +33,13 @@
 
   private final Clock clock = new MonotonicClock();
   private final Path root;
+
+  /** Below the range from which the system takes ports for outgoing connections. */
+  private static final int PEER_PORT = 7300;
+
+  /** Each VM has a loopback address of its own, so that no other socket can hold its port. */
+  private static final AtomicInteger HOSTS = new AtomicInteger();
+
   private final long snapshotLogBytes;
   private final Supplier<StateMachine> machines;
   private final Map<String, HostPort> addresses = new TreeMap<>();
@@ -44,10 +51,7 @@
     this.snapshotLogBytes = snapshotLogBytes;
     this.machines = machines;
     for (String vm : vms) {
-      try (ServerSocket socket = new ServerSocket()) {
-        socket.bind(new InetSocketAddress("127.0.0.1", 0));
-        addresses.put(vm, new HostPort("127.0.0.1", socket.getLocalPort()));
-      }
+      addresses.put(vm, new HostPort("127.75.1." + HOSTS.incrementAndGet(), PEER_PORT));
     }
   }
 
