--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/BatchService.java
@@ -0,0 +1,77 @@
+package org.ragwortpick.batch;
+
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import java.util.concurrent.Executor;
+import org.ragwortpick.proto.BatchCollectorGrpc;
+import org.ragwortpick.proto.ReleaseResultsReply;
+import org.ragwortpick.proto.ReleaseResultsRequest;
+import org.ragwortpick.proto.SubmitPiecesReply;
+import org.ragwortpick.proto.SubmitPiecesRequest;
+
+/** Takes the pieces of other VMs. */
+public final class BatchService extends BatchCollectorGrpc.BatchCollectorImplBase {
+
+  private final StageCollectors collectors;
+  private final Executor loop;
+
+  /**
+   * Creates the service.
+   *
+   * @param collectors collectors of the local VM
+   * @param loop thread to which they are confined
+   */
+  public BatchService(StageCollectors collectors, Executor loop) {
+    this.collectors = collectors;
+    this.loop = loop;
+  }
+
+  @Override
+  public void submit(SubmitPiecesRequest request, StreamObserver<SubmitPiecesReply> observer) {
+    ServerCallStreamObserver<SubmitPiecesReply> call =
+        (ServerCallStreamObserver<SubmitPiecesReply>) observer;
+    Cancellation cancellation = new Cancellation();
+    // Set before this method returns, as gRPC requires; the work is queued after it.
+    call.setOnCancelHandler(() -> loop.execute(cancellation::cancel));
+    loop.execute(
+        () ->
+            cancellation.start(
+                collectors.submit(BatchCodec.decode(request), end -> reply(call, end))));
+  }
+
+  private static void reply(ServerCallStreamObserver<SubmitPiecesReply> call, SubmissionEnd end) {
+    if (!call.isCancelled()) {
+      call.onNext(BatchCodec.encode(end));
+      call.onCompleted();
+    }
+  }
+
+  @Override
+  public void release(ReleaseResultsRequest request, StreamObserver<ReleaseResultsReply> observer) {
+    if (request.getHandlesCount() > 0) {
+      loop.execute(() -> collectors.release(request.getService(), request.getHandlesList()));
+    }
+    observer.onNext(ReleaseResultsReply.getDefaultInstance());
+    observer.onCompleted();
+  }
+
+  /** Cancels work, also if the cancellation arrives first. Confined to the loop. */
+  private static final class Cancellation {
+    private Runnable work;
+    private boolean cancelled;
+
+    private void start(Runnable started) {
+      work = started;
+      if (cancelled) {
+        work.run();
+      }
+    }
+
+    private void cancel() {
+      cancelled = true;
+      if (work != null) {
+        work.run();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/BatchTransport.java
@@ -0,0 +1,29 @@
+package org.ragwortpick.batch;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.ragwortpick.sync.Upstream;
+
+/** Calls upstreams of stage services. Callbacks run on the thread of the collector. */
+public interface BatchTransport {
+
+  /**
+   * Asks for a batch of pieces.
+   *
+   * @param upstream upstream that does the work
+   * @param pieces the pieces
+   * @param timeoutMs time in milliseconds after which the call is given up
+   * @param whenDone receives the outcome, once
+   */
+  void run(
+      Upstream upstream, List<PieceCall> pieces, long timeoutMs, Consumer<BatchOutcome> whenDone);
+
+  /**
+   * Gives up results that are not needed any more. A failure has no effect but that the results
+   * expire later.
+   *
+   * @param upstream upstream that holds the results
+   * @param handles handles of the results
+   */
+  void release(Upstream upstream, List<String> handles);
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/ResultRoom.java
@@ -0,0 +1,79 @@
+package org.ragwortpick.batch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Results that one upstream holds, as far as the collector knows. */
+final class ResultRoom {
+
+  private final Map<String, Held> held = new HashMap<>();
+  private long heldBytes;
+  private long reservedBytes;
+
+  /**
+   * Returns the room for further results.
+   *
+   * @param totalBytes memory for results in bytes
+   * @param nowMs monotonic time in milliseconds
+   * @return room in bytes
+   */
+  long free(long totalBytes, long nowMs) {
+    held.values().removeIf(result -> expired(result, nowMs));
+    return totalBytes - heldBytes - reservedBytes;
+  }
+
+  private boolean expired(Held result, long nowMs) {
+    if (nowMs < result.expiresAtMs()) {
+      return false;
+    }
+    heldBytes -= result.bytes();
+    return true;
+  }
+
+  /**
+   * Reserves room for the results of a call.
+   *
+   * @param bytes size of the results in bytes
+   */
+  void reserve(long bytes) {
+    reservedBytes += bytes;
+  }
+
+  /**
+   * Ends a reservation.
+   *
+   * @param bytes size of the results in bytes
+   */
+  void unreserve(long bytes) {
+    reservedBytes -= bytes;
+  }
+
+  /**
+   * Notes a result.
+   *
+   * @param handle its handle
+   * @param bytes its size in bytes
+   * @param expiresAtMs monotonic time in milliseconds at which the upstream drops it
+   */
+  void hold(String handle, long bytes, long expiresAtMs) {
+    if (held.put(handle, new Held(bytes, expiresAtMs)) == null) {
+      heldBytes += bytes;
+    }
+  }
+
+  /**
+   * Notes that a result was given up.
+   *
+   * @param handle its handle
+   * @return whether the result was known
+   */
+  boolean release(String handle) {
+    Held result = held.remove(handle);
+    if (result != null) {
+      heldBytes -= result.bytes();
+    }
+    return result != null;
+  }
+
+  private record Held(long bytes, long expiresAtMs) {}
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -0,0 +1,274 @@
+package org.ragwortpick.batch;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
+import org.ragwortpick.entry.Timers;
+import org.ragwortpick.routing.BatchProfile;
+import org.ragwortpick.sync.Upstream;
+
+/**
+ * Queue of one stage service, and the calls to its upstreams. A call leaves as soon as an upstream
+ * is free and takes as many pieces as wait, so batches fill up by themselves under load and nothing
+ * waits while an upstream is idle. Confined to one thread.
+ */
+public final class StageCollector {
+
+  private static final Logger LOG = Logger.getLogger(StageCollector.class);
+
+  /** Calls in which one piece may fail before its request fails. */
+  private static final int MAX_FAILURES = 3;
+
+  /** Interval at which upstreams that were left alone are looked at again. */
+  private static final long RECHECK_MS = 50;
+
+  private final String service;
+  private final Supplier<Optional<BatchProfile>> profile;
+  private final Supplier<List<Upstream>> upstreams;
+  private final BatchTransport transport;
+  private final Timers timers;
+  private final Clock clock;
+  private final PieceQueue queue = new PieceQueue();
+  private final Map<String, UpstreamWork> known = new LinkedHashMap<>();
+  private boolean recheckScheduled;
+
+  /**
+   * Creates the collector of a service.
+   *
+   * @param service name of the service
+   * @param profile limits of the service, if the configuration lists it
+   * @param upstreams upstreams that may take work
+   * @param transport calls to upstreams
+   * @param timers timers on the thread of the collector
+   * @param clock monotonic clock
+   */
+  public StageCollector(
+      String service,
+      Supplier<Optional<BatchProfile>> profile,
+      Supplier<List<Upstream>> upstreams,
+      BatchTransport transport,
+      Timers timers,
+      Clock clock) {
+    this.service = service;
+    this.profile = profile;
+    this.upstreams = upstreams;
+    this.transport = transport;
+    this.timers = timers;
+    this.clock = clock;
+  }
+
+  /**
+   * Queues the pieces of a stage.
+   *
+   * @param work the pieces
+   * @param whenEnded receives the end, once, unless the work is cancelled
+   * @return cancels the work
+   */
+  public Runnable submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
+    Submission submission = new Submission(work, clock.millis(), whenEnded);
+    Optional<BatchProfile> limits = profile.get();
+    List<Upstream> available = upstreams.get();
+    if (limits.isEmpty() || available.isEmpty()) {
+      LOG.infof(
+          "request %s: stage %d refused, service %s has %s",
+          work.requestId(),
+          work.stage(),
+          service,
+          limits.isEmpty() ? "no batch limits" : "no upstream");
+      submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE));
+      return () -> {};
+    }
+    long waitMs = expectedWaitMs(limits.get(), available.size(), work.pieceCount());
+    if (waitMs > work.remainingMs()) {
+      LOG.infof(
+          "request %s: stage %d refused, %d ms expected and %d ms left",
+          work.requestId(), work.stage(), waitMs, work.remainingMs());
+      submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE));
+      return () -> {};
+    }
+    queue.add(submission.pieces());
+    pump();
+    return () -> cancel(submission);
+  }
+
+  private long expectedWaitMs(BatchProfile limits, int upstreamCount, int pieces) {
+    double queuedMs = queue.size() * StageTimes.fullBatchPieceMs(limits) / upstreamCount;
+    return (long) (queuedMs + StageTimes.callMs(limits, pieces));
+  }
+
+  private void cancel(Submission submission) {
+    if (!submission.isEnded()) {
+      submission.cancel();
+      release(submission.producedHandles());
+    }
+  }
+
+  /**
+   * Gives up results that are not needed any more.
+   *
+   * @param handles handles of the results
+   */
+  public void release(List<String> handles) {
+    Map<UpstreamWork, List<String>> byUpstream = new HashMap<>();
+    for (String handle : handles) {
+      for (UpstreamWork work : known.values()) {
+        if (work.room().release(handle)) {
+          byUpstream.computeIfAbsent(work, any -> new ArrayList<>()).add(handle);
+        }
+      }
+    }
+    byUpstream.forEach((work, released) -> transport.release(work.upstream(), released));
+    pump();
+  }
+
+  /** Sends calls to all upstreams that are free. */
+  private void pump() {
+    Optional<BatchProfile> limits = profile.get();
+    if (limits.isEmpty()) {
+      return;
+    }
+    long nowMs = clock.millis();
+    long workMs = (long) StageTimes.callMs(limits.get(), 1);
+    queue
+        .removeLate(nowMs, workMs)
+        .forEach(late -> fail(late, SubmissionEnd.Cause.LATE, "its deadline is too near"));
+    refreshUpstreams();
+    for (UpstreamWork work : freeUpstreams(limits.get(), nowMs)) {
+      long room = work.room().free(limits.get().resultRoomBytes(), nowMs);
+      List<WaitingPiece> batch = queue.take(limits.get().maxPieces(), room, nowMs, workMs);
+      if (!batch.isEmpty()) {
+        send(work, batch, limits.get(), nowMs);
+      }
+    }
+    if (queue.size() > 0) {
+      scheduleRecheck();
+    }
+  }
+
+  private void refreshUpstreams() {
+    Map<String, Upstream> current = new LinkedHashMap<>();
+    upstreams.get().forEach(upstream -> current.put(keyOf(upstream), upstream));
+    known.keySet().retainAll(current.keySet());
+    current.forEach(
+        (key, upstream) ->
+            known.computeIfAbsent(key, any -> new UpstreamWork(upstream)).update(upstream));
+  }
+
+  private static String keyOf(Upstream upstream) {
+    return upstream.id() + "@" + upstream.incarnation();
+  }
+
+  /** The fastest upstreams come first. */
+  private List<UpstreamWork> freeUpstreams(BatchProfile limits, long nowMs) {
+    return known.values().stream()
+        .filter(work -> work.isFree(limits, nowMs))
+        .sorted((a, b) -> Double.compare(a.slowness(), b.slowness()))
+        .toList();
+  }
+
+  private void scheduleRecheck() {
+    if (!recheckScheduled) {
+      recheckScheduled = true;
+      timers.schedule(
+          RECHECK_MS,
+          () -> {
+            recheckScheduled = false;
+            pump();
+          });
+    }
+  }
+
+  private void send(
+      UpstreamWork work, List<WaitingPiece> batch, BatchProfile limits, long nowMs) {
+    long bytes = batch.stream().mapToLong(piece -> piece.submission().work().resultBytes()).sum();
+    work.started();
+    work.room().reserve(bytes);
+    transport.run(
+        work.upstream(),
+        batch.stream().map(piece -> piece.call(nowMs)).toList(),
+        work.timeoutMs(limits, batch.size()),
+        outcome -> {
+          work.room().unreserve(bytes);
+          onOutcome(work, batch, limits, nowMs, outcome);
+          pump();
+        });
+  }
+
+  private void onOutcome(
+      UpstreamWork work,
+      List<WaitingPiece> batch,
+      BatchProfile limits,
+      long sentAtMs,
+      BatchOutcome outcome) {
+    long nowMs = clock.millis();
+    if (outcome instanceof BatchOutcome.Answered answered) {
+      work.answered(StageTimes.callMs(limits, batch.size()), nowMs - sentAtMs);
+      for (int i = 0; i < batch.size(); i++) {
+        onResult(work, batch.get(i), answered.results().get(i), nowMs + limits.resultLifetimeMs());
+      }
+      return;
+    }
+    boolean lost = outcome instanceof BatchOutcome.Lost;
+    work.failed(nowMs, lost);
+    LOG.infof(
+        "call of %d pieces to upstream %s of service %s: %s after %d ms; the pieces are queued"
+            + " again",
+        batch.size(),
+        work.upstream().id(),
+        service,
+        outcome.getClass().getSimpleName(),
+        nowMs - sentAtMs);
+    batch.forEach(piece -> requeue(lost ? piece.failed() : piece));
+  }
+
+  private void onResult(
+      UpstreamWork work, WaitingPiece piece, PieceResult result, long expiresAtMs) {
+    Submission submission = piece.submission();
+    if (result instanceof PieceResult.Produced produced) {
+      work.room().hold(produced.handle(), submission.work().resultBytes(), expiresAtMs);
+      if (submission.isEnded()) {
+        release(List.of(produced.handle()));
+      } else {
+        submission.produced(piece.piece(), produced.handle());
+      }
+      return;
+    }
+    switch (((PieceResult.NotProduced) result).cause()) {
+      case LATE -> fail(submission, SubmissionEnd.Cause.LATE, "late at its upstream");
+      case INPUT_GONE -> fail(submission, SubmissionEnd.Cause.INPUT_GONE, "an input is gone");
+      case NO_ROOM -> requeue(piece);
+      default -> requeue(piece.failed());
+    }
+  }
+
+  private void requeue(WaitingPiece piece) {
+    if (piece.failures() >= MAX_FAILURES) {
+      fail(piece.submission(), SubmissionEnd.Cause.FAILED, "a piece failed repeatedly");
+    } else if (!piece.submission().isEnded()) {
+      queue.add(List.of(piece));
+    }
+  }
+
+  private void fail(Submission submission, SubmissionEnd.Cause cause, String detail) {
+    if (!submission.isEnded()) {
+      LOG.infof(
+          "request %s: stage %d of service %s failed (%s): %s; %d pieces wait",
+          submission.work().requestId(),
+          submission.work().stage(),
+          service,
+          cause,
+          detail,
+          queue.size());
+      List<String> produced = submission.producedHandles();
+      submission.end(new SubmissionEnd.Failed(cause));
+      release(produced);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/StageCollectors.java
@@ -0,0 +1,47 @@
+package org.ragwortpick.batch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** Collectors of the local VM by service. Confined to one thread. */
+public final class StageCollectors {
+
+  private final Function<String, StageCollector> newCollector;
+  private final Map<String, StageCollector> collectors = new HashMap<>();
+
+  /**
+   * Creates the registry.
+   *
+   * @param newCollector creates the collector of a service
+   */
+  public StageCollectors(Function<String, StageCollector> newCollector) {
+    this.newCollector = newCollector;
+  }
+
+  /**
+   * Queues the pieces of a stage.
+   *
+   * @param work the pieces
+   * @param whenEnded receives the end, once, unless the work is cancelled
+   * @return cancels the work
+   */
+  public Runnable submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
+    return collectors.computeIfAbsent(work.service(), newCollector).submit(work, whenEnded);
+  }
+
+  /**
+   * Gives up results.
+   *
+   * @param service service that made them
+   * @param handles handles of the results; unknown ones are ignored
+   */
+  public void release(String service, List<String> handles) {
+    StageCollector collector = collectors.get(service);
+    if (collector != null) {
+      collector.release(handles);
+    }
+  }
+}
--- a/src/main/java/org/ragwortpick/cli/CliMessages.java
+++ b/src/main/java/org/ragwortpick/cli/CliMessages.java
@@ -1,5 +1,8 @@
 package org.ragwortpick.cli;
 
+import java.nio.file.Path;
+import java.util.List;
+
 /** Texts of the messages of the command line. */
 final class CliMessages {
 
@@ -46,4 +49,25 @@
   static String startFailed(String detail) {
     return "the process could not start: " + detail;
   }
+
+  /**
+   * Names the protocols that can be chosen.
+   *
+   * @param name name in the settings
+   * @param known names that can be chosen
+   * @return text
+   */
+  static String unknownProtocol(String name, List<String> known) {
+    return "protocol: \"" + name + "\" is not known; write one of " + known;
+  }
+
+  /**
+   * Tells that a settings file has no fault.
+   *
+   * @param file the file
+   * @return text
+   */
+  static String settingsValid(Path file) {
+    return "settings in " + file + " are valid";
+  }
 }
--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -26,6 +26,7 @@
       usage = "command to run")
   @SubCommands({
     @SubCommand(name = "run", impl = RunCommand.class),
+    @SubCommand(name = "forward", impl = ForwardCommand.class),
     @SubCommand(name = "bootstrap", impl = BootstrapCommand.class),
     @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class),
     @SubCommand(name = "state", impl = StateCommand.class),
--- a/src/main/java/org/ragwortpick/cli/ProcessEnd.java
+++ b/src/main/java/org/ragwortpick/cli/ProcessEnd.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import org.jboss.logging.Logger;
-import org.ragwortpick.vm.VmProcess;
+import org.ragwortpick.vm.StoppableProcess;
 
 /** Keeps a process running until it is told to end. */
 final class ProcessEnd {
@@ -19,7 +19,7 @@
    * @param process the VM
    * @return exit code
    */
-  static int await(VmProcess process) {
+  static int await(StoppableProcess process) {
     CountDownLatch closed = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
--- a/src/main/java/org/ragwortpick/common/HostPort.java
+++ b/src/main/java/org/ragwortpick/common/HostPort.java
@@ -13,6 +13,9 @@
  */
 public record HostPort(String host, int port) {
 
+  /** Stands for an address that a VM does not have. */
+  public static final HostPort NONE = new HostPort("0.0.0.0", 0);
+
   private static final int MAX_PORT = 65_535;
   private static final int MAX_OCTET = 255;
   private static final Pattern FORM =
--- a/src/main/java/org/ragwortpick/config/Configuration.java
+++ b/src/main/java/org/ragwortpick/config/Configuration.java
@@ -4,8 +4,10 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.routing.RoutingTable;
 
-/** Inventory and rules at one revision, indexed by name. */
+/** Inventory, rules and routes at one revision, indexed by name. */
 public final class Configuration {
 
   /** Configuration of a system to which none was proposed yet. */
@@ -17,21 +19,38 @@
   private final Map<String, Service> services;
   private final Map<String, Pipeline> pipelines;
   private final Map<String, Workspace> workspaces;
+  private final Optional<RoutingConfiguration> routing;
+  private final Optional<RoutingTable> routingTable;
 
   /**
-   * Creates a configuration.
+   * Creates a configuration without routes.
    *
    * @param revision revision, increasing by one with each accepted change
    * @param inventory inventory whose names are unique
    * @param rules rules
    */
   public Configuration(long revision, Inventory inventory, Rules rules) {
+    this(revision, inventory, rules, Optional.empty());
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param revision revision, increasing by one with each accepted change
+   * @param inventory inventory whose names are unique
+   * @param rules rules
+   * @param routing routes of transparently forwarded requests; empty if none were proposed
+   */
+  public Configuration(
+      long revision, Inventory inventory, Rules rules, Optional<RoutingConfiguration> routing) {
     this.revision = revision;
     this.inventory = inventory;
     this.rules = rules;
     this.services = index(inventory.services(), Service::name);
     this.pipelines = index(inventory.pipelines(), Pipeline::name);
     this.workspaces = index(inventory.workspaces(), Workspace::name);
+    this.routing = routing;
+    this.routingTable = routing.map(RoutingTable::new);
   }
 
   private static <T> Map<String, T> index(
@@ -66,6 +85,24 @@
     return rules;
   }
 
+  /**
+   * Returns the routes of transparently forwarded requests.
+   *
+   * @return the routes; empty if none were proposed
+   */
+  public Optional<RoutingConfiguration> routing() {
+    return routing;
+  }
+
+  /**
+   * Returns the routes prepared for look-ups.
+   *
+   * @return the table; empty if no routes were proposed
+   */
+  public Optional<RoutingTable> routingTable() {
+    return routingTable;
+  }
+
   /**
    * Finds a service.
    *
--- a/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
@@ -5,9 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.ragwortpick.common.Json;
+import org.ragwortpick.routing.RoutingConfiguration;
 
 /**
  * Conversion of a configuration into documents by key and back.
@@ -18,6 +20,7 @@
 
   private static final String REGION_KEY = "region";
   private static final String RULES_KEY = "rules";
+  private static final String ROUTING_KEY = "routing";
   private static final String SERVICE_PREFIX = "service/";
   private static final String PIPELINE_PREFIX = "pipeline/";
   private static final String WORKSPACE_PREFIX = "workspace/";
@@ -47,6 +50,9 @@
     rules
         .dataCentres()
         .forEach((dc, state) -> documents.put(DATA_CENTRE_PREFIX + dc, write(state)));
+    configuration
+        .routing()
+        .ifPresent(routing -> documents.put(ROUTING_KEY, routing.encode()));
     return documents;
   }
 
@@ -77,7 +83,8 @@
     return new Configuration(
         revision,
         inventory,
-        new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states));
+        new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+        Optional.ofNullable(documents.get(ROUTING_KEY)).map(RoutingConfiguration::decode));
   }
 
   private static SortedMap<String, String> withPrefix(
--- a/src/main/java/org/ragwortpick/consensus/ConsensusHost.java
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusHost.java
@@ -164,7 +164,7 @@
         batch.getMessagesList().stream()
             .map(MessageCodec::decode)
             .flatMap(Optional::stream)
-            .filter(envelope -> options.controlVms().containsKey(ReplicaId.vmOf(envelope.from())))
+            .filter(envelope -> options.mayVote(ReplicaId.vmOf(envelope.from())))
             .toList();
     if (batch.getLineage().isEmpty()) {
       // A replica that has not joined may only ask to.
--- a/src/main/java/org/ragwortpick/consensus/ConsensusOptions.java
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusOptions.java
@@ -1,7 +1,10 @@
 package org.ragwortpick.consensus;
 
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.ragwortpick.common.HostPort;
 
 /**
@@ -13,13 +16,16 @@
  * @param controlVms peer address of each control VM by its name
  * @param snapshotLogBytes size of the log after which a snapshot is taken, if the last snapshot is
  *     not larger
+ * @param openMembership whether any control VM may join; the names of VMs are then their peer
+ *     addresses, and {@code controlVms} lists those to ask first
  */
 public record ConsensusOptions(
     String vm,
     String clusterId,
     Path dataFolder,
     Map<String, HostPort> controlVms,
-    long snapshotLogBytes) {
+    long snapshotLogBytes,
+    boolean openMembership) {
 
   private static final long SNAPSHOT_LOG_BYTES = 8L * 1024 * 1024;
 
@@ -31,11 +37,12 @@
    * @param dataFolder folder for all files
    * @param controlVms peer addresses by VM
    * @param snapshotLogBytes size of the log after which a snapshot is taken
+   * @param openMembership whether any control VM may join
    * @throws IllegalArgumentException if the VM is not one of the control VMs
    */
   public ConsensusOptions {
     controlVms = Map.copyOf(controlVms);
-    if (!controlVms.containsKey(vm)) {
+    if (!openMembership && !controlVms.containsKey(vm)) {
       throw new IllegalArgumentException(
           "VM " + vm + " is not one of the control VMs; add it to them or remove its control role");
     }
@@ -51,6 +58,43 @@
    */
   public ConsensusOptions(
       String vm, String clusterId, Path dataFolder, Map<String, HostPort> controlVms) {
-    this(vm, clusterId, dataFolder, controlVms, SNAPSHOT_LOG_BYTES);
+    this(vm, clusterId, dataFolder, controlVms, SNAPSHOT_LOG_BYTES, false);
+  }
+
+  /**
+   * Creates options of a cluster that any control VM may join.
+   *
+   * @param address peer address of this VM, which is its name
+   * @param clusterId name of the cluster
+   * @param dataFolder folder for all files
+   * @param seeds peer addresses of control VMs to ask first
+   * @return the options
+   */
+  public static ConsensusOptions open(
+      HostPort address, String clusterId, Path dataFolder, Collection<HostPort> seeds) {
+    Map<String, HostPort> first =
+        seeds.stream().collect(Collectors.toMap(HostPort::toString, Function.identity()));
+    return new ConsensusOptions(
+        address.toString(), clusterId, dataFolder, first, SNAPSHOT_LOG_BYTES, true);
+  }
+
+  /**
+   * Tells whether the replicas of a VM may vote.
+   *
+   * @param name name of the VM
+   * @return whether the VM is a control VM
+   */
+  public boolean mayVote(String name) {
+    return openMembership || controlVms.containsKey(name);
+  }
+
+  /**
+   * Returns the peer address of a control VM.
+   *
+   * @param name name of the VM
+   * @return the address
+   */
+  public HostPort addressOf(String name) {
+    return openMembership ? HostPort.parse(name) : controlVms.get(name);
   }
 }
--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -4,7 +4,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.ragwortpick.consensus.raft.Envelope;
@@ -38,7 +39,8 @@
   private final Replica replica;
   private final ScheduledExecutorService loop;
   private final ExecutorService diskExecutor;
-  private final Map<String, PeerSender> senders = new TreeMap<>();
+  private final Function<String, PeerSender> newSender;
+  private final Map<String, PeerSender> senders = new ConcurrentSkipListMap<>();
   private final AtomicInteger waitingBatches = new AtomicInteger();
 
   /**
@@ -66,21 +68,17 @@
     this.store = folder.openLog(group);
     this.loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, group));
     this.diskExecutor = Executors.newSingleThreadExecutor(task -> daemon(task, group + "-disk"));
-    options
-        .controlVms()
-        .forEach(
-            (peerVm, address) ->
-                senders.put(
-                    peerVm,
-                    new PeerSender(
-                        group,
-                        options.clusterId(),
-                        () -> folder.identity().lineage(),
-                        address,
-                        channels)));
-    senders.remove(vm).close();
+    this.newSender =
+        peerVm ->
+            new PeerSender(
+                group,
+                options.clusterId(),
+                () -> folder.identity().lineage(),
+                options.addressOf(peerVm),
+                channels);
+    options.controlVms().keySet().forEach(this::sender);
     RaftSettings settings =
-        RaftSettings.standard(folder.identity().replicaId(), options.controlVms().keySet());
+        RaftSettings.standard(folder.identity().replicaId(), options::mayVote);
     this.replica =
         new Replica(
             group,
@@ -136,7 +134,17 @@
     store.close();
   }
 
+  private void sender(String peerVm) {
+    if (!peerVm.equals(vm)) {
+      senders.computeIfAbsent(peerVm, newSender);
+    }
+  }
+
   private void send(List<Envelope> envelopes) {
+    envelopes.stream()
+        .map(Envelope::to)
+        .filter(to -> !to.isEmpty())
+        .forEach(to -> sender(ReplicaId.vmOf(to)));
     senders.forEach(
         (peerVm, sender) -> {
           List<Envelope> own =
--- a/src/main/java/org/ragwortpick/consensus/raft/Leading.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Leading.java
@@ -176,7 +176,7 @@
     if (!isReady()) {
       return Optional.of("this VM is not the leader; send the request to the leader");
     }
-    if (oldVm.equals(newVm) || !state.settings().controlVms().contains(newVm)) {
+    if (oldVm.equals(newVm) || !state.settings().mayVote().test(newVm)) {
       return Optional.of("VM " + newVm + " is not another control VM; add it to the settings");
     }
     if (replacement.filter(other -> !other.isDone(state.log().membership())).isPresent()) {
--- a/src/main/java/org/ragwortpick/consensus/raft/MembershipSteps.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/MembershipSteps.java
@@ -37,7 +37,7 @@
     String vm = ReplicaId.vmOf(identity);
     boolean retired = log.membership().retiredVms().contains(vm);
     boolean requested = replacement.filter(next -> next.newVm().equals(vm)).isPresent();
-    return settings.controlVms().contains(vm)
+    return settings.mayVote().test(vm)
         && !log.membership().voters().contains(identity)
         && (!retired || requested);
   }
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
@@ -1,12 +1,12 @@
 package org.ragwortpick.consensus.raft;
 
-import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Settings of one replica.
  *
  * @param identity identity of the replica
- * @param controlVms VMs whose replicas may become voters
+ * @param mayVote tells whether the replicas of a VM may become voters
  * @param heartbeatMs interval of heartbeats
  * @param electionMinMs lowest election timeout; a replica that heard a leader grants no vote for
  *     this time
@@ -19,7 +19,7 @@
  */
 public record RaftSettings(
     String identity,
-    Set<String> controlVms,
+    Predicate<String> mayVote,
     long heartbeatMs,
     long electionMinMs,
     long electionMaxMs,
@@ -48,13 +48,13 @@
    * Returns the settings of the design page.
    *
    * @param identity identity of the replica
-   * @param controlVms VMs whose replicas may become voters
+   * @param mayVote tells whether the replicas of a VM may become voters
    * @return the settings
    */
-  public static RaftSettings standard(String identity, Set<String> controlVms) {
+  public static RaftSettings standard(String identity, Predicate<String> mayVote) {
     return new RaftSettings(
         identity,
-        Set.copyOf(controlVms),
+        mayVote,
         HEARTBEAT_MS,
         ELECTION_MIN_MS,
         ELECTION_MAX_MS,
--- a/src/main/java/org/ragwortpick/control/Administration.java
+++ b/src/main/java/org/ragwortpick/control/Administration.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletionStage;
+import org.ragwortpick.routing.RoutingConfiguration;
 
 /**
  * Requests of operators. A request that is sent again under its request id gets the first answer.
@@ -18,6 +19,17 @@
   CompletionStage<Either<AdministrationError, AcceptedChange>> propose(
       ProposeRequest request, long timeoutMs);
 
+  /**
+   * Replaces all routes. A configuration whose number is not higher than that of the current one is
+   * acknowledged and changes nothing, so that a request may be sent again without a request id.
+   *
+   * @param routing the routes under a number
+   * @param timeoutMs time to wait in milliseconds
+   * @return the revision, or the reason for a refusal
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> replaceRouting(
+      RoutingConfiguration routing, long timeoutMs);
+
   /**
    * Takes a data centre out of service.
    *
--- a/src/main/java/org/ragwortpick/control/AdministrationServer.java
+++ b/src/main/java/org/ragwortpick/control/AdministrationServer.java
@@ -13,6 +13,7 @@
 import org.ragwortpick.proto.AdministrationReply;
 import org.ragwortpick.proto.AnswerKind;
 import org.ragwortpick.proto.AnswerMessage;
+import org.ragwortpick.routing.RoutingConfiguration;
 
 /** Serves operator requests that other VMs forward to the leader. */
 public final class AdministrationServer extends AdministrationApiGrpc.AdministrationApiImplBase {
@@ -70,6 +71,11 @@
                       call.getReturnToService().getDataCentre()),
                   timeoutMs)
               .thenApply(this::reply);
+      case REPLACE_ROUTING ->
+          administration
+              .replaceRouting(
+                  RoutingConfiguration.decode(call.getReplaceRouting().getRouting()), timeoutMs)
+              .thenApply(this::reply);
       default -> administration.read(timeoutMs).thenApply(this::replyToRead);
     };
   }
--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
 import org.ragwortpick.common.StateChart;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.ConfigurationDelta;
@@ -29,15 +30,21 @@
 import org.ragwortpick.proto.AnswerMessage;
 import org.ragwortpick.proto.ChangeCommand;
 import org.ragwortpick.proto.ConfigurationCommand;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.routing.RoutingProblem;
+import org.ragwortpick.routing.RoutingValidator;
 
 /** Operator requests on the leader of the group {@code config}. */
 public final class LeaderAdministration implements Administration {
 
+  private static final Logger LOG = Logger.getLogger(LeaderAdministration.class);
+
   private static final String INVENTORY = "inventory";
   private static final String RULES = "rules";
   private static final String PREPARE = "PREPARE";
   private static final String RETURN = "RETURN";
   private static final String TAKE_OUT = "TAKE_OUT";
+  private static final String RAMPED = "RAMPED";
 
   /** Most findings that a kept answer lists, so that 10,000 answers stay small. */
   private static final int MAX_FINDINGS = 100;
@@ -50,6 +57,7 @@
   private final ConfigurationStateMachine machine;
   private final LeaderLease lease;
   private final PlacementSource placement;
+  private final int minimumVoters;
 
   /**
    * Creates the administration of one control VM.
@@ -58,16 +66,20 @@
    * @param machine its local state machine
    * @param lease lease of the local replica as leader of the group
    * @param placement plans for the data centres that remain
+   * @param minimumVoters voters below which no change is accepted, so that an accepted change is on
+   *     more disks than may be lost at once
    */
   public LeaderAdministration(
       ConsensusGroup group,
       ConfigurationStateMachine machine,
       LeaderLease lease,
-      PlacementSource placement) {
+      PlacementSource placement,
+      int minimumVoters) {
     this.group = group;
     this.machine = machine;
     this.lease = lease;
     this.placement = placement;
+    this.minimumVoters = minimumVoters;
   }
 
   @Override
@@ -124,7 +136,8 @@
             base.revision() + 1,
             inventory,
             new Rules(
-                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states));
+                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+            current.routing());
     put(change, base, proposed);
     change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
   }
@@ -168,6 +181,35 @@
     change.putAllPuts(delta.puts()).addAllDeletes(delta.deletes());
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> replaceRouting(
+      RoutingConfiguration routing, long timeoutMs) {
+    List<String> findings =
+        RoutingValidator.validate(routing).stream().map(RoutingProblem::message).toList();
+    if (!findings.isEmpty()) {
+      return CompletableFuture.completedFuture(
+          Either.left(new AdministrationError.Invalid(findings)));
+    }
+    return move(base -> replaceRouting(routing, base), "", "", MAX_COMPUTATIONS);
+  }
+
+  /** A number that is not higher than the current one is acknowledged and changes nothing. */
+  private static ChangeCommand.Builder replaceRouting(
+      RoutingConfiguration routing, ConfigurationVersion base) {
+    ChangeCommand.Builder change = ChangeCommand.newBuilder();
+    Configuration current = base.configuration();
+    boolean higher = current.routing().filter(held -> held.number() >= routing.number()).isEmpty();
+    if (higher) {
+      put(
+          change,
+          base,
+          new Configuration(
+              base.revision() + 1, current.inventory(), current.rules(), Optional.of(routing)));
+    }
+    return change.setAnswer(
+        AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
+  }
+
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
       TakeOutRequest request, long timeoutMs) {
@@ -183,7 +225,7 @@
     Configuration current = base.configuration();
     ChangeCommand.Builder change = ChangeCommand.newBuilder();
     String name = request.dataCentre();
-    if (!current.inventory().dataCentres().contains(name)) {
+    if (!isDataCentre(current, name)) {
       return refuseUnknown(change, current, name);
     }
     Set<String> remaining = remainingWithout(current, name);
@@ -199,7 +241,8 @@
     PlacementPlan plan = placement.plan(current.inventory(), remaining);
     boolean immediate = request.now() || placement.isComplete() && plan.isReady();
     List<String> unplaced = request.now() ? plan.missing() : plan.unplaced();
-    return transition(change, base, name, immediate ? TAKE_OUT : PREPARE, unplaced);
+    String event = immediate ? TAKE_OUT : PREPARE;
+    return transition(change, base, name, List.of(event), unplaced);
   }
 
   /**
@@ -234,10 +277,22 @@
   private ChangeCommand.Builder returnToService(ReturnRequest request, ConfigurationVersion base) {
     ChangeCommand.Builder change = ChangeCommand.newBuilder();
     Configuration current = base.configuration();
-    if (!current.inventory().dataCentres().contains(request.dataCentre())) {
+    if (!isDataCentre(current, request.dataCentre())) {
       return refuseUnknown(change, current, request.dataCentre());
     }
-    return transition(change, base, request.dataCentre(), RETURN, List.of());
+    boolean ramps = !current.inventory().dataCentres().isEmpty();
+    return transition(
+        change,
+        base,
+        request.dataCentre(),
+        ramps ? List.of(RETURN) : List.of(RETURN, RAMPED),
+        List.of());
+  }
+
+  /** A deployment that forwards requests has no inventory and takes any name. */
+  private static boolean isDataCentre(Configuration current, String name) {
+    List<String> known = current.inventory().dataCentres();
+    return known.isEmpty() || known.contains(name);
   }
 
   /**
@@ -256,7 +311,7 @@
           Either.left(new AdministrationError.Conflict(base.revision())));
     }
     ChangeCommand.Builder change =
-        transition(ChangeCommand.newBuilder(), base, dataCentre, event, List.of());
+        transition(ChangeCommand.newBuilder(), base, dataCentre, List.of(event), List.of());
     return propose(change.setBaseRevision(base.revision()).setLeaderBase(true))
         .thenApply(result -> result.flatMap(ControlCodec::decode));
   }
@@ -268,12 +323,13 @@
       ChangeCommand.Builder change,
       ConfigurationVersion base,
       String dataCentre,
-      String event,
+      List<String> events,
       List<String> unplaced) {
     Configuration current = base.configuration();
-    DataCentreState before = current.stateOf(dataCentre);
-    DataCentreState after =
-        chart.next(before.name(), event).map(DataCentreState::valueOf).orElse(before);
+    DataCentreState after = current.stateOf(dataCentre);
+    for (String event : events) {
+      after = chart.next(after.name(), event).map(DataCentreState::valueOf).orElse(after);
+    }
     Map<String, DataCentreState> states = new HashMap<>(current.rules().dataCentres());
     states.put(dataCentre, after);
     Rules rules = current.rules();
@@ -284,7 +340,8 @@
             base.revision() + 1,
             current.inventory(),
             new Rules(
-                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states)));
+                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+            current.routing()));
     return change.setAnswer(
         AnswerMessage.newBuilder()
             .setKind(AnswerKind.ANSWER_KIND_ACCEPTED)
@@ -330,6 +387,13 @@
 
   private CompletionStage<Either<AdministrationError, AnswerMessage>> propose(
       ChangeCommand.Builder change) {
+    if (group.leadership().leader() && group.status().voters().size() < minimumVoters) {
+      LOG.warnf(
+          "refused a change: %d voters hold the log and %d are needed; start more control VMs",
+          group.status().voters().size(), minimumVoters);
+      return CompletableFuture.completedFuture(
+          Either.left(new AdministrationError.NotLeader(Optional.empty())));
+    }
     byte[] command = ConfigurationCommand.newBuilder().setChange(change).build().toByteArray();
     return group
         .propose(command)
@@ -371,14 +435,12 @@
   @Override
   public CompletionStage<Either<AdministrationError, ConfigurationVersion>> read(long timeoutMs) {
     return lease
-        .await(timeoutMs)
+        .awaitConfirmation(timeoutMs)
         .thenApply(
-            held -> {
-              ConfigurationVersion version = machine.current();
-              // Checked after the read: a process that was frozen may have lost the lead.
-              return lease.isHeld()
-                  ? Either.right(version)
-                  : Either.left(new AdministrationError.NotLeader(group.leadership().leaderVm()));
-            });
+            confirmed ->
+                confirmed
+                    ? Either.right(machine.current())
+                    : Either.left(
+                        new AdministrationError.NotLeader(group.leadership().leaderVm())));
   }
 }
--- a/src/main/java/org/ragwortpick/control/RemoteAdministration.java
+++ b/src/main/java/org/ragwortpick/control/RemoteAdministration.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.control.leader.LeaderCalls;
 import org.ragwortpick.control.leader.Redirect;
@@ -15,6 +16,8 @@
 import org.ragwortpick.proto.AdministrationCall;
 import org.ragwortpick.proto.AdministrationReply;
 import org.ragwortpick.proto.ReadOperation;
+import org.ragwortpick.proto.ReplaceRoutingOperation;
+import org.ragwortpick.routing.RoutingConfiguration;
 
 /** Operator requests on any VM, sent to the leader of the group {@code config}. */
 public final class RemoteAdministration implements Administration {
@@ -31,7 +34,7 @@
    */
   public RemoteAdministration(
       PeerChannels channels,
-      List<HostPort> controlAddresses,
+      Supplier<List<HostPort>> controlAddresses,
       Clock monotonicClock,
       ScheduledExecutorService scheduler) {
     this.calls =
@@ -59,6 +62,15 @@
         AdministrationCall.newBuilder().setPropose(ControlCodec.encode(request)), timeoutMs);
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> replaceRouting(
+      RoutingConfiguration routing, long timeoutMs) {
+    return change(
+        AdministrationCall.newBuilder()
+            .setReplaceRouting(ReplaceRoutingOperation.newBuilder().setRouting(routing.encode())),
+        timeoutMs);
+  }
+
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
       TakeOutRequest request, long timeoutMs) {
--- a/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.peer.PeerChannels;
 
@@ -40,7 +41,7 @@
   private static final int MAX_DIRECT_REDIRECTS = 2;
 
   private final PeerChannels channels;
-  private final List<HostPort> controlAddresses;
+  private final Supplier<List<HostPort>> controlAddresses;
   private final MethodDescriptor<Q, R> method;
   private final Function<R, Optional<Redirect>> redirectOf;
   private final Clock monotonicClock;
@@ -59,18 +60,18 @@
    */
   public LeaderCalls(
       PeerChannels channels,
-      List<HostPort> controlAddresses,
+      Supplier<List<HostPort>> controlAddresses,
       MethodDescriptor<Q, R> method,
       Function<R, Optional<Redirect>> redirectOf,
       Clock monotonicClock,
       ScheduledExecutorService scheduler) {
     this.channels = channels;
-    this.controlAddresses = List.copyOf(controlAddresses);
+    this.controlAddresses = controlAddresses;
     this.method = method;
     this.redirectOf = redirectOf;
     this.monotonicClock = monotonicClock;
     this.scheduler = scheduler;
-    this.target = new AtomicReference<>(controlAddresses.get(0));
+    this.target = new AtomicReference<>(controlAddresses.get().get(0));
   }
 
   /**
@@ -138,8 +139,9 @@
 
   /** Directs the next call to the control VM listed after an address that did not help. */
   private void turnFrom(HostPort address) {
-    int next = (controlAddresses.indexOf(address) + 1) % controlAddresses.size();
-    target.compareAndSet(address, controlAddresses.get(next));
+    List<HostPort> known = controlAddresses.get();
+    int next = (known.indexOf(address) + 1) % known.size();
+    target.compareAndSet(address, known.get(next));
   }
 
   private record Call<Q, R>(
--- a/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.ragwortpick.consensus.ConsensusGroup;
 
 /**
@@ -59,17 +60,35 @@
    */
   public CompletionStage<Boolean> await(long timeoutMs) {
     CompletableFuture<Boolean> held = new CompletableFuture<>();
-    poll(held, monotonicClock.millis() + Math.min(timeoutMs, MAX_WAIT_MS));
+    poll(held, this::isHeld, monotonicClock.millis() + Math.min(timeoutMs, MAX_WAIT_MS));
     return held;
   }
 
-  private void poll(CompletableFuture<Boolean> held, long deadlineMs) {
-    if (isHeld()) {
-      held.complete(true);
+  /**
+   * Waits until a quorum confirms the lead in a round that was sent after this call. Unlike the
+   * lease, that proof also holds after a suspension, which the monotonic clock does not count.
+   *
+   * @param timeoutMs time to wait in milliseconds
+   * @return false if the local replica does not lead or no quorum confirmed it in time
+   */
+  public CompletionStage<Boolean> awaitConfirmation(long timeoutMs) {
+    CompletableFuture<Boolean> confirmed = new CompletableFuture<>();
+    long askedAtMs = monotonicClock.millis();
+    poll(
+        confirmed,
+        () -> group.confirmedAtMs().orElse(Long.MIN_VALUE) > askedAtMs,
+        askedAtMs + Math.min(timeoutMs, MAX_WAIT_MS));
+    return confirmed;
+  }
+
+  private void poll(CompletableFuture<Boolean> result, BooleanSupplier reached, long deadlineMs) {
+    if (reached.getAsBoolean()) {
+      result.complete(true);
     } else if (!group.leadership().leader() || monotonicClock.millis() >= deadlineMs) {
-      held.complete(false);
+      result.complete(false);
     } else {
-      scheduler.schedule(() -> poll(held, deadlineMs), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+      scheduler.schedule(
+          () -> poll(result, reached, deadlineMs), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/src/main/java/org/ragwortpick/entry/http/CallerApi.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -122,46 +122,17 @@
 
   private void readBody(HttpServerExchange exchange, Consumer<byte[]> next) {
     int limitBytes = dependencies.settings().maxBodyBytes();
-    if (exchange.getRequestContentLength() > limitBytes) {
-      exchange.setPersistent(false);
-      refuse(exchange, new RequestError.BodyTooLarge(limitBytes), ExecutionOutcome.NOT_RUN);
-      return;
-    }
-    AtomicBoolean ended = new AtomicBoolean();
-    Timers.Timer timer =
-        dependencies
-            .timers()
-            .schedule(
-                dependencies.settings().bodyTimeoutMs(),
-                () -> {
-                  if (ended.compareAndSet(false, true)) {
-                    exchange
-                        .getIoThread()
-                        .execute(() -> IoUtils.safeClose(exchange.getConnection()));
-                  }
-                });
-    // The entity size of the exchange does not bound chunked bodies; the receiver does.
-    Receiver receiver = exchange.getRequestReceiver();
-    receiver.setMaxBufferSize(limitBytes);
-    receiver.receiveFullBytes(
-        (read, body) -> {
-          timer.cancel();
-          ended.set(true);
-          exchange.dispatch(
-              SameThreadExecutor.INSTANCE, () -> guarded(exchange, () -> next.accept(body)));
-        },
-        (failed, cause) -> {
-          timer.cancel();
-          ended.set(true);
-          exchange.setPersistent(false);
-          exchange.dispatch(
-              SameThreadExecutor.INSTANCE,
-              () -> refuse(exchange, bodyError(cause, limitBytes), ExecutionOutcome.NOT_RUN));
-        });
+    BodyReader.read(
+        exchange,
+        limitBytes,
+        dependencies.timers(),
+        dependencies.settings().bodyTimeoutMs(),
+        body -> guarded(exchange, () -> next.accept(body)),
+        fault -> refuse(exchange, bodyError(fault, limitBytes), ExecutionOutcome.NOT_RUN));
   }
 
-  private static RequestError bodyError(IOException cause, int limitBytes) {
-    return cause instanceof Receiver.RequestToLargeException
+  private static RequestError bodyError(BodyReader.Fault fault, int limitBytes) {
+    return fault == BodyReader.Fault.TOO_LARGE
         ? new RequestError.BodyTooLarge(limitBytes)
         : new RequestError.Malformed("the body ended before its stated length");
   }
--- a/src/main/java/org/ragwortpick/entry/http/CallerConnection.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerConnection.java
@@ -15,7 +15,7 @@
  * <p>Undertow reads nothing between the end of a request and the end of its answer, so a closed
  * connection would stay unnoticed. A caller that closes only its sending side counts as gone too.
  */
-final class CallerConnection {
+public final class CallerConnection {
 
   private static final AttachmentKey<CallerConnection> KEY =
       AttachmentKey.create(CallerConnection.class);
@@ -31,7 +31,7 @@
    * @param exchange exchange of the request
    * @param onClose runs when the connection closes first
    */
-  static void watch(HttpServerExchange exchange, Runnable onClose) {
+  public static void watch(HttpServerExchange exchange, Runnable onClose) {
     ServerConnection connection = exchange.getConnection();
     CallerConnection watched = connection.getAttachment(KEY);
     if (watched == null) {
--- a/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
@@ -24,6 +24,9 @@
   /** Bounds the idle connections after a burst; an upstream runs far fewer requests at once. */
   private static final int MAX_IDLE_PER_ADDRESS = 64;
 
+  /** An upstream may count its idle timeout from an earlier moment than this VM does. */
+  private static final long CLOSING_MARGIN_MS = 500;
+
   private final Clock clock;
   private final long staleAfterMs;
   private final Map<HostPort, Deque<Idle>> idle = new HashMap<>();
@@ -53,7 +56,7 @@
       Deque<Idle> connections = idle.get(address);
       while (found.isEmpty() && connections != null && !connections.isEmpty()) {
         Idle candidate = connections.pop();
-        if (clock.millis() - candidate.progressAtMs() < staleAfterMs
+        if (clock.millis() - candidate.progressAtMs() < candidate.usableMs()
             && candidate.connection().isOpen()) {
           found = Optional.of(candidate.connection());
         } else {
@@ -71,8 +74,9 @@
    * @param address address of the upstream
    * @param connection the connection
    */
-  void put(HostPort address, ClientConnection connection) {
-    Idle returned = new Idle(connection, clock.millis());
+  void put(HostPort address, ClientConnection connection, long idleTimeoutMs) {
+    long usableMs = Math.min(staleAfterMs, idleTimeoutMs - CLOSING_MARGIN_MS);
+    Idle returned = new Idle(connection, clock.millis(), usableMs);
     Idle dropped = null;
     synchronized (this) {
       Deque<Idle> connections = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
@@ -121,7 +125,7 @@
     dropped.forEach(Idle::close);
   }
 
-  private record Idle(ClientConnection connection, long progressAtMs) {
+  private record Idle(ClientConnection connection, long progressAtMs, long usableMs) {
 
     private void close() {
       connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -0,0 +1,273 @@
+package org.ragwortpick.entry.upstream;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Clock;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One call to an upstream. All state is confined to the I/O thread of the connection. A connection
+ * returns to the pool only after a whole answer.
+ */
+public final class HttpCall {
+
+  private static final Logger LOG = Logger.getLogger(HttpCall.class);
+
+  private static final OptionMap CONNECTION_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+  private final HttpRequest request;
+  private final HttpListener listener;
+  private final XnioIoThread thread;
+  private final Dependencies dependencies;
+  private ClientConnection connection;
+  private HeaderMap answerHeaders;
+  private boolean ended;
+  private boolean written;
+  private long startedAtMs;
+  private long progressAtMs;
+  private XnioExecutor.Key timer;
+
+  /**
+   * Creates a call that is not started.
+   *
+   * @param request the request
+   * @param listener receives the answer
+   * @param thread I/O thread of the connection
+   * @param dependencies what all calls share
+   */
+  HttpCall(
+      HttpRequest request, HttpListener listener, XnioIoThread thread, Dependencies dependencies) {
+    this.request = request;
+    this.listener = listener;
+    this.thread = thread;
+    this.dependencies = dependencies;
+  }
+
+  /**
+   * Uses a pooled connection.
+   *
+   * @param pooled connection of the same I/O thread
+   * @return this call
+   */
+  HttpCall reuse(ClientConnection pooled) {
+    this.connection = pooled;
+    return this;
+  }
+
+  /** Starts the call on its I/O thread. */
+  void start() {
+    // Queued even on its own thread, so that the sender has the call before the first callback.
+    thread.execute(this::open);
+  }
+
+  /** Gives the call up and closes its connection, which ends the work of most upstreams. */
+  public void abort() {
+    thread.execute(() -> end(new HttpEnd.Aborted(), true));
+  }
+
+  private void open() {
+    if (ended) {
+      return;
+    }
+    startedAtMs = dependencies.clock().millis();
+    progressAtMs = startedAtMs;
+    if (connection != null && connection.isOpen()) {
+      write();
+      return;
+    }
+    connection = null;
+    armTimer(dependencies.connectTimeoutMs(), this::onConnectTimeout);
+    UndertowClient.getInstance()
+        .connect(
+            callback(
+                this::onConnected,
+                e -> end(new HttpEnd.NotConnected(String.valueOf(e.getMessage())), true)),
+            URI.create("http://" + request.address()),
+            thread,
+            dependencies.buffers(),
+            CONNECTION_OPTIONS);
+  }
+
+  private void onConnectTimeout() {
+    end(new HttpEnd.NotConnected("no connection within the connect timeout"), true);
+  }
+
+  private void onConnected(ClientConnection opened) {
+    if (ended) {
+      IoUtils.safeClose(opened);
+      return;
+    }
+    connection = opened;
+    write();
+  }
+
+  private void write() {
+    if (!isPermitted()) {
+      // Nothing was written, so the connection stays usable.
+      end(new HttpEnd.NotPermitted(), false);
+      return;
+    }
+    progressAtMs = dependencies.clock().millis();
+    armTimer(request.progressTimeoutMs(), this::checkProgress);
+    connection.sendRequest(clientRequest(), callback(this::onExchange, this::broken));
+  }
+
+  private boolean isPermitted() {
+    try {
+      return request.permit().getAsBoolean();
+    } catch (IllegalStateException e) {
+      LOG.error("permit of a call failed", e);
+      return false;
+    }
+  }
+
+  private ClientRequest clientRequest() {
+    ClientRequest http = new ClientRequest().setMethod(request.method()).setPath(request.path());
+    HeaderMap headers = http.getRequestHeaders();
+    request.headers().forEach(header -> headers.putAll(header.getHeaderName(), header));
+    if (request.body().length > 0 || request.headers().contains(Headers.CONTENT_LENGTH)) {
+      headers.put(Headers.CONTENT_LENGTH, request.body().length);
+    }
+    return http;
+  }
+
+  private void onExchange(ClientExchange exchange) {
+    exchange.setResponseListener(callback(this::onResponse, this::broken));
+    new RequestBodyWriter(ByteBuffer.wrap(request.body()), this::broken)
+        .start(exchange.getRequestChannel());
+    written = true;
+  }
+
+  private void onResponse(ClientExchange exchange) {
+    if (ended) {
+      return;
+    }
+    progressAtMs = dependencies.clock().millis();
+    answerHeaders = exchange.getResponse().getResponseHeaders();
+    listener.onHead(exchange.getResponse().getResponseCode(), answerHeaders);
+    if (ended) {
+      return;
+    }
+    StreamSourceChannel channel = exchange.getResponseChannel();
+    channel.getReadSetter().set(this::read);
+    read(channel);
+  }
+
+  private void read(StreamSourceChannel channel) {
+    try (PooledByteBuffer pooled = dependencies.buffers().allocate()) {
+      ByteBuffer buffer = pooled.getBuffer();
+      while (!ended) {
+        buffer.clear();
+        int count = channel.read(buffer);
+        if (count < 0) {
+          // Undertow reports a body that is shorter than its stated length as an exception.
+          end(new HttpEnd.Completed(), !mayReuse());
+          return;
+        }
+        if (count == 0) {
+          channel.resumeReads();
+          return;
+        }
+        buffer.flip();
+        progressAtMs = dependencies.clock().millis();
+        if (!listener.onBytes(buffer)) {
+          end(new HttpEnd.Broken("the answer cannot be used"), true);
+        }
+      }
+    } catch (IOException e) {
+      broken(e);
+    }
+  }
+
+  private boolean mayReuse() {
+    return written && !"close".equalsIgnoreCase(answerHeaders.getFirst(Headers.CONNECTION));
+  }
+
+  private void checkProgress() {
+    long silentMs = dependencies.clock().millis() - progressAtMs;
+    if (silentMs < request.progressTimeoutMs()) {
+      armTimer(request.progressTimeoutMs() - silentMs, this::checkProgress);
+      return;
+    }
+    dependencies.pool().closeWithoutProgressSince(request.address(), startedAtMs);
+    end(new HttpEnd.TimedOut(), true);
+  }
+
+  private void broken(IOException cause) {
+    LOG.debugf(cause, "call to %s broke", request.address());
+    end(new HttpEnd.Broken(String.valueOf(cause.getMessage())), true);
+  }
+
+  private void armTimer(long delayMs, Runnable task) {
+    cancelTimer();
+    timer = thread.executeAfter(task, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelTimer() {
+    if (timer != null) {
+      timer.remove();
+      timer = null;
+    }
+  }
+
+  private void end(HttpEnd end, boolean closeConnection) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    cancelTimer();
+    if (connection != null) {
+      if (closeConnection || request.freshConnection() || !connection.isOpen()) {
+        IoUtils.safeClose(connection);
+      } else {
+        dependencies
+            .pool()
+            .put(request.address(), connection, KeepAlive.idleTimeoutMs(answerHeaders));
+      }
+    }
+    listener.onEnd(end);
+  }
+
+  private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<IOException> failed) {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(T result) {
+        done.accept(result);
+      }
+
+      @Override
+      public void failed(IOException e) {
+        failed.accept(e);
+      }
+    };
+  }
+
+  /**
+   * What all calls share.
+   *
+   * @param buffers buffers
+   * @param clock monotonic clock
+   * @param connectTimeoutMs time in milliseconds for opening a connection
+   * @param pool idle connections
+   */
+  record Dependencies(
+      ByteBufferPool buffers, Clock clock, long connectTimeoutMs, ConnectionPool pool) {}
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCalls.java
@@ -0,0 +1,72 @@
+package org.ragwortpick.entry.upstream;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.connector.ByteBufferPool;
+import java.time.Clock;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** Sends calls to upstreams over pooled connections. */
+public final class HttpCalls implements AutoCloseable {
+
+  private final XnioWorker worker;
+  private final HttpCall.Dependencies dependencies;
+
+  /**
+   * Creates the sender.
+   *
+   * @param worker I/O threads
+   * @param buffers buffers
+   * @param clock monotonic clock
+   * @param connectTimeoutMs time in milliseconds for opening a connection
+   * @param staleAfterMs idle time in milliseconds after which a pooled connection is not used
+   */
+  public HttpCalls(
+      XnioWorker worker,
+      ByteBufferPool buffers,
+      Clock clock,
+      long connectTimeoutMs,
+      long staleAfterMs) {
+    this.worker = worker;
+    this.dependencies =
+        new HttpCall.Dependencies(
+            buffers, clock, connectTimeoutMs, new ConnectionPool(clock, staleAfterMs));
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request the request
+   * @param listener receives the answer
+   * @return the call
+   */
+  public HttpCall send(HttpRequest request, HttpListener listener) {
+    HttpCall call =
+        request.freshConnection()
+            ? newCall(request, listener)
+            : dependencies
+                .pool()
+                .take(request.address())
+                .map(connection -> reuse(connection, request, listener))
+                .orElseGet(() -> newCall(request, listener));
+    call.start();
+    return call;
+  }
+
+  private HttpCall reuse(ClientConnection connection, HttpRequest request, HttpListener listener) {
+    return new HttpCall(request, listener, connection.getIoThread(), dependencies)
+        .reuse(connection);
+  }
+
+  private HttpCall newCall(HttpRequest request, HttpListener listener) {
+    XnioIoThread current = XnioIoThread.currentThread();
+    XnioIoThread thread =
+        current != null && current.getWorker() == worker ? current : worker.getIoThread();
+    return new HttpCall(request, listener, thread, dependencies);
+  }
+
+  @Override
+  public void close() {
+    dependencies.pool().close();
+  }
+}
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
@@ -1,6 +1,5 @@
 package org.ragwortpick.entry.upstream;
 
-import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.Optional;
@@ -34,10 +33,9 @@
    * @param response the answer
    * @return status and headers
    */
-  static UpstreamHead read(ClientResponse response) {
-    HeaderMap headers = response.getResponseHeaders();
+  static UpstreamHead read(int status, HeaderMap headers) {
     return new UpstreamHead(
-        response.getResponseCode(),
+        status,
         readId(headers),
         "true".equalsIgnoreCase(headers.getFirst(COLD)));
   }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/CallerRequest.java
@@ -0,0 +1,54 @@
+package org.ragwortpick.forward;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.util.Optional;
+import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RoutedWorkspace;
+
+/**
+ * Request of a caller that a route takes.
+ *
+ * @param id id of the attempt of the caller
+ * @param method method
+ * @param target path and query as the caller sent them
+ * @param headers headers of the caller
+ * @param body body
+ * @param route the route
+ * @param workspace workspace of the caller; empty if the route is open
+ * @param routingNumber number of the routing configuration that decided
+ * @param arrivedAtMs monotonic time in milliseconds at which the headers were read
+ * @param deadlineAtMs monotonic time in milliseconds at which the caller stops to wait
+ */
+record CallerRequest(
+    String id,
+    HttpString method,
+    String target,
+    HeaderMap headers,
+    byte[] body,
+    Route route,
+    Optional<RoutedWorkspace> workspace,
+    long routingNumber,
+    long arrivedAtMs,
+    long deadlineAtMs) {
+
+  /**
+   * Returns the rank of the request.
+   *
+   * @return rank of the workspace, or of the route if the workspace has none; 0 first
+   */
+  int priority() {
+    return workspace
+        .flatMap(owner -> Optional.ofNullable(owner.priority()))
+        .orElse(route.priority());
+  }
+
+  /**
+   * Returns the time until which an answer is within the target latency.
+   *
+   * @return monotonic time in milliseconds
+   */
+  long targetAtMs() {
+    return arrivedAtMs + route.targetLatencyMs();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -0,0 +1,159 @@
+package org.ragwortpick.forward;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.ragwortpick.entry.http.BodyReader;
+import org.ragwortpick.entry.http.CallerConnection;
+import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RoutedWorkspace;
+import org.ragwortpick.routing.RoutingTable;
+import org.ragwortpick.routing.WeightedService;
+
+/** Takes the requests of callers: finds route and workspace, reads the body and starts the run. */
+public final class ForwardHandler implements HttpHandler {
+
+  private static final Logger LOG = Logger.getLogger(ForwardHandler.class);
+
+  private final ForwardDependencies dependencies;
+  private final RandomGenerator random;
+
+  /**
+   * Creates the handler.
+   *
+   * @param dependencies what all requests share
+   * @param random source of random numbers for weighted services
+   */
+  public ForwardHandler(ForwardDependencies dependencies, RandomGenerator random) {
+    this.dependencies = dependencies;
+    this.random = random;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    long arrivedAtMs = dependencies.clock().millis();
+    if (!dependencies.keepsConnections().getAsBoolean()) {
+      exchange.setPersistent(false);
+    }
+    if (!dependencies.accepting().getAsBoolean()) {
+      refuse(exchange, Refusal.STOPPING);
+      return;
+    }
+    Optional<RoutingTable> table = dependencies.configuration().current().routingTable();
+    if (table.isEmpty()) {
+      refuse(exchange, Refusal.NO_CONFIGURATION);
+      return;
+    }
+    Optional<Route> route = table.get().match(hostOf(exchange), exchange.getRequestURI());
+    if (route.isEmpty()) {
+      refuse(exchange, Refusal.NO_ROUTE);
+      return;
+    }
+    handle(exchange, table.get(), route.get(), arrivedAtMs);
+  }
+
+  private static String hostOf(HttpServerExchange exchange) {
+    String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
+    return host == null ? "" : host;
+  }
+
+  private void handle(
+      HttpServerExchange exchange, RoutingTable table, Route route, long arrivedAtMs) {
+    HeaderMap headers = exchange.getRequestHeaders();
+    Optional<RoutedWorkspace> workspace = Optional.empty();
+    if (table.needsKeys() && !route.open()) {
+      String key = headers.getFirst(dependencies.headers().key());
+      workspace = key == null ? Optional.empty() : table.workspaceOf(key.trim());
+      if (workspace.isEmpty()) {
+        refuse(exchange, Refusal.UNKNOWN_KEY);
+        return;
+      }
+    }
+    String id = headers.getFirst(dependencies.headers().requestId());
+    if (id == null || id.isBlank()) {
+      refuse(exchange, Refusal.NO_ID);
+      return;
+    }
+    long timeoutMs = timeoutMs(headers, route);
+    Optional<RoutedWorkspace> owner = workspace;
+    BodyReader.read(
+        exchange,
+        (int) Math.min(Integer.MAX_VALUE, table.limits().maxBodyBytes()),
+        dependencies.timers(),
+        timeoutMs,
+        body -> {
+          CallerRequest request =
+              new CallerRequest(
+                  id,
+                  exchange.getRequestMethod(),
+                  targetOf(exchange),
+                  headers,
+                  body,
+                  route,
+                  owner,
+                  table.number(),
+                  arrivedAtMs,
+                  arrivedAtMs + timeoutMs);
+          start(exchange, table, request);
+        },
+        fault ->
+            refuse(
+                exchange,
+                fault == BodyReader.Fault.TOO_LARGE
+                    ? Refusal.BODY_TOO_LARGE
+                    : Refusal.INCOMPLETE_BODY));
+  }
+
+  private long timeoutMs(HeaderMap headers, Route route) {
+    String value = headers.getFirst(dependencies.headers().deadlineMs());
+    if (value == null) {
+      return route.timeoutMs();
+    }
+    try {
+      return Math.max(1, Math.min(route.timeoutMs(), (long) Double.parseDouble(value.trim())));
+    } catch (NumberFormatException e) {
+      LOG.debugf("the deadline %s is no number; the timeout of the route applies", value);
+      return route.timeoutMs();
+    }
+  }
+
+  private static String targetOf(HttpServerExchange exchange) {
+    String query = exchange.getQueryString();
+    return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
+  }
+
+  private void start(HttpServerExchange exchange, RoutingTable table, CallerRequest request) {
+    String service = serviceOf(request.route());
+    ForwardRun run = new ForwardRun(dependencies, exchange, request, service);
+    CallerConnection.watch(exchange, run::onCallerGone);
+    run.start(table);
+  }
+
+  private String serviceOf(Route route) {
+    int total = route.services().stream().mapToInt(WeightedService::weight).sum();
+    int drawn = random.nextInt(total);
+    for (WeightedService weighted : route.services()) {
+      drawn -= weighted.weight();
+      if (drawn < 0) {
+        return weighted.service();
+      }
+    }
+    throw new IllegalStateException("route " + route.name() + " has no service with a weight");
+  }
+
+  private void refuse(HttpServerExchange exchange, Refusal refusal) {
+    LOG.infof(
+        "request %s refused: %s, status %d, host %s, path %s, configuration revision %d",
+        exchange.getRequestHeaders().getFirst(dependencies.headers().requestId()),
+        refusal.error(),
+        refusal.status(),
+        hostOf(exchange),
+        exchange.getRequestURI(),
+        dependencies.configuration().current().revision());
+    RefusalWriter.write(exchange, refusal);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -0,0 +1,71 @@
+package org.ragwortpick.forward;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counters and histograms of forwarded requests. */
+public final class ForwardMetrics {
+
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  private final Counter requests;
+  private final Counter sends;
+  private final Histogram firstByte;
+
+  /**
+   * Registers the metrics.
+   *
+   * @param registry registry of the process
+   */
+  public ForwardMetrics(PrometheusRegistry registry) {
+    this.requests =
+        Counter.builder()
+            .name("ragwortpick_forward_requests_total")
+            .help("Forwarded requests by route and end")
+            .labelNames("route", "end")
+            .register(registry);
+    this.sends =
+        Counter.builder()
+            .name("ragwortpick_forward_sends_total")
+            .help("Requests sent to upstreams by service and outcome")
+            .labelNames("service", "outcome")
+            .register(registry);
+    this.firstByte =
+        Histogram.builder()
+            .name("ragwortpick_forward_first_byte_seconds")
+            .help("Time from the headers of a request to the head of its answer")
+            .labelNames("route")
+            .register(registry);
+  }
+
+  /**
+   * Counts a request that ended.
+   *
+   * @param route name of the route
+   * @param end how it ended
+   */
+  void ended(String route, String end) {
+    requests.labelValues(route, end).inc();
+  }
+
+  /**
+   * Counts a send that ended.
+   *
+   * @param service name of the service
+   * @param outcome how it ended
+   */
+  void sent(String service, String outcome) {
+    sends.labelValues(service, outcome).inc();
+  }
+
+  /**
+   * Observes the time to the head of an answer.
+   *
+   * @param route name of the route
+   * @param elapsedMs time in milliseconds
+   */
+  void answered(String route, long elapsedMs) {
+    firstByte.labelValues(route).observe(elapsedMs / MS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -0,0 +1,43 @@
+package org.ragwortpick.forward;
+
+import io.undertow.util.HttpString;
+import java.util.Set;
+
+/**
+ * Names of the headers of forwarded requests and their answers, so that a deployment may keep the
+ * names that its callers and upstreams use.
+ *
+ * @param requestId id of one attempt of a caller; passed on and echoed
+ * @param deadlineMs time in milliseconds for which the caller waits
+ * @param key key of the workspace of the caller; never passed on
+ * @param workspace name of the workspace; set by this system only
+ * @param expectedUpstream id of the upstream that may run the request
+ * @param notExecuted states in an answer that the upstream did not run the request
+ * @param upstreamId id of the upstream that answers
+ * @param load running requests, waiting requests and slots of the upstream that answers
+ * @param prefixes parts of the prompt as id and number of tokens, the part of its own last
+ * @param pieceCount number of pieces of each stage
+ * @param pieceKey key of the pieces of stages without inputs
+ * @param inputs handles of the results of the last stages; set by this system only
+ * @param reserved headers of callers that are never passed on
+ */
+public record RoutingHeaders(
+    HttpString requestId,
+    HttpString deadlineMs,
+    HttpString key,
+    HttpString workspace,
+    HttpString expectedUpstream,
+    HttpString notExecuted,
+    HttpString upstreamId,
+    HttpString load,
+    HttpString prefixes,
+    HttpString pieceCount,
+    HttpString pieceKey,
+    HttpString inputs,
+    Set<HttpString> reserved) {
+
+  /** Copies the names. */
+  public RoutingHeaders {
+    reserved = Set.copyOf(reserved);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -0,0 +1,145 @@
+package org.ragwortpick.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.ragwortpick.batch.StageRunner;
+import org.ragwortpick.batch.StageTicket;
+import org.ragwortpick.batch.StageWork;
+import org.ragwortpick.batch.SubmissionEnd;
+import org.ragwortpick.routing.RouteStage;
+
+/**
+ * Runs the stages of one request, each as soon as its inputs exist, and gives up results when all
+ * that need them have run. Confined to the thread of the request.
+ */
+final class StageGraphRun {
+
+  private final CallerRequest request;
+  private final String pieceKey;
+  private final StagePlan plan;
+  private final StageRunner runner;
+  private final LongSupplier nowMs;
+  private final Consumer<SubmissionEnd> whenEnded;
+  private final StageTicket[] tickets;
+  private final List<List<String>> handles = new ArrayList<>();
+  private int unfinished;
+  private boolean ended;
+
+  /**
+   * Creates the run; nothing is sent yet.
+   *
+   * @param request the request
+   * @param pieceKey key of the pieces of stages without inputs
+   * @param plan stages of the request
+   * @param runner runs the stages
+   * @param nowMs monotonic time in milliseconds
+   * @param whenEnded receives the handles of the last stages, or the failure
+   */
+  StageGraphRun(
+      CallerRequest request,
+      String pieceKey,
+      StagePlan plan,
+      StageRunner runner,
+      LongSupplier nowMs,
+      Consumer<SubmissionEnd> whenEnded) {
+    this.request = request;
+    this.pieceKey = pieceKey;
+    this.plan = plan;
+    this.runner = runner;
+    this.nowMs = nowMs;
+    this.whenEnded = whenEnded;
+    this.tickets = new StageTicket[plan.stages().size()];
+  }
+
+  /** Starts the stages that need no inputs. */
+  void start() {
+    for (int stage = 0; stage < plan.stages().size(); stage++) {
+      handles.add(plan.counts().get(stage) == 0 ? List.of() : null);
+      unfinished += plan.counts().get(stage) == 0 ? 0 : 1;
+    }
+    startReady();
+  }
+
+  private void startReady() {
+    for (int stage = 0; stage < plan.stages().size() && !ended; stage++) {
+      boolean waits = handles.get(stage) == null && tickets[stage] == null;
+      if (waits && plan.stages().get(stage).after().stream().allMatch(this::isFinished)) {
+        submit(stage);
+      }
+    }
+  }
+
+  private boolean isFinished(int stage) {
+    return handles.get(stage) != null;
+  }
+
+  private void submit(int stage) {
+    RouteStage description = plan.stages().get(stage);
+    List<String> inputs =
+        description.after().stream().flatMap(before -> handles.get(before).stream()).toList();
+    long now = nowMs.getAsLong();
+    StageWork work =
+        new StageWork(
+            description.service(),
+            request.id(),
+            stage,
+            plan.counts().get(stage),
+            description.after().isEmpty() ? pieceKey : "",
+            inputs,
+            description.resultBytes(),
+            request.deadlineAtMs() - now - plan.followingMs(stage),
+            request.targetAtMs() - now - plan.followingMs(stage),
+            request.priority());
+    tickets[stage] = runner.submit(work, end -> onEnd(stage, end));
+  }
+
+  private void onEnd(int stage, SubmissionEnd end) {
+    if (ended) {
+      return;
+    }
+    if (end instanceof SubmissionEnd.Failed) {
+      abandon();
+      whenEnded.accept(end);
+      return;
+    }
+    handles.set(stage, ((SubmissionEnd.Produced) end).handles());
+    unfinished--;
+    plan.stages().get(stage).after().forEach(this::abandonIfUnneeded);
+    if (unfinished == 0) {
+      whenEnded.accept(new SubmissionEnd.Produced(lastHandles()));
+    } else {
+      startReady();
+    }
+  }
+
+  private void abandonIfUnneeded(int stage) {
+    for (int next = stage + 1; next < plan.stages().size(); next++) {
+      if (plan.stages().get(next).after().contains(stage) && !isFinished(next)) {
+        return;
+      }
+    }
+    abandon(stage);
+  }
+
+  private List<String> lastHandles() {
+    return request.route().lastStages().stream()
+        .flatMap(stage -> handles.get(stage).stream())
+        .toList();
+  }
+
+  /** Cancels what runs and gives up all results. */
+  void abandon() {
+    ended = true;
+    for (int stage = 0; stage < tickets.length; stage++) {
+      abandon(stage);
+    }
+  }
+
+  private void abandon(int stage) {
+    if (tickets[stage] != null) {
+      tickets[stage].abandon();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -0,0 +1,104 @@
+package org.ragwortpick.forward;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.policy.Candidate;
+import org.ragwortpick.policy.SelectionRequest;
+import org.ragwortpick.policy.UpstreamSelector;
+import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.routing.RoutingTable;
+import org.ragwortpick.routing.ServiceProfile;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+
+/**
+ * Chooses the upstream of a request: among the warm ones by the selector, and a cold one only if no
+ * warm one is left and the local VM has a share of its rate.
+ */
+public final class UpstreamChooser {
+
+  private final Supplier<Configuration> configuration;
+  private final Function<String, List<Upstream>> upstreamsOf;
+  private final UpstreamSelector selector;
+  private final UpstreamLoads loads;
+  private final ColdRateShare coldShare;
+  private final Supplier<List<String>> entryVms;
+
+  /**
+   * Creates a chooser.
+   *
+   * @param configuration current configuration
+   * @param upstreamsOf upstreams of a service as they announced themselves
+   * @param selector selector among candidates
+   * @param loads load of upstreams
+   * @param coldShare share of the rate of cold upstreams
+   * @param entryVms names of the VMs that serve callers
+   */
+  public UpstreamChooser(
+      Supplier<Configuration> configuration,
+      Function<String, List<Upstream>> upstreamsOf,
+      UpstreamSelector selector,
+      UpstreamLoads loads,
+      ColdRateShare coldShare,
+      Supplier<List<String>> entryVms) {
+    this.configuration = configuration;
+    this.upstreamsOf = upstreamsOf;
+    this.selector = selector;
+    this.loads = loads;
+    this.coldShare = coldShare;
+    this.entryVms = entryVms;
+  }
+
+  /**
+   * Lists the upstreams of a service that may take work.
+   *
+   * @param service name of the service
+   * @return announced upstreams, cold or ready, in data centres that are in service
+   */
+  public List<Upstream> available(String service) {
+    Configuration current = configuration.get();
+    return upstreamsOf.apply(service).stream()
+        .filter(upstream -> current.takesWork(upstream.dataCentre()))
+        .toList();
+  }
+
+  /**
+   * Chooses an upstream.
+   *
+   * @param service name of the service
+   * @param prefixHash hash of the prompt prefix; 0 for none
+   * @param tried ids of upstreams that are passed over
+   * @return the upstream, if one may take the request now
+   */
+  public Optional<Upstream> choose(String service, long prefixHash, Set<String> tried) {
+    List<Upstream> available = available(service);
+    SelectionRequest request = new SelectionRequest(service, prefixHash, tried);
+    double coldRate =
+        configuration
+            .get()
+            .routingTable()
+            .flatMap(table -> table.service(service))
+            .map(ServiceProfile::coldRequestsPerSecond)
+            .orElse(0.0);
+    List<Upstream> warm =
+        available.stream()
+            .filter(upstream -> coldRate == 0 || upstream.state() == UpstreamState.READY)
+            .toList();
+    return selector
+        .select(request, loads.describe(warm))
+        .map(Candidate::upstream)
+        .or(
+            () ->
+                available.stream()
+                    .filter(upstream -> upstream.state() == UpstreamState.COLD)
+                    .filter(upstream -> !tried.contains(upstream.id()))
+                    .filter(
+                        upstream -> coldShare.tryTake(upstream.id(), coldRate, entryVms.get()))
+                    .findFirst());
+  }
+}
--- a/src/main/java/org/ragwortpick/ledger/RemoteExecutionLedger.java
+++ b/src/main/java/org/ragwortpick/ledger/RemoteExecutionLedger.java
@@ -43,7 +43,7 @@
                 name ->
                     new LeaderCalls<>(
                         channels,
-                        controlAddresses,
+                        () -> controlAddresses,
                         LedgerGrpc.getExecuteMethod(),
                         RemoteExecutionLedger::redirectOf,
                         monotonicClock,
--- a/src/main/java/org/ragwortpick/policy/budget/RatioRetryBudget.java
+++ b/src/main/java/org/ragwortpick/policy/budget/RatioRetryBudget.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.policy.budget;
 
 import java.time.Clock;
+import java.util.function.IntSupplier;
 import org.ragwortpick.policy.RetryBudget;
 
 /**
@@ -15,7 +16,7 @@
 
   private final Clock clock;
   private final int ratioPercent;
-  private final int constant;
+  private final IntSupplier constant;
   private final long[] firstByPart = new long[PARTS];
   private final long[] takenByPart = new long[PARTS];
   private long partIndex;
@@ -30,6 +31,17 @@
    * @param constant further attempts within 10 s that need no first attempts
    */
   public RatioRetryBudget(Clock clock, int ratioPercent, int constant) {
+    this(clock, ratioPercent, () -> constant);
+  }
+
+  /**
+   * Creates a budget whose constant is shared out among VMs that come and go.
+   *
+   * @param clock monotonic clock
+   * @param ratioPercent retries in percent of first attempts
+   * @param constant retries beside the ratio, as of now
+   */
+  public RatioRetryBudget(Clock clock, int ratioPercent, IntSupplier constant) {
     this.clock = clock;
     this.ratioPercent = ratioPercent;
     this.constant = constant;
@@ -46,7 +58,7 @@
   @Override
   public synchronized boolean tryTake() {
     slide();
-    boolean exceeded = (taken + 1 - constant) * PERCENT > first * ratioPercent;
+    boolean exceeded = (taken + 1 - constant.getAsInt()) * PERCENT > first * ratioPercent;
     if (exceeded) {
       return false;
     }
--- a/src/main/java/org/ragwortpick/settings/ObjectReader.java
+++ b/src/main/java/org/ragwortpick/settings/ObjectReader.java
@@ -104,6 +104,38 @@
     return value.asLong();
   }
 
+  /**
+   * Reads a truth value that may be absent.
+   *
+   * @param key key of the value
+   * @param defaultValue value used when the key is absent
+   * @return the value
+   */
+  boolean optionalFlag(String key, boolean defaultValue) {
+    JsonNode value = take(key);
+    if (value != null && !value.isBoolean()) {
+      invalid(key, value.toString(), "write true or false");
+      return defaultValue;
+    }
+    return value == null ? defaultValue : value.asBoolean();
+  }
+
+  /**
+   * Reads a number that may be absent and may have a fraction.
+   *
+   * @param key key of the number
+   * @param defaultValue value used when the key is absent
+   * @return the number, at least 0
+   */
+  double optionalFraction(String key, double defaultValue) {
+    JsonNode value = take(key);
+    if (value != null && (!value.isNumber() || value.asDouble() < 0)) {
+      invalid(key, value.toString(), "write a number of at least 0");
+      return defaultValue;
+    }
+    return value == null ? defaultValue : value.asDouble();
+  }
+
   /**
    * Reads a list of texts that must be present.
    *
--- a/src/main/java/org/ragwortpick/settings/SettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/SettingsReader.java
@@ -56,7 +56,13 @@
     return errors.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(errors));
   }
 
-  private static String firstLine(IOException e) {
+  /**
+   * Returns the first line of an error message.
+   *
+   * @param e the error
+   * @return its kind and the first line of its text
+   */
+  static String firstLine(IOException e) {
     String text = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
     return e.getClass().getSimpleName() + ": " + text.lines().findFirst().orElse("");
   }
@@ -78,7 +84,14 @@
         readLogLevel(reader));
   }
 
-  private static Path resolve(Path file, String dataFolder) {
+  /**
+   * Resolves a folder against the folder of the settings file.
+   *
+   * @param file settings file
+   * @param dataFolder folder as the settings name it
+   * @return absolute path
+   */
+  static Path resolve(Path file, String dataFolder) {
     Path parent = file.toAbsolutePath().getParent();
     return parent.resolve(dataFolder).normalize();
   }
@@ -118,7 +131,13 @@
                 "weightLoadsPerSecond", defaults.weightLoadsPerSecond(), 1, MAX_LOADS_PER_SECOND));
   }
 
-  private static String readLogLevel(ObjectReader reader) {
+  /**
+   * Reads the lowest level of log lines.
+   *
+   * @param reader reader of the settings
+   * @return level in upper case
+   */
+  static String readLogLevel(ObjectReader reader) {
     String level = reader.optionalText("logLevel", "INFO").toUpperCase(Locale.ROOT);
     if (!LOG_LEVELS.contains(level)) {
       reader.invalid(
--- a/src/main/java/org/ragwortpick/sync/AddressAnswers.java
+++ b/src/main/java/org/ragwortpick/sync/AddressAnswers.java
@@ -42,7 +42,7 @@
     boolean inForce = view.isInForce();
     List<HostPort> addresses =
         vms.vms().stream()
-            .filter(vm -> vm.state() == VmState.READY)
+            .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
             .filter(vm -> view.current().takesWork(vm.dataCentre()))
             .filter(vm -> inForce || !vm.vm().equals(self.vm()))
             .sorted(
@@ -54,6 +54,20 @@
     return new AddressAnswer(addresses, SyncTimings.ADDRESS_VALIDITY_MS / 1_000);
   }
 
+  /**
+   * Lists the addresses of all ready VMs that serve callers, whatever their data centre, for a
+   * deployment in which only upstreams are taken out of service.
+   *
+   * @return addresses in the order of the names of the VMs
+   */
+  public List<HostPort> ready() {
+    return vms.vms().stream()
+        .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
+        .sorted(Comparator.comparing(VmRecord::vm))
+        .map(VmRecord::callerAddress)
+        .toList();
+  }
+
   private static long spread(String caller, String vm) {
     long hash = (((long) caller.hashCode() << MIX_SHIFT) ^ vm.hashCode()) * MIX;
     return (hash ^ (hash >>> MIX_SHIFT)) * MIX;
--- a/src/main/java/org/ragwortpick/sync/SyncIdentity.java
+++ b/src/main/java/org/ragwortpick/sync/SyncIdentity.java
@@ -9,7 +9,7 @@
  * @param vm unique name
  * @param incarnation number that grows with each start of the process, such as its start time
  * @param dataCentre data centre in which the VM runs
- * @param callerAddress address for callers
+ * @param callerAddress address for callers; {@link HostPort#NONE} if the VM serves none
  * @param peerAddress address for other VMs
  * @param controlVms control VMs, the local one included if it is one
  * @param relays peer addresses of other entry VMs
@@ -29,6 +29,15 @@
     relays = List.copyOf(relays);
   }
 
+  /**
+   * Tells whether the local VM runs control replicas.
+   *
+   * @return whether the control VMs include it
+   */
+  public boolean isControl() {
+    return controlVms.stream().anyMatch(control -> control.vm().equals(vm));
+  }
+
   /**
    * Control VM as the settings name it.
    *
--- a/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
+++ b/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
@@ -13,7 +13,8 @@
   private static final String STOP_REQUESTED = "STOP_REQUESTED";
   private static final String ANSWERS_EXPIRED = "ANSWERS_EXPIRED";
   private static final String DRAINED = "DRAINED";
-  private static final long LEAVING_MS =
+  /** Time for which a leaving VM takes requests: as long as callers may use address answers. */
+  public static final long LEAVING_MS =
       SyncTimings.ADDRESS_VALIDITY_MS + SyncTimings.ADDRESS_MARGIN_MS;
 
   private final StateChart chart = StateChart.load("vm.json");
@@ -22,10 +23,11 @@
   private final IntSupplier inFlight;
   private final Consumer<VmRecord> publisher;
   private volatile VmRecord record;
+  private final long leavingMs;
   private long leavingSinceMs;
 
   /**
-   * Creates the life cycle in its initial state and publishes the record.
+   * Creates the life cycle of a VM whose address answers are valid for the usual time.
    *
    * @param identity identity of the local VM
    * @param clock monotonic clock
@@ -39,6 +41,28 @@
       ConfigurationView view,
       IntSupplier inFlight,
       Consumer<VmRecord> publisher) {
+    this(identity, clock, view, inFlight, publisher, LEAVING_MS);
+  }
+
+  /**
+   * Creates the life cycle in its initial state and publishes the record.
+   *
+   * @param identity identity of the local VM
+   * @param clock monotonic clock
+   * @param view configuration view
+   * @param inFlight number of requests in flight
+   * @param publisher receiver of each new version of the record
+   * @param leavingMs time in milliseconds for which a leaving VM takes requests, because callers may
+   *     keep its address
+   */
+  public VmLifeCycle(
+      SyncIdentity identity,
+      Clock clock,
+      ConfigurationView view,
+      IntSupplier inFlight,
+      Consumer<VmRecord> publisher,
+      long leavingMs) {
+    this.leavingMs = leavingMs;
     this.clock = clock;
     this.view = view;
     this.inFlight = inFlight;
@@ -52,7 +76,8 @@
             identity.callerAddress(),
             identity.peerAddress(),
             VmState.valueOf(chart.initialState()),
-            0);
+            0,
+            identity.isControl());
     publisher.accept(record);
   }
 
@@ -86,7 +111,7 @@
     if (state() == VmState.STARTING && view.isInForce()) {
       fire(CONFIGURATION_IN_FORCE);
     }
-    if (state() == VmState.LEAVING && clock.millis() - leavingSinceMs >= LEAVING_MS) {
+    if (state() == VmState.LEAVING && clock.millis() - leavingSinceMs >= leavingMs) {
       fire(ANSWERS_EXPIRED);
     }
     int requests = inFlight.getAsInt();
@@ -120,7 +145,8 @@
             record.callerAddress(),
             record.peerAddress(),
             state,
-            load);
+            load,
+            record.control());
     publisher.accept(record);
   }
 }
--- a/src/main/java/org/ragwortpick/sync/VmRecord.java
+++ b/src/main/java/org/ragwortpick/sync/VmRecord.java
@@ -9,10 +9,11 @@
  * @param incarnation number that grows with each start of the process
  * @param sequence number that grows with each change of the record
  * @param dataCentre data centre in which it runs
- * @param callerAddress address for callers
+ * @param callerAddress address for callers; {@link HostPort#NONE} if it serves none
  * @param peerAddress address for other VMs
  * @param state life cycle state
  * @param load requests in flight
+ * @param control whether the VM runs control replicas
  */
 public record VmRecord(
     String vm,
@@ -22,4 +23,15 @@
     HostPort callerAddress,
     HostPort peerAddress,
     VmState state,
-    int load) {}
+    int load,
+    boolean control) {
+
+  /**
+   * Tells whether the VM has an address for callers.
+   *
+   * @return false for a VM that runs control replicas only
+   */
+  public boolean servesCallers() {
+    return !callerAddress.equals(HostPort.NONE);
+  }
+}
--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -31,7 +31,7 @@
   private final UpstreamHome home;
   private final Map<HomeKey, Long> lastAliveMs = new HashMap<>();
   private long refreshedAtMs;
-  private volatile Snapshot snapshot = new Snapshot(-1, Map.of());
+  private volatile Snapshot snapshot = new Snapshot(-1, Map.of(), Map.of());
 
   /**
    * Creates a directory.
@@ -59,6 +59,20 @@
     return snapshot.byService().getOrDefault(service, List.of());
   }
 
+  /**
+   * Lists the upstreams of a service in the state that they announced, whether or not the leader has
+   * found them warm.
+   *
+   * @param service name of the service
+   * @return upstreams that are cold or ready
+   */
+  public List<Upstream> announced(String service) {
+    if (snapshot.version() != table.version()) {
+      refresh();
+    }
+    return snapshot.announcedByService().getOrDefault(service, List.of());
+  }
+
   @Override
   public Optional<Upstream> find(String id) {
     return table
@@ -86,6 +100,7 @@
     refreshedAtMs = nowMs;
     Set<HomeKey> homes = new HashSet<>();
     Map<String, List<Upstream>> byService = new HashMap<>();
+    Map<String, List<Upstream>> announced = new HashMap<>();
     for (SoftRecord record : table.all()) {
       if (record instanceof SoftRecord.OfUpstream of && isOffered(of.upstream().state())) {
         HomeKey key = new HomeKey(of.homeVm(), of.homeIncarnation());
@@ -98,12 +113,16 @@
           byService
               .computeIfAbsent(of.upstream().service(), service -> new ArrayList<>())
               .add(effective(of.upstream()));
+          announced
+              .computeIfAbsent(of.upstream().service(), service -> new ArrayList<>())
+              .add(of.upstream());
         }
       }
     }
     lastAliveMs.keySet().retainAll(homes);
     byService.replaceAll((service, upstreams) -> List.copyOf(upstreams));
-    snapshot = new Snapshot(version, Map.copyOf(byService));
+    announced.replaceAll((service, upstreams) -> List.copyOf(upstreams));
+    snapshot = new Snapshot(version, Map.copyOf(byService), Map.copyOf(announced));
   }
 
   private static boolean isOffered(UpstreamState state) {
@@ -119,5 +138,8 @@
 
   private record HomeKey(String vm, long incarnation) {}
 
-  private record Snapshot(long version, Map<String, List<Upstream>> byService) {}
+  private record Snapshot(
+      long version,
+      Map<String, List<Upstream>> byService,
+      Map<String, List<Upstream>> announcedByService) {}
 }
--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.sync.LeaderSource;
@@ -66,7 +69,7 @@
   }
 
   private boolean leaderChanged() {
-    return isControlVm()
+    return identity.isControl()
         && leader.leaderVm().isPresent()
         && failures == 0
         && !candidates.get(0).equals(current);
@@ -99,22 +102,31 @@
     return failures % Math.max(1, candidates.size()) != 0;
   }
 
-  private boolean isControlVm() {
-    return identity.controlVms().stream().anyMatch(control -> control.vm().equals(identity.vm()));
+  /** Joins the control VMs of the settings with those that the directory knows. */
+  private List<ControlVm> controlVms() {
+    Map<String, ControlVm> known = new LinkedHashMap<>();
+    identity.controlVms().forEach(control -> known.put(control.vm(), control));
+    vms.vms().stream()
+        .filter(VmRecord::control)
+        .map(vm -> new ControlVm(vm.vm(), vm.dataCentre(), vm.peerAddress()))
+        .sorted(Comparator.comparing(ControlVm::vm))
+        .forEach(control -> known.put(control.vm(), control));
+    return List.copyOf(known.values());
   }
 
   private List<HostPort> candidates() {
     Set<HostPort> addresses = new LinkedHashSet<>();
-    if (isControlVm()) {
-      identity.controlVms().stream()
+    List<ControlVm> controlVms = controlVms();
+    if (identity.isControl()) {
+      controlVms.stream()
           .filter(control -> leader.leaderVm().filter(control.vm()::equals).isPresent())
           .forEach(control -> addresses.add(control.peerAddress()));
     }
     List<ControlVm> others =
-        identity.controlVms().stream()
+        controlVms.stream()
             .filter(control -> !control.dataCentre().equals(identity.dataCentre()))
             .toList();
-    identity.controlVms().stream()
+    controlVms.stream()
         .filter(control -> control.dataCentre().equals(identity.dataCentre()))
         .forEach(control -> addresses.add(control.peerAddress()));
     rotated(others).forEach(control -> addresses.add(control.peerAddress()));
@@ -127,7 +139,7 @@
     List<HostPort> known =
         vms.vms().stream()
             .map(VmRecord::peerAddress)
-            .sorted(java.util.Comparator.comparing(HostPort::toString))
+            .sorted(Comparator.comparing(HostPort::toString))
             .toList();
     Set<HostPort> relays = new LinkedHashSet<>(identity.relays());
     relays.addAll(rotated(known));
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -89,10 +89,11 @@
         .setIncarnation(vm.incarnation())
         .setSequence(vm.sequence())
         .setDataCentre(vm.dataCentre())
-        .setCallerAddress(vm.callerAddress().toString())
+        .setCallerAddress(vm.servesCallers() ? vm.callerAddress().toString() : "")
         .setPeerAddress(vm.peerAddress().toString())
         .setState(vm.state().ordinal())
         .setLoad(vm.load())
+        .setControl(vm.control())
         .build();
   }
 
@@ -143,10 +144,13 @@
             message.getIncarnation(),
             message.getSequence(),
             message.getDataCentre(),
-            HostPort.parse(message.getCallerAddress()),
+            message.getCallerAddress().isEmpty()
+                ? HostPort.NONE
+                : HostPort.parse(message.getCallerAddress()),
             HostPort.parse(message.getPeerAddress()),
             VmState.values()[message.getState()],
-            message.getLoad()));
+            message.getLoad(),
+            message.getControl()));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -2,6 +2,8 @@
 
 import io.grpc.BindableService;
 import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -13,7 +15,9 @@
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamDirectory;
+import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmDirectory;
 import org.ragwortpick.sync.VmLifeCycle;
 
@@ -41,13 +45,15 @@
    * @param leader local control replica, or {@link org.ragwortpick.sync.NoLeaderSource}
    * @param channels channels to other VMs, closed by the caller
    * @param inFlight number of requests in flight on the local VM
+   * @param leavingMs time in milliseconds for which a leaving VM takes requests
    */
   public SyncNode(
       SyncIdentity identity,
       Clock clock,
       LeaderSource leader,
       PeerChannels channels,
-      IntSupplier inFlight) {
+      IntSupplier inFlight,
+      long leavingMs) {
     this.scheduler =
         Executors.newSingleThreadScheduledExecutor(
             task -> {
@@ -61,7 +67,8 @@
     SourceSelector selector = new SourceSelector(identity, leader, state.vms());
     this.client = new SyncClient(clock, exchange, selector, channels, scheduler);
     this.server = new SyncServer(exchange, client::pollEarly);
-    this.lifeCycle = new VmLifeCycle(identity, clock, state.view(), inFlight, state::publish);
+    this.lifeCycle = 
+        new VmLifeCycle(identity, clock, state.view(), inFlight, state::publish, leavingMs);
     this.addressAnswers = new AddressAnswers(state.vms(), state.view(), lifeCycle::record);
   }
 
@@ -122,6 +129,41 @@
     return state.upstreams();
   }
 
+  /**
+   * Returns the upstreams in the state that they announced.
+   *
+   * @param service name of the service
+   * @return upstreams that are cold or ready
+   */
+  public List<Upstream> announced(String service) {
+    return state.upstreams().announced(service);
+  }
+
+  /**
+   * Takes the announcement of an upstream and passes a change of its state on at once.
+   *
+   * @param announcement the announcement
+   */
+  public void announce(Upstream announcement) {
+    Optional<UpstreamState> before = stateOf(announcement.id());
+    state.upstreams().announce(announcement);
+    if (!before.equals(stateOf(announcement.id()))) {
+      LOG.infof(
+          "upstream %s, incarnation %d, service %s, data centre %s: announced %s, number %d",
+          announcement.id(),
+          announcement.incarnation(),
+          announcement.service(),
+          announcement.dataCentre(),
+          announcement.state(),
+          announcement.sequence());
+      pollEarly();
+    }
+  }
+
+  private Optional<UpstreamState> stateOf(String upstreamId) {
+    return state.upstreams().find(upstreamId).map(Upstream::state);
+  }
+
   /**
    * Returns the shares of cold upstreams.
    *
--- a/src/main/java/org/ragwortpick/vm/ControlPart.java
+++ b/src/main/java/org/ragwortpick/vm/ControlPart.java
@@ -47,6 +47,9 @@
   /** Loads that may be ordered at once before the rate of the weight store applies. */
   private static final int WEIGHT_LOAD_BURST = 2;
 
+  /** A deployment with listed control VMs may run with one of them. */
+  private static final int MINIMUM_VOTERS = 1;
+
   private final ConsensusHost host;
   private final ConfigurationStateMachine configuration;
   private final ConsensusGroup configurationGroup;
@@ -114,7 +117,8 @@
     LeaderTenure tenure = new LeaderTenure(configurationGroup, clock);
     PlacementSource placement = new DirectoryPlacement(upstreams, tenure);
     LeaderAdministration administration =
-        new LeaderAdministration(configurationGroup, configuration, lease, placement);
+        new LeaderAdministration(
+            configurationGroup, configuration, lease, placement, MINIMUM_VOTERS);
     EngineOrders orders =
         new EngineOrders(
             configurationGroup,
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -0,0 +1,157 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import org.jboss.logging.Logger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.consensus.BootstrapRefusedException;
+import org.ragwortpick.consensus.ConsensusGroup;
+import org.ragwortpick.consensus.ConsensusHost;
+import org.ragwortpick.consensus.ConsensusOptions;
+import org.ragwortpick.consensus.DataFolder;
+import org.ragwortpick.control.AdministrationServer;
+import org.ragwortpick.control.ConfigurationStateMachine;
+import org.ragwortpick.control.LeaderAdministration;
+import org.ragwortpick.control.PlacementPlan;
+import org.ragwortpick.control.PlacementSource;
+import org.ragwortpick.control.leader.LeaderLease;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.LeaderSource;
+
+/** Replica of the configuration on a control VM with a disk. */
+final class ControlReplica implements AutoCloseable {
+
+  private static final Logger LOG = Logger.getLogger(ControlReplica.class);
+
+  private final ConsensusHost host;
+  private final ConsensusGroup group;
+  private final ConfigurationStateMachine machine;
+  private final LeaderAdministration administration;
+
+  private ControlReplica(
+      ConsensusHost host,
+      ConfigurationStateMachine machine,
+      int minimumVoters,
+      Clock clock,
+      ScheduledExecutorService scheduler) {
+    this.host = host;
+    this.machine = machine;
+    this.group = host.group(ConfigurationStateMachine.GROUP);
+    this.administration =
+        new LeaderAdministration(
+            group,
+            machine,
+            new LeaderLease(group, clock, scheduler),
+            new NoPlacement(),
+            minimumVoters);
+  }
+
+  /**
+   * Opens the data folder. On the first start of a deployment the lowest seed forms the group; every
+   * other VM with an empty folder joins it.
+   *
+   * @param settings settings of the process
+   * @param channels channels to the other VMs
+   * @param clock monotonic clock
+   * @param scheduler executor of timers
+   * @return the replica; empty without a data folder
+   * @throws IOException if the data folder cannot be used
+   */
+  static Optional<ControlReplica> open(
+      ForwardingSettings settings,
+      PeerChannels channels,
+      Clock clock,
+      ScheduledExecutorService scheduler)
+      throws IOException {
+    Optional<Path> folder =
+        settings.control().flatMap(ForwardingSettings.ControlRole::dataFolder);
+    if (folder.isEmpty()) {
+      return Optional.empty();
+    }
+    ConsensusOptions options =
+        ConsensusOptions.open(
+            settings.peerAddress(), settings.clusterId(), folder.get(), settings.seeds());
+    ForwardingSettings.ControlRole role = settings.control().orElseThrow();
+    if (role.firstStart() && isFirstSeed(settings)) {
+      form(options, channels);
+    }
+    ConfigurationStateMachine machine = new ConfigurationStateMachine();
+    ConsensusHost host =
+        ConsensusHost.open(
+            options, Map.of(ConfigurationStateMachine.GROUP, machine), channels, clock);
+    return Optional.of(
+        new ControlReplica(host, machine, role.minimumVoters(), clock, scheduler));
+  }
+
+  private static boolean isFirstSeed(ForwardingSettings settings) {
+    return settings.seeds().stream()
+        .min(Comparator.comparing(HostPort::toString))
+        .filter(settings.peerAddress()::equals)
+        .isPresent();
+  }
+
+  private static void form(ConsensusOptions options, PeerChannels channels) throws IOException {
+    try {
+      DataFolder.bootstrap(
+          options, Set.of(ConfigurationStateMachine.GROUP), channels, new SecureRandom());
+      LOG.infof("VM %s forms the control group", options.vm());
+    } catch (BootstrapRefusedException e) {
+      LOG.infof("VM %s does not form the control group again: %s", options.vm(), e.getMessage());
+    }
+  }
+
+  /**
+   * Returns the source of the configuration for the sync module.
+   *
+   * @return the source
+   */
+  LeaderSource leaderSource() {
+    return new ConsensusLeaderSource(group, machine);
+  }
+
+  /**
+   * Returns the gRPC services.
+   *
+   * @return the services
+   */
+  List<BindableService> services() {
+    return List.of(
+        host.service(),
+        new AdministrationServer(administration, vm -> Optional.of(HostPort.parse(vm))));
+  }
+
+  /** Starts the replica. */
+  void start() {
+    host.start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    host.close();
+  }
+
+  /** Upstreams of a deployment without an inventory are not moved by this system. */
+  private static final class NoPlacement implements PlacementSource {
+
+    @Override
+    public PlacementPlan plan(
+        org.ragwortpick.config.Inventory inventory, Set<String> dataCentres) {
+      return new PlacementPlan(List.of(), List.of(), List.of());
+    }
+
+    @Override
+    public boolean isComplete() {
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -0,0 +1,205 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.control.AcceptedChange;
+import org.ragwortpick.control.Administration;
+import org.ragwortpick.control.AdministrationError;
+import org.ragwortpick.control.RemoteAdministration;
+import org.ragwortpick.control.ReturnRequest;
+import org.ragwortpick.control.TakeOutRequest;
+import org.ragwortpick.edge.ControlCalls;
+import org.ragwortpick.edge.DirectoryAnswers;
+import org.ragwortpick.edge.EdgeProtocol;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.rpc.SyncNode;
+
+/** Control role of a deployment that forwards requests: operators, announcements and addresses. */
+final class ForwardingControl implements AutoCloseable, ControlCalls, DirectoryAnswers {
+
+  private static final Logger LOG = Logger.getLogger(ForwardingControl.class);
+
+  private static final int IO_THREADS = 1;
+
+  /** Operators move on to another VM after a second without an answer. */
+  private static final long CALL_TIMEOUT_MS = 850;
+
+  /** Short, so that a VM that stops has lost its callers well before its grace time ends. */
+  private static final long ADDRESS_VALIDITY_SECONDS = 1;
+
+  private final Optional<ControlReplica> replica;
+  private final SyncNode sync;
+  private final Administration administration;
+  private final Undertow server;
+
+  /**
+   * Creates the role; nothing listens yet.
+   *
+   * @param role settings of the role
+   * @param protocol edge protocol
+   * @param replica local replica; empty without a disk
+   * @param sync sync module of the process
+   * @param channels channels to the other VMs
+   * @param controlAddresses peer addresses of control VMs
+   * @param clock monotonic clock
+   * @param scheduler executor of timers
+   * @param registry metrics
+   */
+  ForwardingControl(
+      ForwardingSettings.ControlRole role,
+      EdgeProtocol protocol,
+      Optional<ControlReplica> replica,
+      SyncNode sync,
+      PeerChannels channels,
+      Supplier<List<HostPort>> controlAddresses,
+      Clock clock,
+      ScheduledExecutorService scheduler,
+      PrometheusRegistry registry) {
+    this.replica = replica;
+    this.sync = sync;
+    this.administration =
+        new RemoteAdministration(channels, controlAddresses, clock, scheduler);
+    this.server =
+        Undertow.builder()
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(1)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .addHttpListener(
+                role.operatorAddress().port(),
+                role.operatorAddress().host(),
+                MetricsHandler.before(registry, protocol.control(this)))
+            .addHttpListener(
+                role.directoryAddress().port(),
+                role.directoryAddress().host(),
+                protocol.directory(this))
+            .build();
+  }
+
+  /**
+   * Returns the gRPC services of the replica.
+   *
+   * @return the services; none without a disk
+   */
+  List<BindableService> services() {
+    return replica.map(ControlReplica::services).orElse(List.of());
+  }
+
+  /** Starts the replica and the listeners. */
+  void start() {
+    replica.ifPresent(ControlReplica::start);
+    server.start();
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> replaceRouting(
+      RoutingConfiguration routing) {
+    return logged(
+        "routing " + routing.number(), administration.replaceRouting(routing, CALL_TIMEOUT_MS));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, Optional<RoutingConfiguration>>>
+      readRouting() {
+    return administration
+        .read(CALL_TIMEOUT_MS)
+        .thenApply(result -> result.map(version -> version.configuration().routing()));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(String dataCentre) {
+    TakeOutRequest request = new TakeOutRequest(newId(), dataCentre, true);
+    return logged("take-out of " + dataCentre, administration.takeOut(request, CALL_TIMEOUT_MS));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
+      String dataCentre) {
+    ReturnRequest request = new ReturnRequest(newId(), dataCentre);
+    return logged(
+        "return of " + dataCentre, administration.returnToService(request, CALL_TIMEOUT_MS));
+  }
+
+  private static String newId() {
+    return UUID.randomUUID().toString();
+  }
+
+  private static CompletionStage<Either<AdministrationError, AcceptedChange>> logged(
+      String order, CompletionStage<Either<AdministrationError, AcceptedChange>> result) {
+    return result.whenComplete(
+        (outcome, failure) ->
+            LOG.infof(
+                "order %s: %s",
+                order,
+                failure != null
+                    ? failure
+                    : outcome.fold(
+                        AdministrationError::message,
+                        accepted -> "accepted at revision " + accepted.revision())));
+  }
+
+  @Override
+  public void announce(Upstream upstream) {
+    sync.announce(upstream);
+  }
+
+  @Override
+  public void leave(String upstreamId) {
+    Optional<Upstream> known = sync.upstreamDirectory().find(upstreamId);
+    if (known.isEmpty()) {
+      LOG.infof("upstream %s leaves and is not known here", upstreamId);
+      return;
+    }
+    Upstream upstream = known.get();
+    sync.announce(
+        new Upstream(
+            upstream.id(),
+            upstream.incarnation(),
+            upstream.sequence() + 1,
+            upstream.address(),
+            upstream.dataCentre(),
+            upstream.service(),
+            upstream.model(),
+            upstream.version(),
+            upstream.adapters(),
+            UpstreamState.LEAVING,
+            upstream.slots(),
+            upstream.coldLimit(),
+            upstream.load(),
+            upstream.checksFencing()));
+  }
+
+  @Override
+  public List<HostPort> addresses() {
+    return sync.addressAnswers().ready();
+  }
+
+  @Override
+  public long validitySeconds() {
+    return ADDRESS_VALIDITY_SECONDS;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.stop();
+    if (replica.isPresent()) {
+      replica.get().close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -0,0 +1,248 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.Undertow;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.ragwortpick.batch.BatchService;
+import org.ragwortpick.batch.RemoteStageRunner;
+import org.ragwortpick.batch.StageCollector;
+import org.ragwortpick.batch.StageCollectors;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.edge.EdgeProtocol;
+import org.ragwortpick.entry.Timers;
+import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.upstream.HttpCalls;
+import org.ragwortpick.forward.ForwardDependencies;
+import org.ragwortpick.forward.ForwardHandler;
+import org.ragwortpick.forward.ForwardMetrics;
+import org.ragwortpick.forward.HttpBatchTransport;
+import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.UpstreamChooser;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.budget.RatioRetryBudget;
+import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.policy.select.RendezvousAffinitySelector;
+import org.ragwortpick.routing.ServiceProfile;
+import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.rpc.SyncNode;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Entry role of a deployment that forwards requests. One I/O thread holds all state of requests and
+ * of the stage collectors, so none of it is locked.
+ */
+final class ForwardingEntry implements AutoCloseable {
+
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final long CONNECT_TIMEOUT_MS = 300;
+
+  /** Idle time after which a pooled connection to an upstream is not trusted any more. */
+  private static final long STALE_AFTER_MS = 8_000;
+
+  private static final long EXPIRY_INTERVAL_MS = 5_000;
+  private static final long CLOSE_TIMEOUT_MS = 500;
+
+  /** Load by which the engine of a prefix may exceed the least loaded one. */
+  private static final double AFFINITY_MARGIN = 0.15;
+
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final XnioWorker worker;
+  private final HttpCalls calls;
+  private final SyncNode sync;
+  private final Timers timers;
+  private final UpstreamLoads loads;
+  private final StageCollectors collectors;
+  private final EntryServer server;
+  private final Undertow readiness;
+  private final XnioIoThread loop;
+
+  /**
+   * Creates the role; nothing listens yet.
+   *
+   * @param settings settings of the process
+   * @param protocol edge protocol
+   * @param sync sync module of the process
+   * @param channels channels to the other VMs
+   * @param clock monotonic clock
+   * @param registry metrics
+   * @param work counter of the requests in flight
+   * @throws IOException if the worker thread cannot be created
+   */
+  ForwardingEntry(
+      ForwardingSettings settings,
+      EdgeProtocol protocol,
+      SyncNode sync,
+      PeerChannels channels,
+      Clock clock,
+      PrometheusRegistry registry,
+      WorkCounter work)
+      throws IOException {
+    ForwardingSettings.EntryRole role = settings.entry().orElseThrow();
+    this.sync = sync;
+    this.worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    this.loop = worker.getIoThread();
+    this.timers = new IoThreadTimers(loop);
+    this.calls = new HttpCalls(worker, buffers, clock, CONNECT_TIMEOUT_MS, STALE_AFTER_MS);
+    this.loads = new UpstreamLoads(clock);
+    RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
+    UpstreamChooser chooser =
+        new UpstreamChooser(
+            this::configuration,
+            sync::announced,
+            new RendezvousAffinitySelector(
+                new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
+            loads,
+            new ColdRateShare(settings.peerAddress().toString(), clock),
+            this::entryVms);
+    HttpBatchTransport transport =
+        new HttpBatchTransport(calls, protocol.batches(), protocol.headers());
+    this.collectors =
+        new StageCollectors(
+            service ->
+                new StageCollector(
+                    service,
+                    () ->
+                        configuration()
+                            .routingTable()
+                            .flatMap(table -> table.service(service))
+                            .flatMap(ServiceProfile::batching),
+                    () -> chooser.available(service),
+                    transport,
+                    timers,
+                    clock));
+    RemoteStageRunner stages =
+        new RemoteStageRunner(
+            settings.peerAddress(),
+            sync.vmDirectory()::vms,
+            collectors,
+            channels,
+            loop,
+            timers,
+            clock);
+    ForwardDependencies dependencies =
+        new ForwardDependencies(
+            protocol.headers(),
+            sync.configurationView(),
+            chooser,
+            loads,
+            stages,
+            calls,
+            retryBudgets(role, clock),
+            timers,
+            clock,
+            this::accepts,
+            () -> sync.lifeCycle().state() == VmState.READY,
+            work,
+            new ForwardMetrics(registry));
+    this.server =
+        new EntryServer(
+            role.callerAddress().host(),
+            role.callerAddress().port(),
+            worker,
+            buffers,
+            new ForwardHandler(dependencies, random),
+            work);
+    this.readiness =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .addHttpListener(
+                role.readinessAddress().port(),
+                role.readinessAddress().host(),
+                MetricsHandler.before(registry, protocol.readiness(this::isReady)))
+            .build();
+  }
+
+  private Configuration configuration() {
+    return sync.configurationView().current();
+  }
+
+  private List<String> entryVms() {
+    return sync.vmDirectory().vms().stream()
+        .filter(VmRecord::servesCallers)
+        .map(VmRecord::vm)
+        .toList();
+  }
+
+  private ForwardDependencies.RetryBudgets retryBudgets(
+      ForwardingSettings.EntryRole role, Clock clock) {
+    Map<String, RetryBudget> budgets = new HashMap<>();
+    return service ->
+        budgets.computeIfAbsent(
+            service,
+            name ->
+                new RatioRetryBudget(
+                    clock,
+                    role.retryRatioPercent(),
+                    () -> role.retryConstant() / Math.max(1, entryVms().size())));
+  }
+
+  private boolean accepts() {
+    VmState state = sync.lifeCycle().state();
+    return state == VmState.STARTING || state == VmState.READY || state == VmState.LEAVING;
+  }
+
+  private boolean isReady() {
+    return sync.lifeCycle().state() == VmState.READY
+        && configuration().routingTable().isPresent();
+  }
+
+  /**
+   * Returns the gRPC service of the stage collectors.
+   *
+   * @return the service
+   */
+  BindableService service() {
+    return new BatchService(collectors, loop);
+  }
+
+  /** Starts to listen. */
+  void start() {
+    server.start();
+    readiness.start();
+    loop.executeAtInterval(loads::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+    readiness.stop();
+    calls.close();
+    worker.shutdown();
+    try {
+      worker.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    buffers.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -0,0 +1,197 @@
+package org.ragwortpick.vm;
+
+import io.grpc.BindableService;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.edge.EdgeProtocol;
+import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.NoLeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.rpc.SyncNode;
+
+/** One process of a deployment that forwards requests: the control role, the entry role or both. */
+public final class ForwardingProcess implements StoppableProcess {
+
+  private static final Logger LOG = Logger.getLogger(ForwardingProcess.class);
+  private static final int TIMER_THREADS = 1;
+  private static final long STOP_POLL_MS = 50;
+
+  /** Callers keep an address answer for up to three times its validity; see the directory. */
+  private static final long LEAVING_MS = 4_500;
+
+  private final ForwardingSettings settings;
+  private final PeerChannels channels = new PeerChannels();
+  private final ScheduledExecutorService scheduler =
+      Executors.newScheduledThreadPool(TIMER_THREADS);
+  private final WorkCounter work = new WorkCounter();
+  private final SyncNode sync;
+  private final Optional<ForwardingControl> control;
+  private final Optional<ForwardingEntry> entry;
+  private final PeerServer peerServer;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+  /**
+   * Creates the process; nothing listens yet.
+   *
+   * @param settings checked settings
+   * @param protocol edge protocol that the settings name
+   * @throws IOException if the data folder cannot be used
+   */
+  public ForwardingProcess(ForwardingSettings settings, EdgeProtocol protocol) throws IOException {
+    this.settings = settings;
+    Clock clock = new MonotonicClock();
+    PrometheusRegistry registry = new PrometheusRegistry();
+    Optional<ControlReplica> replica = ControlReplica.open(settings, channels, clock, scheduler);
+    LeaderSource leader =
+        replica.<LeaderSource>map(ControlReplica::leaderSource).orElseGet(NoLeaderSource::new);
+    this.sync =
+        new SyncNode(
+            identity(settings, replica.isPresent()),
+            clock,
+            leader,
+            channels,
+            work::count,
+            LEAVING_MS);
+    this.control =
+        settings
+            .control()
+            .map(
+                role ->
+                    new ForwardingControl(
+                        role,
+                        protocol,
+                        replica,
+                        sync,
+                        channels,
+                        this::controlAddresses,
+                        clock,
+                        scheduler,
+                        registry));
+    this.entry =
+        settings.entry().isPresent()
+            ? Optional.of(
+                new ForwardingEntry(settings, protocol, sync, channels, clock, registry, work))
+            : Optional.empty();
+    List<BindableService> services = new ArrayList<>();
+    services.add(sync.service());
+    control.ifPresent(part -> services.addAll(part.services()));
+    entry.ifPresent(part -> services.add(part.service()));
+    this.peerServer = new PeerServer(settings.peerAddress(), services);
+  }
+
+  private static SyncIdentity identity(ForwardingSettings settings, boolean votes) {
+    String self = settings.peerAddress().toString();
+    Set<HostPort> controlVms = new LinkedHashSet<>(settings.seeds());
+    if (votes) {
+      controlVms.add(settings.peerAddress());
+    }
+    return new SyncIdentity(
+        self,
+        Clock.systemUTC().millis(),
+        settings.dataCentre(),
+        settings
+            .entry()
+            .map(ForwardingSettings.EntryRole::callerAddress)
+            .orElse(HostPort.NONE),
+        settings.peerAddress(),
+        controlVms.stream()
+            .map(address -> new SyncIdentity.ControlVm(address.toString(), "", address))
+            .toList(),
+        List.of());
+  }
+
+  /** Lists the control VMs of the directory, then the seeds, which may be out of date. */
+  private List<HostPort> controlAddresses() {
+    Set<HostPort> addresses = new LinkedHashSet<>();
+    sync.vmDirectory().vms().stream()
+        .filter(VmRecord::control)
+        .map(VmRecord::peerAddress)
+        .forEach(addresses::add);
+    addresses.addAll(settings.seeds());
+    return List.copyOf(addresses);
+  }
+
+  @Override
+  public void start() throws IOException {
+    peerServer.start();
+    control.ifPresent(ForwardingControl::start);
+    sync.start();
+    entry.ifPresent(ForwardingEntry::start);
+    LOG.infof(
+        "VM %s started in data centre %s, control %s, entry %s, seeds %s",
+        settings.peerAddress(),
+        settings.dataCentre(),
+        control.isPresent(),
+        entry.isPresent(),
+        settings.seeds());
+  }
+
+  @Override
+  public void requestStop() {
+    if (sync.lifeCycle().state() == VmState.STOPPED || stopped.isDone()) {
+      return;
+    }
+    LOG.infof("graceful stop requested, %d requests in flight", work.count());
+    sync.lifeCycle().requestStop();
+    if (entry.isEmpty()) {
+      // Callers of a control VM turn to another one at once, so nothing is gained by waiting.
+      stopped.complete(null);
+      return;
+    }
+    scheduler.scheduleWithFixedDelay(
+        this::checkStopped, STOP_POLL_MS, STOP_POLL_MS, TimeUnit.MILLISECONDS);
+    scheduler.schedule(
+        this::endOverdueStop,
+        settings.entry().orElseThrow().stopTimeoutMs(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void checkStopped() {
+    if (sync.lifeCycle().state() == VmState.STOPPED) {
+      stopped.complete(null);
+    }
+  }
+
+  private void endOverdueStop() {
+    if (!stopped.isDone()) {
+      LOG.warnf("%d requests are still in flight at the end of the stop timeout", work.count());
+      stopped.complete(null);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Void> stopped() {
+    return stopped;
+  }
+
+  @Override
+  public void close() throws IOException {
+    entry.ifPresent(ForwardingEntry::close);
+    sync.close();
+    if (control.isPresent()) {
+      control.get().close();
+    }
+    peerServer.close();
+    channels.close();
+    scheduler.shutdownNow();
+    LOG.infof("VM %s stopped", settings.peerAddress());
+  }
+}
--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -28,11 +28,12 @@
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.NoLeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.VmLifeCycle;
 import org.ragwortpick.sync.VmState;
 import org.ragwortpick.sync.rpc.SyncNode;
 
 /** One process of the system with all its parts. */
-public final class VmProcess implements AutoCloseable {
+public final class VmProcess implements StoppableProcess {
 
   private static final Logger LOG = Logger.getLogger(VmProcess.class);
   private static final int TIMER_THREADS = 2;
@@ -69,7 +70,7 @@
             : Optional.empty();
     LeaderSource leader =
         control.<LeaderSource>map(ControlPart::leaderSource).orElseGet(NoLeaderSource::new);
-    this.sync = new SyncNode(identity(settings), clock, leader, channels, work::count);
+    this.sync = new SyncNode(identity(settings), clock, leader, channels, work::count, VmLifeCycle.LEAVING_MS);
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
     control.ifPresent(part -> services.addAll(part.services(sync.upstreamDirectory())));
@@ -93,7 +94,7 @@
     this.admin =
         new AdminServer(
             settings.adminAddress(),
-            new RemoteAdministration(channels, controlAddresses, clock, scheduler),
+            new RemoteAdministration(channels, () -> controlAddresses, clock, scheduler),
             status,
             registry,
             this::requestStop);
@@ -116,11 +117,7 @@
     return control.map(ControlPart::statuses).orElse(List.of());
   }
 
-  /**
-   * Starts to listen and to poll.
-   *
-   * @throws IOException if an address cannot be bound
-   */
+  @Override
   public void start() throws IOException {
     peerServer.start();
     control.ifPresent(ControlPart::start);
@@ -131,7 +128,7 @@
     LOG.infof("VM %s started in data centre %s", settings.vm(), settings.dataCentre());
   }
 
-  /** Begins a graceful stop. Later requests change nothing. */
+  @Override
   public void requestStop() {
     if (sync.lifeCycle().state() == VmState.STOPPED) {
       return;
@@ -157,11 +154,7 @@
     }
   }
 
-  /**
-   * Completes when a graceful stop has finished all requests.
-   *
-   * @return the end of the stop
-   */
+  @Override
   public CompletableFuture<Void> stopped() {
     return stopped;
   }
--- a/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
+++ b/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
@@ -56,7 +56,7 @@
   }
 
   ConsensusOptions options(String vm) {
-    return new ConsensusOptions(vm, "test", root.resolve(vm), addresses, snapshotLogBytes);
+    return new ConsensusOptions(vm, "test", root.resolve(vm), addresses, snapshotLogBytes, false);
   }
 
   List<String> bootstrap(String vm) throws IOException {
--- a/src/test/java/org/ragwortpick/control/ControlFixture.java
+++ b/src/test/java/org/ragwortpick/control/ControlFixture.java
@@ -32,7 +32,7 @@
   private final UpstreamDirectory directory = new ListDirectory();
   private final PlacementSource placement = new DirectoryPlacement(directory, tenure);
   private final LeaderAdministration administration =
-      new LeaderAdministration(group, machine, lease, placement);
+      new LeaderAdministration(group, machine, lease, placement, 1);
 
   ManualClock clock() {
     return clock;
--- a/src/test/java/org/ragwortpick/control/RemoteAdministrationTest.java
+++ b/src/test/java/org/ragwortpick/control/RemoteAdministrationTest.java
@@ -32,7 +32,7 @@
       RemoteAdministration remote =
           new RemoteAdministration(
               channels,
-              List.of(new HostPort("127.0.0.1", server.getPort())),
+              () -> List.of(new HostPort("127.0.0.1", server.getPort())),
               new MonotonicClock(),
               scheduler);
       ProposeRequest request =
--- a/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
+++ b/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
@@ -77,6 +77,6 @@
 
   private static VmRecord record(String vm, String dataCentre, VmState state, int load, int port) {
     HostPort address = new HostPort("10.0.0.1", port);
-    return new VmRecord(vm, 1, 1, dataCentre, address, address, state, load);
+    return new VmRecord(vm, 1, 1, dataCentre, address, address, state, load, false);
   }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -107,7 +107,7 @@
             List.of(controlVm),
             relays);
     PeerChannels channels = new PeerChannels();
-    SyncNode node = new SyncNode(identity, clock, leader, channels, () -> 0);
+    SyncNode node = new SyncNode(identity, clock, leader, channels, () -> 0, 5_000);
     Server server =
         NettyServerBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
             .addService(node.service())
