--- a/src/main/java/org/ragwortpick/batch/BatchCodec.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCodec.java
@@ -54,20 +54,25 @@
    * Encodes the end of a stage.
    *
    * @param end the end
+   * @param waitMs time in milliseconds that a piece of this rank would wait now
    * @return the message
    */
-  static SubmitPiecesReply encode(SubmissionEnd end) {
+  static SubmitPiecesReply encode(SubmissionEnd end, long waitMs) {
     if (end instanceof SubmissionEnd.Produced produced) {
-      return SubmitPiecesReply.newBuilder().addAllHandles(produced.handles()).build();
+      return SubmitPiecesReply.newBuilder()
+          .addAllHandles(produced.handles())
+          .setWaitMs(waitMs)
+          .build();
     }
     PieceFailure failure =
         switch (((SubmissionEnd.Failed) end).cause()) {
           case LATE -> PieceFailure.PIECE_FAILURE_LATE;
           case INPUT_GONE -> PieceFailure.PIECE_FAILURE_INPUT_GONE;
+          case OVERLOADED -> PieceFailure.PIECE_FAILURE_OVERLOADED;
           case UNAVAILABLE -> PieceFailure.PIECE_FAILURE_UNAVAILABLE;
           default -> PieceFailure.PIECE_FAILURE_FAILED;
         };
-    return SubmitPiecesReply.newBuilder().setFailure(failure).build();
+    return SubmitPiecesReply.newBuilder().setFailure(failure).setWaitMs(waitMs).build();
   }
 
   /**
@@ -79,10 +84,15 @@
   static SubmissionEnd decode(SubmitPiecesReply reply) {
     return switch (reply.getFailure()) {
       case PIECE_FAILURE_NONE -> new SubmissionEnd.Produced(reply.getHandlesList());
-      case PIECE_FAILURE_LATE -> new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE);
-      case PIECE_FAILURE_INPUT_GONE -> new SubmissionEnd.Failed(SubmissionEnd.Cause.INPUT_GONE);
-      case PIECE_FAILURE_UNAVAILABLE -> new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE);
-      default -> new SubmissionEnd.Failed(SubmissionEnd.Cause.FAILED);
+      case PIECE_FAILURE_LATE -> failed(SubmissionEnd.Cause.LATE, reply);
+      case PIECE_FAILURE_INPUT_GONE -> failed(SubmissionEnd.Cause.INPUT_GONE, reply);
+      case PIECE_FAILURE_UNAVAILABLE -> failed(SubmissionEnd.Cause.UNAVAILABLE, reply);
+      case PIECE_FAILURE_OVERLOADED -> failed(SubmissionEnd.Cause.OVERLOADED, reply);
+      default -> failed(SubmissionEnd.Cause.FAILED, reply);
     };
   }
+
+  private static SubmissionEnd failed(SubmissionEnd.Cause cause, SubmitPiecesReply reply) {
+    return new SubmissionEnd.Failed(cause, reply.getWaitMs());
+  }
 }
--- a/src/main/java/org/ragwortpick/batch/BatchService.java
+++ b/src/main/java/org/ragwortpick/batch/BatchService.java
@@ -36,12 +36,16 @@
     loop.execute(
         () ->
             cancellation.start(
-                collectors.submit(BatchCodec.decode(request), end -> reply(call, end))));
+                collectors.submit(BatchCodec.decode(request), end -> reply(call, request, end))));
   }
 
-  private static void reply(ServerCallStreamObserver<SubmitPiecesReply> call, SubmissionEnd end) {
+  private void reply(
+      ServerCallStreamObserver<SubmitPiecesReply> call,
+      SubmitPiecesRequest request,
+      SubmissionEnd end) {
     if (!call.isCancelled()) {
-      call.onNext(BatchCodec.encode(end));
+      long waitMs = collectors.expectedWaitMs(request.getService(), request.getPriority());
+      call.onNext(BatchCodec.encode(end, waitMs));
       call.onCompleted();
     }
   }
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -35,6 +35,19 @@
     return waiting.size();
   }
 
+  /**
+   * Returns how many pieces go before a new one of a rank.
+   *
+   * @param priority rank, 0 first
+   * @return number of pieces of this rank and of those before it
+   */
+  long ahead(int priority) {
+    return waiting.stream()
+        .filter(piece -> !piece.submission().isEnded())
+        .filter(piece -> piece.submission().work().priority() <= priority)
+        .count();
+  }
+
   /**
    * Removes the pieces that are not needed, or cannot be done before their deadline.
    *
@@ -57,6 +70,22 @@
     return late;
   }
 
+  /**
+   * Removes all pieces.
+   *
+   * @return submissions of which a piece waited and is needed
+   */
+  List<Submission> removeAll() {
+    List<Submission> removed =
+        waiting.stream()
+            .map(WaitingPiece::submission)
+            .filter(submission -> !submission.isEnded())
+            .distinct()
+            .toList();
+    waiting.clear();
+    return removed;
+  }
+
   /**
    * Takes the next batch for one upstream.
    *
--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -45,6 +45,12 @@
 
   private static final long PROBE_TIMEOUT_MS = 400;
 
+  /** Age in milliseconds up to which the wait that a collector stated is believed. */
+  private static final long WAIT_VALID_MS = 700;
+
+  /** Collectors that are tried for one stage. */
+  private static final int MAX_SENDS = 3;
+
   private final HostPort self;
   private final Supplier<List<VmRecord>> vms;
   private final StageCollectors local;
@@ -54,6 +60,7 @@
   private final Clock clock;
   private final Map<HostPort, Long> passedOverUntilMs = new HashMap<>();
   private final Map<HostPort, Link> links = new HashMap<>();
+  private final Map<String, Wait> waits = new HashMap<>();
 
   /**
    * Creates the runner.
@@ -90,6 +97,20 @@
     return ticket;
   }
 
+  @Override
+  public long expectedWaitMs(String service, int priority) {
+    if (collectorOf(service).filter(self::equals).isPresent()) {
+      return local.expectedWaitMs(service, priority);
+    }
+    Wait wait = waits.get(service + "/" + priority);
+    boolean recent = wait != null && clock.millis() - wait.atMs() < WAIT_VALID_MS;
+    return recent ? wait.waitMs() : 0;
+  }
+
+  private void noteWait(StageWork work, long waitMs) {
+    waits.put(work.service() + "/" + work.priority(), new Wait(waitMs, clock.millis()));
+  }
+
   private Optional<HostPort> collectorOf(String service) {
     long nowMs = clock.millis();
     passedOverUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
@@ -100,9 +121,7 @@
   }
 
   private void passOver(HostPort collector) {
-    if (!collector.equals(self)) {
-      passedOverUntilMs.put(collector, clock.millis() + PASS_OVER_MS);
-    }
+    passedOverUntilMs.put(collector, clock.millis() + PASS_OVER_MS);
   }
 
   private void release(HostPort collector, String service, List<String> handles) {
@@ -154,16 +173,14 @@
             chosen.isEmpty() ? "no VM gathers its pieces" : "no time is left");
         end(
             new SubmissionEnd.Failed(
-                chosen.isEmpty()
-                    ? SubmissionEnd.Cause.UNAVAILABLE
-                    : SubmissionEnd.Cause.LATE));
+                chosen.isEmpty() ? SubmissionEnd.Cause.UNAVAILABLE : SubmissionEnd.Cause.LATE, 0));
         return;
       }
       collector = chosen.get();
       sends++;
       StageWork left = withPassed(passedMs);
       if (collector.equals(self)) {
-        cancel = local.submit(left, this::end);
+        cancel = local.submit(left, this::onReply);
       } else {
         Link link = links.computeIfAbsent(collector, Link::new);
         link.send(this, left);
@@ -195,6 +212,18 @@
       }
     }
 
+    /** A collector that cannot work does not end the work while another one may. */
+    private void onReply(SubmissionEnd end) {
+      boolean unavailable =
+          end instanceof SubmissionEnd.Failed failed
+              && failed.cause() == SubmissionEnd.Cause.UNAVAILABLE;
+      if (unavailable && sends < MAX_SENDS) {
+        sendElsewhere("it cannot work");
+      } else {
+        end(end);
+      }
+    }
+
     private void end(SubmissionEnd end) {
       if (ended) {
         return;
@@ -321,8 +350,9 @@
       loop.execute(
           () -> {
             link.heardAtMs = clock.millis();
+            noteWait(ticket.work, reply.getWaitMs());
             if (link.waiting.remove(ticket)) {
-              ticket.end(BatchCodec.decode(reply));
+              ticket.onReply(BatchCodec.decode(reply));
             }
           });
     }
@@ -342,7 +372,7 @@
         return;
       }
       if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
-        ticket.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE));
+        ticket.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0));
       } else {
         ticket.sendElsewhere(status.toString());
       }
@@ -373,4 +403,6 @@
       // The only reply was handled when it arrived.
     }
   }
+
+  private record Wait(long waitMs, long atMs) {}
 }
--- a/src/main/java/org/ragwortpick/batch/ResultRoom.java
+++ b/src/main/java/org/ragwortpick/batch/ResultRoom.java
@@ -3,12 +3,20 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Results that one upstream holds, as far as the collector knows. */
+/**
+ * Results that one upstream holds, as far as the collector knows. The sizes are approximate, so the
+ * part of the room that is used shrinks when the upstream has none left and grows back slowly.
+ */
 final class ResultRoom {
 
+  private static final double SHRINK = 0.85;
+  private static final double GROWTH = 0.01;
+  private static final double LEAST_PART = 0.3;
+
   private final Map<String, Held> held = new HashMap<>();
   private long heldBytes;
   private long reservedBytes;
+  private double usablePart = 1.0;
 
   /**
    * Returns the room for further results.
@@ -19,7 +27,7 @@
    */
   long free(long totalBytes, long nowMs) {
     held.values().removeIf(result -> expired(result, nowMs));
-    return totalBytes - heldBytes - reservedBytes;
+    return (long) (usablePart * totalBytes) - heldBytes - reservedBytes;
   }
 
   private boolean expired(Held result, long nowMs) {
@@ -48,6 +56,16 @@
     reservedBytes -= bytes;
   }
 
+  /** Notes that the upstream had no room for a result that was expected to fit. */
+  void exceeded() {
+    usablePart = Math.max(LEAST_PART, usablePart * SHRINK);
+  }
+
+  /** Notes that all results of a call had room. */
+  void sufficed() {
+    usablePart = Math.min(1.0, usablePart + GROWTH);
+  }
+
   /**
    * Notes a result.
    *
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -32,6 +33,7 @@
   private final String service;
   private final Supplier<Optional<BatchProfile>> profile;
   private final Supplier<List<Upstream>> upstreams;
+  private final BooleanSupplier viewIsRecent;
   private final BatchTransport transport;
   private final Timers timers;
   private final Clock clock;
@@ -45,6 +47,7 @@
    * @param service name of the service
    * @param profile limits of the service, if the configuration lists it
    * @param upstreams upstreams that may take work
+   * @param viewIsRecent whether the upstreams are known well enough to work for other VMs
    * @param transport calls to upstreams
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
@@ -53,12 +56,14 @@
       String service,
       Supplier<Optional<BatchProfile>> profile,
       Supplier<List<Upstream>> upstreams,
+      BooleanSupplier viewIsRecent,
       BatchTransport transport,
       Timers timers,
       Clock clock) {
     this.service = service;
     this.profile = profile;
     this.upstreams = upstreams;
+    this.viewIsRecent = viewIsRecent;
     this.transport = transport;
     this.timers = timers;
     this.clock = clock;
@@ -74,23 +79,30 @@
   public Runnable submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
     Submission submission = new Submission(work, clock.millis(), whenEnded);
     Optional<BatchProfile> limits = profile.get();
-    List<Upstream> available = upstreams.get();
+    List<Upstream> available = viewIsRecent.getAsBoolean() ? upstreams.get() : List.of();
     if (limits.isEmpty() || available.isEmpty()) {
       LOG.infof(
           "request %s: stage %d refused, service %s has %s",
           work.requestId(),
           work.stage(),
           service,
-          limits.isEmpty() ? "no batch limits" : "no upstream");
-      submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE));
+          limits.isEmpty() ? "no batch limits" : "no upstream, or the view is too old");
+      submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE, 0));
       return () -> {};
     }
-    long waitMs = expectedWaitMs(limits.get(), available.size(), work.pieceCount());
-    if (waitMs > work.remainingMs()) {
+    Optional<SubmissionEnd.Failed> refusal = refusal(work, limits.get());
+    if (refusal.isPresent()) {
       LOG.infof(
-          "request %s: stage %d refused, %d ms expected and %d ms left",
-          work.requestId(), work.stage(), waitMs, work.remainingMs());
-      submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE));
+          "request %s: stage %d refused (%s), %d ms to wait, %d ms to the target latency, %d ms"
+              + " left, %d pieces wait",
+          work.requestId(),
+          work.stage(),
+          refusal.get().cause(),
+          refusal.get().waitMs(),
+          work.targetRemainingMs(),
+          work.remainingMs(),
+          queue.size());
+      submission.end(refusal.get());
       return () -> {};
     }
     queue.add(submission.pieces());
@@ -98,9 +110,42 @@
     return () -> cancel(submission);
   }
 
-  private long expectedWaitMs(BatchProfile limits, int upstreamCount, int pieces) {
-    double queuedMs = queue.size() * StageTimes.fullBatchPieceMs(limits) / upstreamCount;
-    return (long) (queuedMs + StageTimes.callMs(limits, pieces));
+  /**
+   * Refuses what cannot be done in time. Work in which nothing was invested is refused too if only
+   * the queue makes it miss the target latency: otherwise all requests of a burst become late.
+   */
+  private Optional<SubmissionEnd.Failed> refusal(StageWork work, BatchProfile limits) {
+    long waitMs = expectedWaitMs(work.priority());
+    long workMs = (long) StageTimes.callMs(limits, work.pieceCount());
+    if (waitMs + workMs > work.remainingMs()) {
+      return Optional.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, waitMs));
+    }
+    boolean queueMissesTarget =
+        workMs <= work.targetRemainingMs() && waitMs + workMs > work.targetRemainingMs();
+    return work.inputs().isEmpty() && queueMissesTarget
+        ? Optional.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.OVERLOADED, waitMs))
+        : Optional.empty();
+  }
+
+  /**
+   * Returns how long a piece would wait.
+   *
+   * @param priority rank of the request, 0 first
+   * @return time in milliseconds
+   */
+  public long expectedWaitMs(int priority) {
+    Optional<BatchProfile> limits = profile.get();
+    if (limits.isEmpty() || known.isEmpty()) {
+      return 0;
+    }
+    long nowMs = clock.millis();
+    double piecesPerMs = 0;
+    long freeAtMs = Long.MAX_VALUE;
+    for (UpstreamWork work : known.values()) {
+      piecesPerMs += 1 / (work.slowness() * StageTimes.fullBatchPieceMs(limits.get()));
+      freeAtMs = Math.min(freeAtMs, work.busyUntilMs());
+    }
+    return Math.max(0, freeAtMs - nowMs) + (long) (queue.ahead(priority) / piecesPerMs);
   }
 
   private void cancel(Submission submission) {
@@ -139,6 +184,10 @@
     queue
         .removeLate(nowMs, workMs)
         .forEach(late -> fail(late, SubmissionEnd.Cause.LATE, "its deadline is too near"));
+    if (!viewIsRecent.getAsBoolean()) {
+      failAll("the view of the collector is too old");
+      return;
+    }
     refreshUpstreams();
     for (UpstreamWork work : freeUpstreams(limits.get(), nowMs)) {
       long room = work.room().free(limits.get().resultRoomBytes(), nowMs);
@@ -152,6 +201,11 @@
     }
   }
 
+  /** The VMs that wait turn to another collector. */
+  private void failAll(String detail) {
+    queue.removeAll().forEach(waiting -> fail(waiting, SubmissionEnd.Cause.UNAVAILABLE, detail));
+  }
+
   private void refreshUpstreams() {
     Map<String, Upstream> current = new LinkedHashMap<>();
     upstreams.get().forEach(upstream -> current.put(keyOf(upstream), upstream));
@@ -185,10 +239,9 @@
     }
   }
 
-  private void send(
-      UpstreamWork work, List<WaitingPiece> batch, BatchProfile limits, long nowMs) {
+  private void send(UpstreamWork work, List<WaitingPiece> batch, BatchProfile limits, long nowMs) {
     long bytes = batch.stream().mapToLong(piece -> piece.submission().work().resultBytes()).sum();
-    work.started();
+    work.started(nowMs, StageTimes.callMs(limits, batch.size()));
     work.room().reserve(bytes);
     transport.run(
         work.upstream(),
@@ -210,6 +263,7 @@
     long nowMs = clock.millis();
     if (outcome instanceof BatchOutcome.Answered answered) {
       work.answered(StageTimes.callMs(limits, batch.size()), nowMs - sentAtMs);
+      noteRoom(work.room(), answered.results());
       for (int i = 0; i < batch.size(); i++) {
         onResult(work, batch.get(i), answered.results().get(i), nowMs + limits.resultLifetimeMs());
       }
@@ -228,6 +282,14 @@
     batch.forEach(piece -> requeue(lost ? piece.failed() : piece));
   }
 
+  private static void noteRoom(ResultRoom room, List<PieceResult> results) {
+    if (results.contains(new PieceResult.NotProduced(PieceResult.Cause.NO_ROOM))) {
+      room.exceeded();
+    } else {
+      room.sufficed();
+    }
+  }
+
   private void onResult(
       UpstreamWork work, WaitingPiece piece, PieceResult result, long expiresAtMs) {
     Submission submission = piece.submission();
@@ -267,7 +329,7 @@
           detail,
           queue.size());
       List<String> produced = submission.producedHandles();
-      submission.end(new SubmissionEnd.Failed(cause));
+      submission.end(new SubmissionEnd.Failed(cause, expectedWaitMs(submission.work().priority())));
       release(produced);
     }
   }
--- a/src/main/java/org/ragwortpick/batch/StageCollectors.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollectors.java
@@ -32,6 +32,18 @@
     return collectors.computeIfAbsent(work.service(), newCollector).submit(work, whenEnded);
   }
 
+  /**
+   * Returns how long a piece would wait.
+   *
+   * @param service name of the service
+   * @param priority rank of the request, 0 first
+   * @return time in milliseconds; 0 if nothing was submitted here
+   */
+  public long expectedWaitMs(String service, int priority) {
+    StageCollector collector = collectors.get(service);
+    return collector == null ? 0 : collector.expectedWaitMs(priority);
+  }
+
   /**
    * Gives up results.
    *
--- a/src/main/java/org/ragwortpick/batch/StageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/StageRunner.java
@@ -13,4 +13,13 @@
    * @return the ticket; to be abandoned when the results are not needed any more
    */
   StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded);
+
+  /**
+   * Returns how long a piece would wait in the queue of a service.
+   *
+   * @param service name of the service
+   * @param priority rank of the request, 0 first
+   * @return time in milliseconds as of the last reply; 0 if none is recent
+   */
+  long expectedWaitMs(String service, int priority);
 }
--- a/src/main/java/org/ragwortpick/batch/SubmissionEnd.java
+++ b/src/main/java/org/ragwortpick/batch/SubmissionEnd.java
@@ -22,8 +22,9 @@
    * A piece cannot be produced.
    *
    * @param cause why
+   * @param waitMs time in milliseconds that the work would have waited
    */
-  record Failed(Cause cause) implements SubmissionEnd {}
+  record Failed(Cause cause, long waitMs) implements SubmissionEnd {}
 
   /** Why a piece cannot be produced. */
   enum Cause {
@@ -33,6 +34,8 @@
     INPUT_GONE,
     /** No upstream of the service is known, or no collector answers. */
     UNAVAILABLE,
+    /** The queue is so long that the target latency would be missed; nothing was begun. */
+    OVERLOADED,
     /** The upstreams failed to produce the piece. */
     FAILED
   }
--- a/src/main/java/org/ragwortpick/batch/UpstreamWork.java
+++ b/src/main/java/org/ragwortpick/batch/UpstreamWork.java
@@ -30,6 +30,7 @@
   private double slowness = 1.0;
   private long backOffMs;
   private long pausedUntilMs;
+  private long busyUntilMs;
 
   /**
    * Creates the knowledge of an upstream.
@@ -108,9 +109,24 @@
         + (long) (TIMEOUT_FACTOR * slowness * StageTimes.callMs(profile, pieces));
   }
 
-  /** Notes a call that was sent. */
-  void started() {
+  /**
+   * Returns when the call in progress is expected to end.
+   *
+   * @return monotonic time in milliseconds
+   */
+  long busyUntilMs() {
+    return calls == 0 ? pausedUntilMs : Math.max(pausedUntilMs, busyUntilMs);
+  }
+
+  /**
+   * Notes a call that was sent.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @param statedMs time of the call by the profile in milliseconds
+   */
+  void started(long nowMs, double statedMs) {
     calls++;
+    busyUntilMs = nowMs + (long) (slowness * statedMs);
   }
 
   /**
--- a/src/main/java/org/ragwortpick/cli/ForwardCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ForwardCommand.java
@@ -59,7 +59,10 @@
       err.println(CliMessages.startFailed(String.valueOf(e.getMessage())));
       return ExitCode.INTERNAL;
     }
-    return ProcessEnd.await(process);
+    try (SettingsReload reload = new SettingsReload(file, process::reload)) {
+      reload.start();
+      return ProcessEnd.await(process);
+    }
   }
 
   private static Optional<EdgeProtocol> protocol(String name) {
--- a/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
@@ -50,9 +50,7 @@
     rules
         .dataCentres()
         .forEach((dc, state) -> documents.put(DATA_CENTRE_PREFIX + dc, write(state)));
-    configuration
-        .routing()
-        .ifPresent(routing -> documents.put(ROUTING_KEY, routing.encode()));
+    configuration.routing().ifPresent(routing -> documents.put(ROUTING_KEY, routing.encode()));
     return documents;
   }
 
--- a/src/main/java/org/ragwortpick/consensus/ConsensusHost.java
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusHost.java
@@ -89,6 +89,15 @@
     }
   }
 
+  /**
+   * Adds control VMs that are asked when this VM wants to join.
+   *
+   * @param vms names of control VMs of an open membership
+   */
+  public void addPeers(List<String> vms) {
+    runners.values().forEach(runner -> vms.forEach(runner::addPeer));
+  }
+
   /** Starts all groups. The service must be reachable by the other control VMs by then. */
   public void start() {
     runners.values().forEach(GroupRunner::start);
--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -76,9 +76,8 @@
                 () -> folder.identity().lineage(),
                 options.addressOf(peerVm),
                 channels);
-    options.controlVms().keySet().forEach(this::sender);
-    RaftSettings settings =
-        RaftSettings.standard(folder.identity().replicaId(), options::mayVote);
+    options.controlVms().keySet().forEach(this::addPeer);
+    RaftSettings settings = RaftSettings.standard(folder.identity().replicaId(), options::mayVote);
     this.replica =
         new Replica(
             group,
@@ -134,7 +133,12 @@
     store.close();
   }
 
-  private void sender(String peerVm) {
+  /**
+   * Makes a control VM reachable.
+   *
+   * @param peerVm name of the VM
+   */
+  void addPeer(String peerVm) {
     if (!peerVm.equals(vm)) {
       senders.computeIfAbsent(peerVm, newSender);
     }
@@ -144,7 +148,7 @@
     envelopes.stream()
         .map(Envelope::to)
         .filter(to -> !to.isEmpty())
-        .forEach(to -> sender(ReplicaId.vmOf(to)));
+        .forEach(to -> addPeer(ReplicaId.vmOf(to)));
     senders.forEach(
         (peerVm, sender) -> {
           List<Envelope> own =
--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -206,8 +206,7 @@
           new Configuration(
               base.revision() + 1, current.inventory(), current.rules(), Optional.of(routing)));
     }
-    return change.setAnswer(
-        AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
+    return change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
   }
 
   @Override
@@ -387,7 +386,7 @@
 
   private CompletionStage<Either<AdministrationError, AnswerMessage>> propose(
       ChangeCommand.Builder change) {
-    if (group.leadership().leader() && group.status().voters().size() < minimumVoters) {
+    if (!hasEnoughVoters()) {
       LOG.warnf(
           "refused a change: %d voters hold the log and %d are needed; start more control VMs",
           group.status().voters().size(), minimumVoters);
@@ -404,6 +403,12 @@
                     applied -> Either.right(decode(applied))));
   }
 
+  private boolean hasEnoughVoters() {
+    return minimumVoters <= 1
+        || !group.leadership().leader()
+        || group.status().voters().size() >= minimumVoters;
+  }
+
   private static AdministrationError refusal(ConsensusError error) {
     if (error instanceof ConsensusError.NotLeader notLeader) {
       return new AdministrationError.NotLeader(notLeader.leaderVm());
--- a/src/main/java/org/ragwortpick/entry/http/CallerApi.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -1,26 +1,21 @@
 package org.ragwortpick.entry.http;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.AddressSource;
 import org.ragwortpick.entry.EntryDependencies;
 import org.ragwortpick.entry.RequestIds;
-import org.ragwortpick.entry.Timers;
 import org.ragwortpick.error.ExecutionOutcome;
 import org.ragwortpick.error.RequestError;
 import org.ragwortpick.ledger.ExecutionLedger;
 import org.ragwortpick.sync.Upstream;
-import org.xnio.IoUtils;
 
 /** Routes the requests of callers and upstreams. */
 public final class CallerApi implements HttpHandler {
--- a/src/main/java/org/ragwortpick/entry/upstream/UndertowUpstreamClient.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UndertowUpstreamClient.java
@@ -22,8 +22,7 @@
   public UndertowUpstreamClient(
       XnioWorker worker, ByteBufferPool buffers, Clock clock, EntrySettings settings) {
     this.calls =
-        new HttpCalls(
-            worker, buffers, clock, settings.connectTimeoutMs(), settings.staleAfterMs());
+        new HttpCalls(worker, buffers, clock, settings.connectTimeoutMs(), settings.staleAfterMs());
     this.maxAnswerBytes = settings.maxAnswerBytes();
   }
 
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
@@ -35,9 +35,7 @@
    */
   static UpstreamHead read(int status, HeaderMap headers) {
     return new UpstreamHead(
-        status,
-        readId(headers),
-        "true".equalsIgnoreCase(headers.getFirst(COLD)));
+        status, readId(headers), "true".equalsIgnoreCase(headers.getFirst(COLD)));
   }
 
   private static Optional<AttemptId> readId(HeaderMap headers) {
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -16,8 +16,10 @@
  * @param headers names of headers
  * @param configuration configuration view
  * @param chooser chooses upstreams
+ * @param viewIsCurrent whether the view was confirmed since the process last woke from a suspension
  * @param loads load of upstreams
  * @param stages runs stages
+ * @param answerTimes time from a send to its answer by route
  * @param calls sends calls to upstreams
  * @param retryBudgets budget of each service for requests that are sent again
  * @param timers timers on the I/O thread
@@ -31,8 +33,10 @@
     RoutingHeaders headers,
     ConfigurationView configuration,
     UpstreamChooser chooser,
+    BooleanSupplier viewIsCurrent,
     UpstreamLoads loads,
     StageRunner stages,
+    AnswerTimes answerTimes,
     HttpCalls calls,
     RetryBudgets retryBudgets,
     Timers timers,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -34,6 +34,7 @@
   private Optional<StageGraphRun> stages = Optional.empty();
   private Optional<UpstreamSend> send = Optional.empty();
   private List<String> inputs = List.of();
+  private long sentAtMs;
   private boolean ended;
 
   /**
@@ -75,8 +76,7 @@
     HeaderMap headers = request.headers();
     List<Integer> counts =
         PieceCounts.parse(
-            headers.getFirst(dependencies.headers().pieceCount()),
-            request.route().stages().size());
+            headers.getFirst(dependencies.headers().pieceCount()), request.route().stages().size());
     StagePlan plan =
         StagePlan.of(
             request.route(), counts, name -> table.service(name).flatMap(ServiceProfile::batching));
@@ -90,6 +90,7 @@
             request,
             key == null ? "" : key,
             plan,
+            dependencies.answerTimes().expectedMs(request.route().name()),
             dependencies.stages(),
             dependencies.clock()::millis,
             this::onStagesEnded);
@@ -103,7 +104,8 @@
     }
     if (end instanceof SubmissionEnd.Failed failed) {
       refuse(
-          Refusal.unavailable("a stage ended with " + failed.cause(), RETRY_AFTER_MS),
+          Refusal.unavailable(
+              "a stage ended with " + failed.cause(), Math.max(RETRY_AFTER_MS, failed.waitMs())),
           "stage_" + failed.cause());
       return;
     }
@@ -113,6 +115,12 @@
   }
 
   private void dispatch() {
+    if (!dependencies.viewIsCurrent().getAsBoolean()) {
+      refuse(
+          Refusal.unavailable("this VM was suspended and does not know the upstreams", 0),
+          "suspended");
+      return;
+    }
     Optional<Upstream> chosen = dependencies.chooser().choose(service, prefixHash, tried);
     if (chosen.isEmpty()) {
       refuse(
@@ -123,6 +131,7 @@
     Upstream upstream = chosen.get();
     tried.add(upstream.id());
     repeats.sending();
+    sentAtMs = dependencies.clock().millis();
     log.sending(upstream);
     UpstreamSend next =
         new UpstreamSend(
@@ -179,6 +188,9 @@
   @Override
   public void onAnswerStarted(int status) {
     log.answered(status);
+    dependencies
+        .answerTimes()
+        .observe(request.route().name(), dependencies.clock().millis() - sentAtMs);
     stages.ifPresent(StageGraphRun::abandon);
   }
 
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -37,8 +37,7 @@
 
   /** The request has no id. */
   static final Refusal NO_ID =
-      new Refusal(
-          StatusCodes.BAD_REQUEST, "no_request_id", "the request has no id; send one", 0);
+      new Refusal(StatusCodes.BAD_REQUEST, "no_request_id", "the request has no id; send one", 0);
 
   /** The body is longer than the limit. */
   static final Refusal BODY_TOO_LARGE =
--- a/src/main/java/org/ragwortpick/forward/StageGraphRun.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -19,6 +19,7 @@
   private final CallerRequest request;
   private final String pieceKey;
   private final StagePlan plan;
+  private final long answerMs;
   private final StageRunner runner;
   private final LongSupplier nowMs;
   private final Consumer<SubmissionEnd> whenEnded;
@@ -33,6 +34,7 @@
    * @param request the request
    * @param pieceKey key of the pieces of stages without inputs
    * @param plan stages of the request
+   * @param answerMs expected time from the last stage to the answer in milliseconds
    * @param runner runs the stages
    * @param nowMs monotonic time in milliseconds
    * @param whenEnded receives the handles of the last stages, or the failure
@@ -41,12 +43,14 @@
       CallerRequest request,
       String pieceKey,
       StagePlan plan,
+      long answerMs,
       StageRunner runner,
       LongSupplier nowMs,
       Consumer<SubmissionEnd> whenEnded) {
     this.request = request;
     this.pieceKey = pieceKey;
     this.plan = plan;
+    this.answerMs = answerMs;
     this.runner = runner;
     this.nowMs = nowMs;
     this.whenEnded = whenEnded;
@@ -80,6 +84,9 @@
     List<String> inputs =
         description.after().stream().flatMap(before -> handles.get(before).stream()).toList();
     long now = nowMs.getAsLong();
+    int priority = request.priority();
+    long behindMs =
+        plan.followingMs(stage, service -> runner.expectedWaitMs(service, priority)) + answerMs;
     StageWork work =
         new StageWork(
             description.service(),
@@ -89,9 +96,9 @@
             description.after().isEmpty() ? pieceKey : "",
             inputs,
             description.resultBytes(),
-            request.deadlineAtMs() - now - plan.followingMs(stage),
-            request.targetAtMs() - now - plan.followingMs(stage),
-            request.priority());
+            request.deadlineAtMs() - now - plan.followingMs(stage, service -> 0),
+            request.targetAtMs() - now - behindMs,
+            priority);
     tickets[stage] = runner.submit(work, end -> onEnd(stage, end));
   }
 
--- a/src/main/java/org/ragwortpick/forward/StagePlan.java
+++ b/src/main/java/org/ragwortpick/forward/StagePlan.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import org.ragwortpick.batch.StageTimes;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.Route;
@@ -59,16 +60,18 @@
   }
 
   /**
-   * Returns the shortest time of the stages that follow a stage.
+   * Returns the time of the stages that follow a stage.
    *
    * @param stage position of the stage
+   * @param waitOf expected wait in the queue of a service in milliseconds
    * @return time in milliseconds of the longest chain behind the stage
    */
-  long followingMs(int stage) {
+  long followingMs(int stage, ToLongFunction<String> waitOf) {
     long longest = 0;
     for (int next = stage + 1; next < stages.size(); next++) {
       if (stages.get(next).after().contains(stage)) {
-        longest = Math.max(longest, workMs.get(next) + followingMs(next));
+        long nextMs = workMs.get(next) + waitOf.applyAsLong(stages.get(next).service());
+        longest = Math.max(longest, nextMs + followingMs(next, waitOf));
       }
     }
     return longest;
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -11,7 +11,6 @@
 import org.ragwortpick.policy.UpstreamSelector;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
@@ -97,8 +96,7 @@
                 available.stream()
                     .filter(upstream -> upstream.state() == UpstreamState.COLD)
                     .filter(upstream -> !tried.contains(upstream.id()))
-                    .filter(
-                        upstream -> coldShare.tryTake(upstream.id(), coldRate, entryVms.get()))
+                    .filter(upstream -> coldShare.tryTake(upstream.id(), coldRate, entryVms.get()))
                     .findFirst());
   }
 }
--- a/src/main/java/org/ragwortpick/routing/RoutingValidator.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingValidator.java
@@ -42,8 +42,7 @@
     route.stages().forEach(stage -> named.add(stage.service()));
     named.stream()
         .filter(service -> !services.contains(service))
-        .forEach(
-            service -> problems.add(new RoutingProblem.UnknownService(route.name(), service)));
+        .forEach(service -> problems.add(new RoutingProblem.UnknownService(route.name(), service)));
     boolean negative = route.services().stream().anyMatch(weighted -> weighted.weight() < 0);
     if (negative || route.services().stream().mapToInt(WeightedService::weight).sum() <= 0) {
       problems.add(new RoutingProblem.NoWeight(route.name()));
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -6,8 +6,8 @@
 import org.ragwortpick.common.HostPort;
 
 /**
- * Checked settings of a process of a deployment that forwards requests. A process serves what it has
- * an address for. The name of its VM is its peer address.
+ * Checked settings of a process of a deployment that forwards requests. A process serves what it
+ * has an address for. The name of its VM is its peer address.
  *
  * @param peerAddress address for the other VMs
  * @param dataCentre name of the data centre
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -66,8 +66,7 @@
         reader.optionalObject("seeds", List.of(), ForwardingSettingsReader::readSeeds),
         reader.optionalObject(
             "control", Optional.empty(), nested -> Optional.of(readControl(file, nested))),
-        reader.optionalObject(
-            "entry", Optional.empty(), nested -> Optional.of(readEntry(nested))),
+        reader.optionalObject("entry", Optional.empty(), nested -> Optional.of(readEntry(nested))),
         SettingsReader.readLogLevel(reader));
   }
 
@@ -110,8 +109,7 @@
             "stopTimeoutMs", MIN_STOP_TIMEOUT_MS, MIN_STOP_TIMEOUT_MS, MAX_STOP_TIMEOUT_MS),
         (int) Math.min(MAX_RETRY_RATIO_PERCENT, Math.round(ratio * PERCENT)),
         (int)
-            reader.optionalNumber(
-                "retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT));
+            reader.optionalNumber("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT));
   }
 
   private static void check(ObjectReader reader, ForwardingSettings settings) {
--- a/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
+++ b/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
@@ -13,6 +13,7 @@
   private static final String STOP_REQUESTED = "STOP_REQUESTED";
   private static final String ANSWERS_EXPIRED = "ANSWERS_EXPIRED";
   private static final String DRAINED = "DRAINED";
+
   /** Time for which a leaving VM takes requests: as long as callers may use address answers. */
   public static final long LEAVING_MS =
       SyncTimings.ADDRESS_VALIDITY_MS + SyncTimings.ADDRESS_MARGIN_MS;
@@ -52,8 +53,8 @@
    * @param view configuration view
    * @param inFlight number of requests in flight
    * @param publisher receiver of each new version of the record
-   * @param leavingMs time in milliseconds for which a leaving VM takes requests, because callers may
-   *     keep its address
+   * @param leavingMs time in milliseconds for which a leaving VM takes requests, because callers
+   *     may keep its address
    */
   public VmLifeCycle(
       SyncIdentity identity,
--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -60,8 +60,8 @@
   }
 
   /**
-   * Lists the upstreams of a service in the state that they announced, whether or not the leader has
-   * found them warm.
+   * Lists the upstreams of a service in the state that they announced, whether or not the leader
+   * has found them warm.
    *
    * @param service name of the service
    * @return upstreams that are cold or ready
@@ -85,6 +85,16 @@
     home.announce(announcement);
   }
 
+  /**
+   * Takes the farewell of an upstream.
+   *
+   * @param id id of the upstream
+   * @return true if the upstream is known here
+   */
+  public boolean leave(String id) {
+    return home.leave(id);
+  }
+
   /** Rebuilds the snapshot if a record has changed or the last one is old. */
   public synchronized void refreshIfDue() {
     boolean changed = snapshot.version() != table.version();
--- a/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
+++ b/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.ragwortpick.sync.SyncTimings;
@@ -17,11 +18,15 @@
  */
 public final class UpstreamHome {
 
+  /** Time for which a farewell waits for the record of its upstream; records spread in seconds. */
+  private static final long FAREWELL_RETENTION_MS = 3_000;
+
   private final String vm;
   private final long vmIncarnation;
   private final Clock clock;
   private final SoftTable table;
   private final Map<String, Heard> heard = new HashMap<>();
+  private final Map<String, Long> farewells = new HashMap<>();
 
   /**
    * Creates an empty home.
@@ -79,6 +84,38 @@
     return record.withLoad(known.upstream().sequence(), record.upstream().load());
   }
 
+  /**
+   * Takes the farewell of an upstream, which carries no number: it concerns the incarnation that is
+   * known, or the first one of which this VM learns soon.
+   *
+   * @param id id of the upstream
+   * @return true if the upstream is known here
+   */
+  public synchronized boolean leave(String id) {
+    farewells.put(id, clock.millis());
+    return markLeft(id);
+  }
+
+  private boolean markLeft(String id) {
+    Optional<SoftRecord.OfUpstream> known = known(id);
+    if (known.isEmpty()) {
+      return false;
+    }
+    farewells.remove(id);
+    Upstream upstream = known.get().upstream();
+    table.mergeFromBelow(
+        new SoftRecord.OfUpstream(
+            UpstreamStates.with(
+                upstream,
+                UpstreamStates.announced(upstream.state(), UpstreamState.LEAVING),
+                upstream.load()),
+            known.get().homeVm(),
+            known.get().homeIncarnation(),
+            true),
+        vm);
+    return true;
+  }
+
   private SoftRecord.OfUpstream record(
       Upstream announcement, Optional<SoftRecord.OfUpstream> known) {
     boolean sameIncarnation =
@@ -100,6 +137,8 @@
   /** Declares silent upstreams lost and claims those that an older announcement moved away. */
   public synchronized void tick() {
     long nowMs = clock.millis();
+    farewells.values().removeIf(atMs -> nowMs - atMs >= FAREWELL_RETENTION_MS);
+    List.copyOf(farewells.keySet()).forEach(this::markLeft);
     for (Iterator<Map.Entry<String, Heard>> i = heard.entrySet().iterator(); i.hasNext(); ) {
       Map.Entry<String, Heard> entry = i.next();
       Heard last = entry.getValue();
--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -28,6 +28,7 @@
   private static final int MAX_RELAYS = 6;
 
   private final SyncIdentity identity;
+  private List<ControlVm> seeds;
   private final LeaderSource leader;
   private final VmDirectory vms;
   private List<HostPort> candidates = List.of();
@@ -44,10 +45,20 @@
    */
   public SourceSelector(SyncIdentity identity, LeaderSource leader, VmDirectory vms) {
     this.identity = identity;
+    this.seeds = identity.controlVms();
     this.leader = leader;
     this.vms = vms;
   }
 
+  /**
+   * Replaces the control VMs of the settings.
+   *
+   * @param changed control VMs to ask beside those of the directory
+   */
+  public synchronized void setSeeds(List<ControlVm> changed) {
+    seeds = List.copyOf(changed);
+  }
+
   /**
    * Returns the source of the next poll.
    *
@@ -105,7 +116,7 @@
   /** Joins the control VMs of the settings with those that the directory knows. */
   private List<ControlVm> controlVms() {
     Map<String, ControlVm> known = new LinkedHashMap<>();
-    identity.controlVms().forEach(control -> known.put(control.vm(), control));
+    seeds.forEach(control -> known.put(control.vm(), control));
     vms.vms().stream()
         .filter(VmRecord::control)
         .map(vm -> new ControlVm(vm.vm(), vm.dataCentre(), vm.peerAddress()))
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -33,6 +33,7 @@
   private final LeaderDuties duties;
   private final SyncServer server;
   private final SyncClient client;
+  private final SourceSelector selector;
   private final VmLifeCycle lifeCycle;
   private final AddressAnswers addressAnswers;
   private final ScheduledExecutorService scheduler;
@@ -64,10 +65,10 @@
     this.state = new SyncState(identity, clock, this::pollEarly);
     this.duties = new LeaderDuties(clock, leader, state);
     SyncExchange exchange = new SyncExchange(clock, leader, state, duties);
-    SourceSelector selector = new SourceSelector(identity, leader, state.vms());
+    this.selector = new SourceSelector(identity, leader, state.vms());
     this.client = new SyncClient(clock, exchange, selector, channels, scheduler);
     this.server = new SyncServer(exchange, client::pollEarly);
-    this.lifeCycle = 
+    this.lifeCycle =
         new VmLifeCycle(identity, clock, state.view(), inFlight, state::publish, leavingMs);
     this.addressAnswers = new AddressAnswers(state.vms(), state.view(), lifeCycle::record);
   }
@@ -78,6 +79,15 @@
     scheduler.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Replaces the control VMs of the settings.
+   *
+   * @param seeds control VMs to ask beside those of the directory
+   */
+  public void setSeeds(List<SyncIdentity.ControlVm> seeds) {
+    selector.setSeeds(seeds);
+  }
+
   private void pollEarly() {
     client.pollEarly();
   }
@@ -160,6 +170,19 @@
     }
   }
 
+  /**
+   * Takes the farewell of an upstream and passes it on at once.
+   *
+   * @param upstreamId id of the upstream
+   */
+  public void leave(String upstreamId) {
+    boolean known = state.upstreams().leave(upstreamId);
+    LOG.infof(
+        "upstream %s leaves, %s",
+        upstreamId, known ? "gets no new work" : "which is not known here yet");
+    pollEarly();
+  }
+
   private Optional<UpstreamState> stateOf(String upstreamId) {
     return state.upstreams().find(upstreamId).map(Upstream::state);
   }
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Opens the data folder. On the first start of a deployment the lowest seed forms the group; every
-   * other VM with an empty folder joins it.
+   * Opens the data folder. On the first start of a deployment the lowest seed forms the group;
+   * every other VM with an empty folder joins it.
    *
    * @param settings settings of the process
    * @param channels channels to the other VMs
@@ -73,8 +73,7 @@
       Clock clock,
       ScheduledExecutorService scheduler)
       throws IOException {
-    Optional<Path> folder =
-        settings.control().flatMap(ForwardingSettings.ControlRole::dataFolder);
+    Optional<Path> folder = settings.control().flatMap(ForwardingSettings.ControlRole::dataFolder);
     if (folder.isEmpty()) {
       return Optional.empty();
     }
@@ -89,8 +88,7 @@
     ConsensusHost host =
         ConsensusHost.open(
             options, Map.of(ConfigurationStateMachine.GROUP, machine), channels, clock);
-    return Optional.of(
-        new ControlReplica(host, machine, role.minimumVoters(), clock, scheduler));
+    return Optional.of(new ControlReplica(host, machine, role.minimumVoters(), clock, scheduler));
   }
 
   private static boolean isFirstSeed(ForwardingSettings settings) {
@@ -130,6 +128,15 @@
         new AdministrationServer(administration, vm -> Optional.of(HostPort.parse(vm))));
   }
 
+  /**
+   * Adds control VMs that the replica may ask to join.
+   *
+   * @param addresses their peer addresses
+   */
+  void addPeers(List<HostPort> addresses) {
+    host.addPeers(addresses.stream().map(HostPort::toString).toList());
+  }
+
   /** Starts the replica. */
   void start() {
     host.start();
@@ -144,8 +151,7 @@
   private static final class NoPlacement implements PlacementSource {
 
     @Override
-    public PlacementPlan plan(
-        org.ragwortpick.config.Inventory inventory, Set<String> dataCentres) {
+    public PlacementPlan plan(org.ragwortpick.config.Inventory inventory, Set<String> dataCentres) {
       return new PlacementPlan(List.of(), List.of(), List.of());
     }
 
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -28,7 +28,6 @@
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
-import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.rpc.SyncNode;
 
 /** Control role of a deployment that forwards requests: operators, announcements and addresses. */
@@ -74,8 +73,7 @@
       PrometheusRegistry registry) {
     this.replica = replica;
     this.sync = sync;
-    this.administration =
-        new RemoteAdministration(channels, controlAddresses, clock, scheduler);
+    this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
     this.server =
         Undertow.builder()
             .setIoThreads(IO_THREADS)
@@ -101,6 +99,15 @@
     return replica.map(ControlReplica::services).orElse(List.of());
   }
 
+  /**
+   * Adds control VMs that the replica may ask to join.
+   *
+   * @param addresses their peer addresses
+   */
+  void addPeers(List<HostPort> addresses) {
+    replica.ifPresent(local -> local.addPeers(addresses));
+  }
+
   /** Starts the replica and the listeners. */
   void start() {
     replica.ifPresent(ControlReplica::start);
@@ -161,28 +168,7 @@
 
   @Override
   public void leave(String upstreamId) {
-    Optional<Upstream> known = sync.upstreamDirectory().find(upstreamId);
-    if (known.isEmpty()) {
-      LOG.infof("upstream %s leaves and is not known here", upstreamId);
-      return;
-    }
-    Upstream upstream = known.get();
-    sync.announce(
-        new Upstream(
-            upstream.id(),
-            upstream.incarnation(),
-            upstream.sequence() + 1,
-            upstream.address(),
-            upstream.dataCentre(),
-            upstream.service(),
-            upstream.model(),
-            upstream.version(),
-            upstream.adapters(),
-            UpstreamState.LEAVING,
-            upstream.slots(),
-            upstream.coldLimit(),
-            upstream.load(),
-            upstream.checksFencing()));
+    sync.leave(upstreamId);
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -18,12 +18,14 @@
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
 import org.ragwortpick.batch.StageCollectors;
+import org.ragwortpick.common.SuspensionDetector;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.EntryServer;
 import org.ragwortpick.entry.upstream.HttpCalls;
+import org.ragwortpick.forward.AnswerTimes;
 import org.ragwortpick.forward.ForwardDependencies;
 import org.ragwortpick.forward.ForwardHandler;
 import org.ragwortpick.forward.ForwardMetrics;
@@ -39,6 +41,7 @@
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.ViewFreshness;
 import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.VmState;
 import org.ragwortpick.sync.rpc.SyncNode;
@@ -123,6 +126,9 @@
             loads,
             new ColdRateShare(settings.peerAddress().toString(), clock),
             this::entryVms);
+    ViewFreshness freshness =
+        new ViewFreshness(
+            sync.configurationView(), new SuspensionDetector(clock, Clock.systemUTC()), clock);
     HttpBatchTransport transport =
         new HttpBatchTransport(calls, protocol.batches(), protocol.headers());
     this.collectors =
@@ -136,6 +142,7 @@
                             .flatMap(table -> table.service(service))
                             .flatMap(ServiceProfile::batching),
                     () -> chooser.available(service),
+                    freshness::isRecent,
                     transport,
                     timers,
                     clock));
@@ -153,8 +160,10 @@
             protocol.headers(),
             sync.configurationView(),
             chooser,
+            freshness::isConfirmedSinceWaking,
             loads,
             stages,
+            new AnswerTimes(),
             calls,
             retryBudgets(role, clock),
             timers,
@@ -212,8 +221,7 @@
   }
 
   private boolean isReady() {
-    return sync.lifeCycle().state() == VmState.READY
-        && configuration().routingTable().isPresent();
+    return sync.lifeCycle().state() == VmState.READY && configuration().routingTable().isPresent();
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
@@ -38,6 +40,7 @@
   private static final long LEAVING_MS = 4_500;
 
   private final ForwardingSettings settings;
+  private final AtomicReference<List<HostPort>> seeds;
   private final PeerChannels channels = new PeerChannels();
   private final ScheduledExecutorService scheduler =
       Executors.newScheduledThreadPool(TIMER_THREADS);
@@ -57,6 +60,7 @@
    */
   public ForwardingProcess(ForwardingSettings settings, EdgeProtocol protocol) throws IOException {
     this.settings = settings;
+    this.seeds = new AtomicReference<>(settings.seeds());
     Clock clock = new MonotonicClock();
     PrometheusRegistry registry = new PrometheusRegistry();
     Optional<ControlReplica> replica = ControlReplica.open(settings, channels, clock, scheduler);
@@ -107,14 +111,9 @@
         self,
         Clock.systemUTC().millis(),
         settings.dataCentre(),
-        settings
-            .entry()
-            .map(ForwardingSettings.EntryRole::callerAddress)
-            .orElse(HostPort.NONE),
+        settings.entry().map(ForwardingSettings.EntryRole::callerAddress).orElse(HostPort.NONE),
         settings.peerAddress(),
-        controlVms.stream()
-            .map(address -> new SyncIdentity.ControlVm(address.toString(), "", address))
-            .toList(),
+        controlVms(controlVms),
         List.of());
   }
 
@@ -125,10 +124,27 @@
         .filter(VmRecord::control)
         .map(VmRecord::peerAddress)
         .forEach(addresses::add);
-    addresses.addAll(settings.seeds());
+    addresses.addAll(seeds.get());
     return List.copyOf(addresses);
   }
 
+  /**
+   * Takes new settings. Only the seeds apply to a running process; other changes need a restart.
+   *
+   * @param changed settings read again
+   */
+  public void reload(ForwardingSettings changed) {
+    seeds.set(changed.seeds());
+    sync.setSeeds(controlVms(changed.seeds()));
+    control.ifPresent(part -> part.addPeers(changed.seeds()));
+  }
+
+  private static List<SyncIdentity.ControlVm> controlVms(Collection<HostPort> addresses) {
+    return addresses.stream()
+        .map(address -> new SyncIdentity.ControlVm(address.toString(), "", address))
+        .toList();
+  }
+
   @Override
   public void start() throws IOException {
     peerServer.start();
--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -70,7 +70,9 @@
             : Optional.empty();
     LeaderSource leader =
         control.<LeaderSource>map(ControlPart::leaderSource).orElseGet(NoLeaderSource::new);
-    this.sync = new SyncNode(identity(settings), clock, leader, channels, work::count, VmLifeCycle.LEAVING_MS);
+    this.sync =
+        new SyncNode(
+            identity(settings), clock, leader, channels, work::count, VmLifeCycle.LEAVING_MS);
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
     control.ifPresent(part -> services.addAll(part.services(sync.upstreamDirectory())));
--- /dev/null
+++ b/src/test/java/org/ragwortpick/batch/CollectorPlacementTest.java
@@ -0,0 +1,43 @@
+package org.ragwortpick.batch;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.testng.annotations.Test;
+
+/** Guards against VMs that disagree on the collector, or pick one that cannot gather pieces. */
+public final class CollectorPlacementTest {
+
+  private static VmRecord vm(int number, VmState state, boolean entry) {
+    HostPort peer = new HostPort("10.0.0." + number, 7_700);
+    HostPort callers = entry ? new HostPort("10.0.0." + number, 80) : HostPort.NONE;
+    return new VmRecord(peer.toString(), 1, 1, "dc", callers, peer, state, 0, !entry);
+  }
+
+  @Test
+  public void aLostVmMovesOnlyItsOwnServices() {
+    List<VmRecord> vms = new ArrayList<>();
+    for (int i = 1; i <= 9; i++) {
+      vms.add(vm(i, VmState.READY, true));
+    }
+    vms.add(vm(10, VmState.READY, false));
+    vms.add(vm(11, VmState.LEAVING, true));
+    Set<String> used = new TreeSet<>();
+    for (int i = 0; i < 100; i++) {
+      String service = "service-" + i;
+      List<VmRecord> order = CollectorPlacement.order(service, vms);
+      assertEquals(order.size(), 9);
+      used.add(order.get(0).vm());
+      List<VmRecord> without = new ArrayList<>(vms);
+      without.remove(order.get(0));
+      assertEquals(CollectorPlacement.order(service, without).get(0), order.get(1));
+    }
+    assertEquals(used.size(), 9);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -0,0 +1,182 @@
+package org.ragwortpick.batch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.routing.BatchProfile;
+import org.ragwortpick.routing.RoutingFixture;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against half-empty batches, lost pieces and results that are never given up. */
+public final class StageCollectorTest {
+
+  private static final BatchProfile PROFILE = RoutingFixture.batch(4, 100, 10, 1_000);
+
+  private VirtualTime time;
+  private ScriptedTransport transport;
+  private List<Upstream> upstreams;
+  private List<SubmissionEnd> ends;
+  private StageCollector collector;
+  private boolean recent;
+
+  @BeforeMethod
+  public void setUp() {
+    time = new VirtualTime();
+    transport = new ScriptedTransport();
+    upstreams = new ArrayList<>(List.of(upstream("u1")));
+    ends = new ArrayList<>();
+    recent = true;
+    collector =
+        new StageCollector(
+            "svc",
+            () -> Optional.of(PROFILE),
+            () -> upstreams,
+            () -> recent,
+            transport,
+            time,
+            time.clock());
+  }
+
+  static Upstream upstream(String id) {
+    return new Upstream(
+        id,
+        1,
+        1,
+        new HostPort("127.0.0.1", 9),
+        "dc-1",
+        "svc",
+        "",
+        "1",
+        List.of(),
+        UpstreamState.READY,
+        1,
+        1,
+        0,
+        false);
+  }
+
+  private Runnable submit(String id, int pieces, long remainingMs, int priority) {
+    return submit(id, pieces, remainingMs, remainingMs, priority, 10);
+  }
+
+  private Runnable submit(
+      String id, int pieces, long remainingMs, long targetMs, int priority, long resultBytes) {
+    StageWork work =
+        new StageWork(
+            "svc", id, 0, pieces, "key", List.of(), resultBytes, remainingMs, targetMs, priority);
+    return collector.submit(work, ends::add);
+  }
+
+  private static List<String> ids(ScriptedTransport.Call call) {
+    return call.pieces().stream().map(piece -> piece.requestId() + piece.piece()).toList();
+  }
+
+  @Test
+  public void piecesOfDifferentRequestsShareABatch() {
+    submit("a", 1, 5_000, 0);
+    submit("b", 2, 5_000, 0);
+    submit("c", 2, 5_000, 0);
+    assertEquals(transport.calls().size(), 1);
+    transport.produce(transport.take());
+    assertEquals(ids(transport.calls().get(0)), List.of("b0", "b1", "c0", "c1"));
+    transport.produce(transport.take());
+    assertEquals(ends.size(), 3);
+    assertEquals(((SubmissionEnd.Produced) ends.get(1)).handles().size(), 2);
+  }
+
+  @Test
+  public void workThatCanBeInTimeComesBeforeLateWorkAndThenTheRankDecides() {
+    submit("busy", 4, 5_000, 0);
+    submit("late", 1, 5_000, 10, 0, 10);
+    submit("low", 1, 5_000, 2);
+    submit("high", 1, 5_000, 1);
+    transport.produce(transport.take());
+    assertEquals(ids(transport.calls().get(0)), List.of("high0", "low0", "late0"));
+  }
+
+  @Test
+  public void workThatCannotBeDoneInTimeIsRefusedAtOnce() {
+    submit("a", 1, 50, 0);
+    assertEquals(ends, List.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0)));
+    assertEquals(transport.calls().size(), 0);
+  }
+
+  @Test
+  public void aRefusedCallIsSentAgainAndALostOneElsewhere() {
+    upstreams.add(upstream("u2"));
+    submit("a", 1, 5_000, 0);
+    ScriptedTransport.Call first = transport.take();
+    first.whenDone().accept(new BatchOutcome.Lost());
+    ScriptedTransport.Call second = transport.take();
+    assertTrue(!second.upstream().id().equals(first.upstream().id()));
+    transport.produce(second);
+    assertEquals(ends.size(), 1);
+    assertTrue(ends.get(0) instanceof SubmissionEnd.Produced);
+  }
+
+  @Test
+  public void aPieceThatIsLostRepeatedlyFailsItsRequest() {
+    submit("a", 1, 60_000, 0);
+    for (int i = 0; i < 3; i++) {
+      transport.take().whenDone().accept(new BatchOutcome.Lost());
+      time.runAll();
+    }
+    assertEquals(ends.size(), 1);
+    assertEquals(
+        ((SubmissionEnd.Failed) ends.get(0)).cause(), SubmissionEnd.Cause.FAILED);
+    assertEquals(transport.calls().size(), 0);
+  }
+
+  @Test
+  public void resultsTakeRoomUntilTheyAreReleased() {
+    submit("a", 2, 5_000, 5_000, 0, 400);
+    submit("b", 1, 5_000, 5_000, 0, 400);
+    transport.produce(transport.take());
+    assertEquals(transport.calls().size(), 0);
+    collector.release(((SubmissionEnd.Produced) ends.get(0)).handles());
+    assertEquals(transport.released().size(), 2);
+    assertEquals(ids(transport.calls().get(0)), List.of("b0"));
+  }
+
+  @Test
+  public void aCollectorWithAnOldViewHandsItsQueueBack() {
+    submit("a", 1, 5_000, 0);
+    submit("b", 1, 5_000, 0);
+    recent = false;
+    transport.produce(transport.take());
+    assertEquals(transport.calls().size(), 0);
+    assertTrue(ends.get(0) instanceof SubmissionEnd.Produced);
+    assertEquals(ends.get(1), new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE, 0));
+  }
+
+  @Test
+  public void newWorkThatOnlyTheQueueMakesLateIsRefusedAtOnce() {
+    submit("a", 4, 5_000, 5_000, 0, 10);
+    submit("b", 4, 5_000, 5_000, 0, 10);
+    submit("c", 1, 5_000, 300, 0, 10);
+    assertEquals(ends.size(), 1);
+    SubmissionEnd.Failed refused = (SubmissionEnd.Failed) ends.get(0);
+    assertEquals(refused.cause(), SubmissionEnd.Cause.OVERLOADED);
+    // One call in progress and a full batch in the queue, 140 ms each.
+    assertEquals(refused.waitMs(), 280);
+    submit("d", 1, 5_000, 90, 0, 10);
+    assertEquals(ends.size(), 1);
+  }
+
+  @Test
+  public void resultsOfACancelledRequestAreReleased() {
+    Runnable cancel = submit("a", 1, 5_000, 0);
+    cancel.run();
+    transport.produce(transport.take());
+    assertEquals(transport.released(), List.of("h0"));
+    assertEquals(ends, List.of());
+  }
+}
--- a/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
@@ -89,7 +89,16 @@
               : LogStore.create(disk, RecoveredState.initial(Membership.EMPTY));
       RaftSettings settings =
           new RaftSettings(
-              identity(), group.vmNames()::contains, 100, 500, 1_000, 8, 1_024, 4_096, 100, 1 << 20);
+              identity(),
+              group.vmNames()::contains,
+              100,
+              500,
+              1_000,
+              8,
+              1_024,
+              4_096,
+              100,
+              1 << 20);
       RaftCore core = new RaftCore(settings, store.recovered(), group.clock(), random);
       replica =
           Optional.of(
--- a/src/test/java/org/ragwortpick/control/ControlFixture.java
+++ b/src/test/java/org/ragwortpick/control/ControlFixture.java
@@ -26,7 +26,7 @@
   private final ManualClock clock = new ManualClock();
   private final ConfigurationStateMachine machine = new ConfigurationStateMachine();
   private final DirectGroup group = new DirectGroup(machine, clock);
-  private final LeaderLease lease = new LeaderLease(group, clock, null);
+  private final LeaderLease lease = new LeaderLease(group, clock, new InlineScheduler(clock));
   private final LeaderTenure tenure = new LeaderTenure(group, clock);
   private final List<Upstream> upstreams = new ArrayList<>();
   private final UpstreamDirectory directory = new ListDirectory();
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
@@ -0,0 +1,161 @@
+package org.ragwortpick.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Methods;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.ragwortpick.batch.StageRunner;
+import org.ragwortpick.batch.StageTicket;
+import org.ragwortpick.batch.StageWork;
+import org.ragwortpick.batch.SubmissionEnd;
+import org.ragwortpick.routing.RequestKind;
+import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RouteStage;
+import org.ragwortpick.routing.RoutingFixture;
+import org.ragwortpick.routing.WeightedService;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against stages that get the wrong inputs or keep results that nobody needs. */
+public final class StageGraphRunTest {
+
+  private static final List<RouteStage> STAGES =
+      List.of(
+          new RouteStage("a", List.of(), 800),
+          new RouteStage("a", List.of(), 8),
+          new RouteStage("b", List.of(1), 60),
+          new RouteStage("c", List.of(2), 6));
+
+  private static final long WAIT_MS = 7;
+
+  private final Runner runner = new Runner();
+  private final List<SubmissionEnd> ends = new ArrayList<>();
+
+  @BeforeMethod
+  public void setUp() {
+    runner.submitted.clear();
+    ends.clear();
+  }
+
+  private StageGraphRun start(Integer... counts) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/",
+            RequestKind.STREAMING,
+            5_000,
+            2_000,
+            1,
+            List.of(new WeightedService("s", 1)),
+            1,
+            STAGES,
+            false,
+            false,
+            true);
+    CallerRequest request =
+        new CallerRequest(
+            "id",
+            Methods.POST,
+            "/",
+            new HeaderMap(),
+            new byte[0],
+            route,
+            Optional.empty(),
+            1,
+            0,
+            5_000);
+    StagePlan plan =
+        StagePlan.of(
+            route,
+            List.of(counts),
+            service -> Optional.of(RoutingFixture.batch(10, 100, 10, 10_000)));
+    StageGraphRun run = new StageGraphRun(request, "key", plan, 50, runner, () -> 0, ends::add);
+    run.start();
+    return run;
+  }
+
+  private void produce(int index, String... handles) {
+    runner.submitted.get(index).whenEnded.accept(new SubmissionEnd.Produced(List.of(handles)));
+  }
+
+  @Test
+  public void eachStageStartsWithTheResultsOfTheStagesBeforeIt() {
+    start(2, 1, 2, 1);
+    assertEquals(runner.stages(), List.of(0, 1));
+    assertEquals(runner.submitted.get(1).work.key(), "key");
+    produce(1, "s1");
+    assertEquals(runner.stages(), List.of(0, 1, 2));
+    assertEquals(runner.submitted.get(2).work.inputs(), List.of("s1"));
+    assertEquals(runner.submitted.get(2).work.key(), "");
+    produce(2, "s2-0", "s2-1");
+    assertTrue(runner.submitted.get(1).abandoned);
+    produce(3, "s3");
+    assertEquals(ends, List.of());
+    produce(0, "s0-0", "s0-1");
+    assertEquals(ends, List.of(new SubmissionEnd.Produced(List.of("s0-0", "s0-1", "s3"))));
+  }
+
+  @Test
+  public void aStageWithoutPiecesIsLeftOut() {
+    start(0, 1, 1, 1);
+    assertEquals(runner.stages(), List.of(1));
+    produce(0, "s1");
+    produce(1, "s2");
+    produce(2, "s3");
+    assertEquals(ends, List.of(new SubmissionEnd.Produced(List.of("s3"))));
+  }
+
+  @Test
+  public void theTargetOfAStageLeavesTimeForTheStagesBehindIt() {
+    start(1, 1, 2, 1);
+    assertEquals(runner.submitted.get(0).work.targetRemainingMs(), 1_950);
+    assertEquals(runner.submitted.get(1).work.targetRemainingMs(), 1_950 - 120 - 110 - 2 * WAIT_MS);
+  }
+
+  @Test
+  public void aFailureEndsTheOtherStages() {
+    start(1, 1, 1, 1);
+    runner.submitted.get(0).whenEnded.accept(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0));
+    assertEquals(ends, List.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0)));
+    assertTrue(runner.submitted.get(1).abandoned);
+    produce(1, "s1");
+    assertEquals(runner.submitted.size(), 2);
+  }
+
+  private static final class Runner implements StageRunner {
+    private final List<Submitted> submitted = new ArrayList<>();
+
+    @Override
+    public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
+      Submitted added = new Submitted(work, whenEnded);
+      submitted.add(added);
+      return () -> added.abandoned = true;
+    }
+
+    @Override
+    public long expectedWaitMs(String service, int priority) {
+      return WAIT_MS;
+    }
+
+    private List<Integer> stages() {
+      return submitted.stream().map(next -> next.work.stage()).toList();
+    }
+  }
+
+  private static final class Submitted {
+    private final StageWork work;
+    private final Consumer<SubmissionEnd> whenEnded;
+    private boolean abandoned;
+
+    private Submitted(StageWork work, Consumer<SubmissionEnd> whenEnded) {
+      this.work = work;
+      this.whenEnded = whenEnded;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/policy/limit/UpstreamLoadsTest.java
@@ -0,0 +1,73 @@
+package org.ragwortpick.policy.limit;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.policy.Candidate;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.testng.annotations.Test;
+
+/** Guards against traffic that stays on an upstream which fails while it looks healthy. */
+public final class UpstreamLoadsTest {
+
+  private static final Upstream UPSTREAM =
+      new Upstream(
+          "u1",
+          1,
+          1,
+          new HostPort("127.0.0.1", 9),
+          "dc",
+          "s",
+          "",
+          "",
+          List.of(),
+          UpstreamState.READY,
+          10,
+          1,
+          0,
+          false);
+
+  private final ManualClock clock = new ManualClock();
+  private final UpstreamLoads loads = new UpstreamLoads(clock);
+
+  private Candidate describe() {
+    return loads.describe(List.of(UPSTREAM)).get(0);
+  }
+
+  @Test
+  public void requestsSinceTheReportCountUntilTheReportIsOld() {
+    loads.started("u1");
+    loads.reported("u1", 7);
+    loads.started("u1");
+    assertEquals(describe().expectedLoad(), 8.0);
+    clock.advanceMs(3_000);
+    assertEquals(describe().expectedLoad(), 2.0);
+    loads.ended("u1");
+    loads.ended("u1");
+  }
+
+  @Test
+  public void failuresCountAsLoadAndAreForgotten() {
+    UpstreamLoads failing = new UpstreamLoads(clock);
+    failing.failed("u1");
+    Candidate now = failing.describe(List.of(UPSTREAM)).get(0);
+    assertEquals(now.expectedLoad(), 5.0);
+    assertTrue(now.isAvailable());
+    clock.advanceMs(2_000);
+    assertEquals(failing.describe(List.of(UPSTREAM)).get(0).expectedLoad(), 2.5);
+  }
+
+  @Test
+  public void anUpstreamThatWasNotReachedIsLeftAloneForAWhile() {
+    UpstreamLoads unreached = new UpstreamLoads(clock);
+    unreached.notReached("u1");
+    assertFalse(unreached.describe(List.of(UPSTREAM)).get(0).isAvailable());
+    clock.advanceMs(500);
+    assertTrue(unreached.describe(List.of(UPSTREAM)).get(0).isAvailable());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/FarewellTest.java
@@ -0,0 +1,74 @@
+package org.ragwortpick.sync;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.sync.directory.SoftRecord;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.UpstreamHome;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against an upstream that gets work after its farewell. A farewell carries no number, and
+ * the table keeps an older number than the home has heard while nothing but the number changes.
+ */
+public final class FarewellTest {
+
+  private final ManualClock clock = new ManualClock();
+  private final SoftTable table = new SoftTable();
+  private final UpstreamHome home = new UpstreamHome("vm-1", 1, clock, table);
+
+  private static Upstream announcement(long incarnation, long sequence) {
+    return new Upstream(
+        "u1",
+        incarnation,
+        sequence,
+        new HostPort("127.0.0.1", 9),
+        "dc",
+        "s",
+        "",
+        "",
+        List.of(),
+        UpstreamState.READY,
+        4,
+        1,
+        0,
+        false);
+  }
+
+  private UpstreamState state() {
+    return ((SoftRecord.OfUpstream) table.find(SoftRecord.OfUpstream.keyOf("u1")).orElseThrow())
+        .upstream()
+        .state();
+  }
+
+  @Test
+  public void aFarewellEndsTheWorkOfTheIncarnationThatIsKnown() {
+    for (int sequence = 1; sequence <= 5; sequence++) {
+      home.announce(announcement(7, sequence));
+    }
+    assertTrue(home.leave("u1"));
+    assertEquals(state(), UpstreamState.LEAVING);
+    home.announce(announcement(7, 6));
+    assertEquals(state(), UpstreamState.LEAVING);
+    home.announce(announcement(8, 1));
+    assertEquals(state(), UpstreamState.READY);
+  }
+
+  @Test
+  public void aFarewellWaitsForTheRecordOfItsUpstream() {
+    SoftTable empty = new SoftTable();
+    UpstreamHome late = new UpstreamHome("vm-2", 1, clock, empty);
+    assertFalse(late.leave("u1"));
+    empty.mergeFromAbove(new SoftRecord.OfUpstream(announcement(7, 3), "vm-1", 1, false));
+    late.tick();
+    SoftRecord.OfUpstream record =
+        (SoftRecord.OfUpstream) empty.find(SoftRecord.OfUpstream.keyOf("u1")).orElseThrow();
+    assertTrue(record.left());
+    assertEquals(record.upstream().state(), UpstreamState.LEAVING);
+  }
+}
