Give up stage inputs once they are fetched and keep requests whole in batches

Inputs expired after 4 s in the queue. Ruled out: slow upstreams, calls took 0.92 to 1.04 of the stated time.

Inputs that no other stage needs are given up 150 ms after the last call that fetches them began. A request is split over two batches only if there is room for all of it. Replies carry the waits of all queues, so that a stage leaves time for the stages behind it.

--- a/src/main/java/org/ragwortpick/batch/BatchCodec.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCodec.java
@@ -1,6 +1,9 @@
 package org.ragwortpick.batch;
 
+import java.util.List;
 import org.ragwortpick.proto.PieceFailure;
+import org.ragwortpick.proto.PieceInput;
+import org.ragwortpick.proto.QueueWait;
 import org.ragwortpick.proto.SubmitPiecesReply;
 import org.ragwortpick.proto.SubmitPiecesRequest;
 
@@ -22,7 +25,7 @@
         .setStage(work.stage())
         .setPieceCount(work.pieceCount())
         .setKey(work.key())
-        .addAllInputs(work.inputs())
+        .addAllInputs(work.inputs().stream().map(BatchCodec::encode).toList())
         .setResultBytes(work.resultBytes())
         .setRemainingMs(work.remainingMs())
         .setTargetRemainingMs(work.targetRemainingMs())
@@ -30,6 +33,18 @@
         .build();
   }
 
+  private static PieceInput encode(StageInput input) {
+    return PieceInput.newBuilder()
+        .setService(input.service())
+        .setHandle(input.handle())
+        .setExclusive(input.exclusive())
+        .build();
+  }
+
+  private static StageInput decode(PieceInput input) {
+    return new StageInput(input.getService(), input.getHandle(), input.getExclusive());
+  }
+
   /**
    * Decodes the pieces of a stage.
    *
@@ -43,7 +58,7 @@
         request.getStage(),
         request.getPieceCount(),
         request.getKey(),
-        request.getInputsList(),
+        request.getInputsList().stream().map(BatchCodec::decode).toList(),
         request.getResultBytes(),
         request.getRemainingMs(),
         request.getTargetRemainingMs(),
@@ -54,25 +69,30 @@
    * Encodes the end of a stage.
    *
    * @param end the end
-   * @param waitMs time in milliseconds that a piece of this rank would wait now
+   * @param waits expected waits that the local VM knows
    * @return the message
    */
-  static SubmitPiecesReply encode(SubmissionEnd end, long waitMs) {
+  static SubmitPiecesReply encode(SubmissionEnd end, List<QueueWait> waits) {
     if (end instanceof SubmissionEnd.Produced produced) {
       return SubmitPiecesReply.newBuilder()
           .addAllHandles(produced.handles())
-          .setWaitMs(waitMs)
+          .addAllWaits(waits)
           .build();
     }
+    SubmissionEnd.Failed failed = (SubmissionEnd.Failed) end;
     PieceFailure failure =
-        switch (((SubmissionEnd.Failed) end).cause()) {
+        switch (failed.cause()) {
           case LATE -> PieceFailure.PIECE_FAILURE_LATE;
           case INPUT_GONE -> PieceFailure.PIECE_FAILURE_INPUT_GONE;
           case OVERLOADED -> PieceFailure.PIECE_FAILURE_OVERLOADED;
           case UNAVAILABLE -> PieceFailure.PIECE_FAILURE_UNAVAILABLE;
           default -> PieceFailure.PIECE_FAILURE_FAILED;
         };
-    return SubmitPiecesReply.newBuilder().setFailure(failure).setWaitMs(waitMs).build();
+    return SubmitPiecesReply.newBuilder()
+        .setFailure(failure)
+        .setWaitMs(failed.waitMs())
+        .addAllWaits(waits)
+        .build();
   }
 
   /**
--- a/src/main/java/org/ragwortpick/batch/BatchService.java
+++ b/src/main/java/org/ragwortpick/batch/BatchService.java
@@ -10,19 +10,22 @@
 import org.ragwortpick.proto.SubmitPiecesRequest;
 
 /** Takes the pieces of other VMs. */
-public final class BatchService extends BatchCollectorGrpc.BatchCollectorImplBase {
+final class BatchService extends BatchCollectorGrpc.BatchCollectorImplBase {
 
   private final StageCollectors collectors;
+  private final QueueWaits waits;
   private final Executor loop;
 
   /**
    * Creates the service.
    *
    * @param collectors collectors of the local VM
+   * @param waits expected waits that the local VM knows
    * @param loop thread to which they are confined
    */
-  public BatchService(StageCollectors collectors, Executor loop) {
+  BatchService(StageCollectors collectors, QueueWaits waits, Executor loop) {
     this.collectors = collectors;
+    this.waits = waits;
     this.loop = loop;
   }
 
@@ -44,8 +47,10 @@
       SubmitPiecesRequest request,
       SubmissionEnd end) {
     if (!call.isCancelled()) {
-      long waitMs = collectors.expectedWaitMs(request.getService(), request.getPriority());
-      call.onNext(BatchCodec.encode(end, waitMs));
+      String service = request.getService();
+      int priority = request.getPriority();
+      waits.note(service, priority, collectors.expectedWaitMs(service, priority));
+      call.onNext(BatchCodec.encode(end, waits.known()));
       call.onCompleted();
     }
   }
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Order in which pieces are worked on: those that can still serve an answer within its target
@@ -97,20 +99,42 @@
    */
   List<WaitingPiece> take(int maxPieces, long room, long nowMs, long workMs) {
     waiting.sort(order(nowMs, workMs));
+    Map<Submission, List<WaitingPiece>> groups = new LinkedHashMap<>();
+    waiting.forEach(
+        piece -> groups.computeIfAbsent(piece.submission(), any -> new ArrayList<>()).add(piece));
+    List<WaitingPiece> batch = takeWhole(groups, maxPieces, room);
+    if (batch.isEmpty() && !groups.isEmpty()) {
+      batch = takePart(groups.entrySet().iterator().next(), maxPieces, room);
+    }
+    waiting.removeAll(batch);
+    return batch;
+  }
+
+  /** Half of the results of a request only take room until the other half is there. */
+  private static List<WaitingPiece> takeWhole(
+      Map<Submission, List<WaitingPiece>> groups, int maxPieces, long room) {
     List<WaitingPiece> batch = new ArrayList<>();
     long left = room;
-    for (Iterator<WaitingPiece> i = waiting.iterator(); i.hasNext() && batch.size() < maxPieces; ) {
-      WaitingPiece piece = i.next();
-      long bytes = piece.submission().work().resultBytes();
-      if (bytes <= left) {
-        left -= bytes;
-        batch.add(piece);
-        i.remove();
+    for (Map.Entry<Submission, List<WaitingPiece>> group : groups.entrySet()) {
+      long bytes = group.getKey().work().resultBytes();
+      int wanted = group.getValue().size();
+      int taken = Math.min(wanted, maxPieces - batch.size());
+      if (taken > 0 && wanted * bytes <= left) {
+        batch.addAll(group.getValue().subList(0, taken));
+        left -= taken * bytes;
       }
     }
     return batch;
   }
 
+  private static List<WaitingPiece> takePart(
+      Map.Entry<Submission, List<WaitingPiece>> group, int maxPieces, long room) {
+    long bytes = Math.max(1, group.getKey().work().resultBytes());
+    int wanted = group.getValue().size();
+    int taken = (int) Math.max(0, Math.min(Math.min(wanted, maxPieces), room / bytes));
+    return List.copyOf(group.getValue().subList(0, taken));
+  }
+
   private static Comparator<WaitingPiece> order(long nowMs, long workMs) {
     return Comparator.comparing(
             (WaitingPiece piece) -> piece.submission().targetAtMs() - nowMs < workMs)
--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.batch;
 
+import io.grpc.BindableService;
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.stub.ClientCallStreamObserver;
@@ -33,7 +34,7 @@
  * <p>A reply may take as long as the queue of the collector, so silence is told from waiting by a
  * probe: a collector that owes replies and has sent nothing for a while must answer an empty call.
  */
-public final class RemoteStageRunner implements StageRunner {
+public final class RemoteStageRunner implements StageRunner, ResultReleaser {
 
   private static final Logger LOG = Logger.getLogger(RemoteStageRunner.class);
 
@@ -45,9 +46,6 @@
 
   private static final long PROBE_TIMEOUT_MS = 400;
 
-  /** Age in milliseconds up to which the wait that a collector stated is believed. */
-  private static final long WAIT_VALID_MS = 700;
-
   /** Collectors that are tried for one stage. */
   private static final int MAX_SENDS = 3;
 
@@ -60,7 +58,7 @@
   private final Clock clock;
   private final Map<HostPort, Long> passedOverUntilMs = new HashMap<>();
   private final Map<HostPort, Link> links = new HashMap<>();
-  private final Map<String, Wait> waits = new HashMap<>();
+  private final QueueWaits waits;
 
   /**
    * Creates the runner.
@@ -88,6 +86,16 @@
     this.loop = loop;
     this.timers = timers;
     this.clock = clock;
+    this.waits = new QueueWaits(clock);
+  }
+
+  /**
+   * Creates the service that takes the pieces of other VMs for the local collectors.
+   *
+   * @return the gRPC service
+   */
+  public BindableService service() {
+    return new BatchService(local, waits, loop);
   }
 
   @Override
@@ -102,13 +110,7 @@
     if (collectorOf(service).filter(self::equals).isPresent()) {
       return local.expectedWaitMs(service, priority);
     }
-    Wait wait = waits.get(service + "/" + priority);
-    boolean recent = wait != null && clock.millis() - wait.atMs() < WAIT_VALID_MS;
-    return recent ? wait.waitMs() : 0;
-  }
-
-  private void noteWait(StageWork work, long waitMs) {
-    waits.put(work.service() + "/" + work.priority(), new Wait(waitMs, clock.millis()));
+    return waits.expectedMs(service, priority);
   }
 
   private Optional<HostPort> collectorOf(String service) {
@@ -124,6 +126,11 @@
     passedOverUntilMs.put(collector, clock.millis() + PASS_OVER_MS);
   }
 
+  @Override
+  public void release(String service, List<String> handles) {
+    collectorOf(service).ifPresent(collector -> release(collector, service, handles));
+  }
+
   private void release(HostPort collector, String service, List<String> handles) {
     if (handles.isEmpty()) {
       return;
@@ -350,7 +357,7 @@
       loop.execute(
           () -> {
             link.heardAtMs = clock.millis();
-            noteWait(ticket.work, reply.getWaitMs());
+            waits.merge(reply.getWaitsList());
             if (link.waiting.remove(ticket)) {
               ticket.onReply(BatchCodec.decode(reply));
             }
@@ -403,6 +410,4 @@
       // The only reply was handled when it arrived.
     }
   }
-
-  private record Wait(long waitMs, long atMs) {}
 }
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.routing.BatchProfile;
@@ -27,6 +28,9 @@
   /** Calls in which one piece may fail before its request fails. */
   private static final int MAX_FAILURES = 3;
 
+  /** Time after which an upstream has fetched the inputs of a call, a few megabytes at most. */
+  private static final long INPUT_FETCH_MS = 150;
+
   /** Interval at which upstreams that were left alone are looked at again. */
   private static final long RECHECK_MS = 50;
 
@@ -35,6 +39,7 @@
   private final Supplier<List<Upstream>> upstreams;
   private final BooleanSupplier viewIsRecent;
   private final BatchTransport transport;
+  private final ResultReleaser inputReleaser;
   private final Timers timers;
   private final Clock clock;
   private final PieceQueue queue = new PieceQueue();
@@ -49,6 +54,7 @@
    * @param upstreams upstreams that may take work
    * @param viewIsRecent whether the upstreams are known well enough to work for other VMs
    * @param transport calls to upstreams
+   * @param inputReleaser gives up results of other services
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
    */
@@ -58,6 +64,7 @@
       Supplier<List<Upstream>> upstreams,
       BooleanSupplier viewIsRecent,
       BatchTransport transport,
+      ResultReleaser inputReleaser,
       Timers timers,
       Clock clock) {
     this.service = service;
@@ -65,6 +72,7 @@
     this.upstreams = upstreams;
     this.viewIsRecent = viewIsRecent;
     this.transport = transport;
+    this.inputReleaser = inputReleaser;
     this.timers = timers;
     this.clock = clock;
   }
@@ -243,17 +251,37 @@
     long bytes = batch.stream().mapToLong(piece -> piece.submission().work().resultBytes()).sum();
     work.started(nowMs, StageTimes.callMs(limits, batch.size()));
     work.room().reserve(bytes);
+    Timers.Timer fetch = timers.schedule(INPUT_FETCH_MS, () -> onFetched(batch));
     transport.run(
         work.upstream(),
         batch.stream().map(piece -> piece.call(nowMs)).toList(),
         work.timeoutMs(limits, batch.size()),
         outcome -> {
           work.room().unreserve(bytes);
+          if (outcome instanceof BatchOutcome.Answered) {
+            onFetched(batch);
+          } else {
+            fetch.cancel();
+          }
           onOutcome(work, batch, limits, nowMs, outcome);
           pump();
         });
   }
 
+  /**
+   * An upstream fetches the inputs when it begins with a call, so they need not be held while it
+   * works. That leaves their upstreams room for the results of other requests.
+   */
+  private void onFetched(List<WaitingPiece> batch) {
+    for (WaitingPiece piece : batch) {
+      piece.submission().fetched(piece.piece()).stream()
+          .collect(
+              Collectors.groupingBy(
+                  StageInput::service, Collectors.mapping(StageInput::handle, Collectors.toList())))
+          .forEach(inputReleaser::release);
+    }
+  }
+
   private void onOutcome(
       UpstreamWork work,
       List<WaitingPiece> batch,
@@ -262,6 +290,15 @@
       BatchOutcome outcome) {
     long nowMs = clock.millis();
     if (outcome instanceof BatchOutcome.Answered answered) {
+      LOG.infof(
+          "batch of %d pieces at upstream %s of service %s answered after %d ms, %d ms stated, %d"
+              + " pieces wait",
+          batch.size(),
+          work.upstream().id(),
+          service,
+          nowMs - sentAtMs,
+          (long) StageTimes.callMs(limits, batch.size()),
+          queue.size());
       work.answered(StageTimes.callMs(limits, batch.size()), nowMs - sentAtMs);
       noteRoom(work.room(), answered.results());
       for (int i = 0; i < batch.size(); i++) {
--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/StageInput.java
@@ -0,0 +1,10 @@
+package org.ragwortpick.batch;
+
+/**
+ * Result of an earlier stage.
+ *
+ * @param service service whose upstream holds the result
+ * @param handle handle of the result
+ * @param exclusive whether no other stage needs the result, so that it is given up once fetched
+ */
+public record StageInput(String service, String handle, boolean exclusive) {}
--- a/src/main/java/org/ragwortpick/batch/StageWork.java
+++ b/src/main/java/org/ragwortpick/batch/StageWork.java
@@ -10,7 +10,7 @@
  * @param stage position of the stage in the route
  * @param pieceCount number of pieces
  * @param key key of the pieces of a stage without inputs; empty for other stages
- * @param inputs handles of the inputs, in order
+ * @param inputs results of earlier stages, in order
  * @param resultBytes approximate size of one result in bytes
  * @param remainingMs time in milliseconds after which the pieces are not needed
  * @param targetRemainingMs time in milliseconds within which they are needed for an answer within
@@ -23,7 +23,7 @@
     int stage,
     int pieceCount,
     String key,
-    List<String> inputs,
+    List<StageInput> inputs,
     long resultBytes,
     long remainingMs,
     long targetRemainingMs,
--- a/src/main/java/org/ragwortpick/batch/Submission.java
+++ b/src/main/java/org/ragwortpick/batch/Submission.java
@@ -13,7 +13,9 @@
   private final long targetAtMs;
   private final String[] handles;
   private final Consumer<SubmissionEnd> whenEnded;
+  private final boolean[] fetched;
   private int missing;
+  private boolean inputsReleased;
   private boolean ended;
 
   /**
@@ -29,6 +31,7 @@
     this.targetAtMs = nowMs + work.targetRemainingMs();
     this.handles = new String[work.pieceCount()];
     this.missing = work.pieceCount();
+    this.fetched = new boolean[work.pieceCount()];
     this.whenEnded = whenEnded;
   }
 
@@ -98,6 +101,26 @@
     }
   }
 
+  /**
+   * Notes that an upstream has fetched the inputs of a piece.
+   *
+   * @param piece number of the piece
+   * @return the inputs that no piece needs any more, once
+   */
+  List<StageInput> fetched(int piece) {
+    fetched[piece] = true;
+    for (boolean done : fetched) {
+      if (!done) {
+        return List.of();
+      }
+    }
+    if (inputsReleased) {
+      return List.of();
+    }
+    inputsReleased = true;
+    return work.inputs().stream().filter(StageInput::exclusive).toList();
+  }
+
   /**
    * Lists the results so far.
    *
--- a/src/main/java/org/ragwortpick/batch/WaitingPiece.java
+++ b/src/main/java/org/ragwortpick/batch/WaitingPiece.java
@@ -32,6 +32,6 @@
         piece,
         Math.max(1, submission.deadlineAtMs() - nowMs),
         work.key(),
-        work.inputs());
+        work.inputs().stream().map(StageInput::handle).toList());
   }
 }
--- a/src/main/java/org/ragwortpick/forward/StageGraphRun.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.ragwortpick.batch.StageInput;
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.batch.StageTicket;
 import org.ragwortpick.batch.StageWork;
@@ -81,8 +82,8 @@
 
   private void submit(int stage) {
     RouteStage description = plan.stages().get(stage);
-    List<String> inputs =
-        description.after().stream().flatMap(before -> handles.get(before).stream()).toList();
+    List<StageInput> inputs =
+        description.after().stream().flatMap(before -> inputsOf(before).stream()).toList();
     long now = nowMs.getAsLong();
     int priority = request.priority();
     long behindMs =
@@ -102,6 +103,14 @@
     tickets[stage] = runner.submit(work, end -> onEnd(stage, end));
   }
 
+  private List<StageInput> inputsOf(int stage) {
+    String service = plan.stages().get(stage).service();
+    boolean exclusive = plan.followers(stage) == 1;
+    return handles.get(stage).stream()
+        .map(handle -> new StageInput(service, handle, exclusive))
+        .toList();
+  }
+
   private void onEnd(int stage, SubmissionEnd end) {
     if (ended) {
       return;
@@ -113,7 +122,7 @@
     }
     handles.set(stage, ((SubmissionEnd.Produced) end).handles());
     unfinished--;
-    plan.stages().get(stage).after().forEach(this::abandonIfUnneeded);
+    plan.stages().get(stage).after().forEach(this::releaseIfUnneeded);
     if (unfinished == 0) {
       whenEnded.accept(new SubmissionEnd.Produced(lastHandles()));
     } else {
@@ -121,7 +130,12 @@
     }
   }
 
-  private void abandonIfUnneeded(int stage) {
+  private void releaseIfUnneeded(int stage) {
+    if (plan.followers(stage) == 1) {
+      // The collector of the only stage that needed the results has given them up.
+      tickets[stage] = null;
+      return;
+    }
     for (int next = stage + 1; next < plan.stages().size(); next++) {
       if (plan.stages().get(next).after().contains(stage) && !isFinished(next)) {
         return;
--- a/src/main/java/org/ragwortpick/forward/StagePlan.java
+++ b/src/main/java/org/ragwortpick/forward/StagePlan.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
+import java.util.stream.IntStream;
 import org.ragwortpick.batch.StageTimes;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.Route;
@@ -59,6 +60,18 @@
     return counts.stream().anyMatch(count -> count > 0);
   }
 
+  /**
+   * Returns how many stages need the results of a stage.
+   *
+   * @param stage position of the stage
+   * @return number of stages that run and follow it
+   */
+  long followers(int stage) {
+    return IntStream.range(stage + 1, stages.size())
+        .filter(next -> counts.get(next) > 0 && stages.get(next).after().contains(stage))
+        .count();
+  }
+
   /**
    * Returns the time of the stages that follow a stage.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -14,7 +14,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.ragwortpick.batch.BatchService;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
 import org.ragwortpick.batch.StageCollectors;
@@ -75,7 +74,7 @@
   private final SyncNode sync;
   private final Timers timers;
   private final UpstreamLoads loads;
-  private final StageCollectors collectors;
+  private final RemoteStageRunner stages;
   private final EntryServer server;
   private final Undertow readiness;
   private final XnioIoThread loop;
@@ -131,7 +130,7 @@
             sync.configurationView(), new SuspensionDetector(clock, Clock.systemUTC()), clock);
     HttpBatchTransport transport =
         new HttpBatchTransport(calls, protocol.batches(), protocol.headers());
-    this.collectors =
+    StageCollectors collectors =
         new StageCollectors(
             service ->
                 new StageCollector(
@@ -144,9 +143,10 @@
                     () -> chooser.available(service),
                     freshness::isRecent,
                     transport,
+                    this::release,
                     timers,
                     clock));
-    RemoteStageRunner stages =
+    this.stages =
         new RemoteStageRunner(
             settings.peerAddress(),
             sync.vmDirectory()::vms,
@@ -215,6 +215,10 @@
                     () -> role.retryConstant() / Math.max(1, entryVms().size())));
   }
 
+  private void release(String service, List<String> handles) {
+    stages.release(service, handles);
+  }
+
   private boolean accepts() {
     VmState state = sync.lifeCycle().state();
     return state == VmState.STARTING || state == VmState.READY || state == VmState.LEAVING;
@@ -230,7 +234,7 @@
    * @return the service
    */
   BindableService service() {
-    return new BatchService(collectors, loop);
+    return stages.service();
   }
 
   /** Starts to listen. */
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -26,6 +26,7 @@
   private List<SubmissionEnd> ends;
   private StageCollector collector;
   private boolean recent;
+  private List<String> inputsReleased;
 
   @BeforeMethod
   public void setUp() {
@@ -34,6 +35,7 @@
     upstreams = new ArrayList<>(List.of(upstream("u1")));
     ends = new ArrayList<>();
     recent = true;
+    inputsReleased = new ArrayList<>();
     collector =
         new StageCollector(
             "svc",
@@ -41,6 +43,7 @@
             () -> upstreams,
             () -> recent,
             transport,
+            (service, handles) -> inputsReleased.addAll(handles),
             time,
             time.clock());
   }
@@ -130,8 +133,7 @@
       time.runAll();
     }
     assertEquals(ends.size(), 1);
-    assertEquals(
-        ((SubmissionEnd.Failed) ends.get(0)).cause(), SubmissionEnd.Cause.FAILED);
+    assertEquals(((SubmissionEnd.Failed) ends.get(0)).cause(), SubmissionEnd.Cause.FAILED);
     assertEquals(transport.calls().size(), 0);
   }
 
@@ -171,6 +173,29 @@
     assertEquals(ends.size(), 1);
   }
 
+  @Test
+  public void inputsAreReleasedOnceAllPiecesHaveFetchedThem() {
+    List<StageInput> inputs =
+        List.of(new StageInput("before", "i1", true), new StageInput("before", "i2", false));
+    StageWork work = new StageWork("svc", "a", 1, 6, "", inputs, 10, 5_000, 5_000, 0);
+    collector.submit(work, ends::add);
+    transport.produce(transport.take());
+    assertEquals(inputsReleased, List.of());
+    time.runAll();
+    assertEquals(inputsReleased, List.of("i1"));
+    transport.produce(transport.take());
+    assertEquals(inputsReleased, List.of("i1"));
+  }
+
+  @Test
+  public void aRequestIsNotSplitWhenThereIsNoRoomForTheRest() {
+    submit("a", 2, 5_000, 5_000, 0, 300);
+    submit("b", 3, 5_000, 5_000, 0, 200);
+    submit("c", 2, 5_000, 5_000, 1, 100);
+    transport.produce(transport.take());
+    assertEquals(ids(transport.calls().get(0)), List.of("c0", "c1"));
+  }
+
   @Test
   public void resultsOfACancelledRequestAreReleased() {
     Runnable cancel = submit("a", 1, 5_000, 0);
