Work where results are, and test forwarding and collectors under faults

Stages prefer the data centre of their inputs, large results are made where the request will be answered, and requests with a short shared prefix go where their results are. No upstream stays idle for it.

Tests over sockets: headers, promises, foreign, broken and silent answers, and collectors that are dead, silent or out of date.

--- a/src/main/java/org/ragwortpick/batch/BatchCodec.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCodec.java
@@ -30,6 +30,7 @@
         .setRemainingMs(work.remainingMs())
         .setTargetRemainingMs(work.targetRemainingMs())
         .setPriority(work.priority())
+        .setDataCentre(work.dataCentre())
         .build();
   }
 
@@ -62,7 +63,8 @@
         request.getResultBytes(),
         request.getRemainingMs(),
         request.getTargetRemainingMs(),
-        request.getPriority());
+        request.getPriority(),
+        request.getDataCentre());
   }
 
   /**
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -17,6 +17,9 @@
  */
 final class PieceQueue {
 
+  /** Delay that a piece bears to be worked on in the data centre of its inputs. */
+  private static final long OTHER_DATA_CENTRE_MS = 150;
+
   private final List<WaitingPiece> waiting = new ArrayList<>();
 
   /**
@@ -88,17 +91,33 @@
     return removed;
   }
 
+  private static boolean prefers(WaitingPiece piece, String dataCentre) {
+    String preferred = piece.submission().work().dataCentre();
+    return preferred.isEmpty() || preferred.equals(dataCentre);
+  }
+
+  /**
+   * Tells whether a piece prefers a data centre.
+   *
+   * @param dataCentre the data centre
+   * @return whether a piece that waits prefers it or has no preference
+   */
+  boolean anyPrefers(String dataCentre) {
+    return waiting.stream().anyMatch(piece -> prefers(piece, dataCentre));
+  }
+
   /**
    * Takes the next batch for one upstream.
    *
+   * @param dataCentre data centre of the upstream
    * @param maxPieces most pieces
    * @param room room of the upstream for results in bytes
    * @param nowMs monotonic time in milliseconds
    * @param workMs shortest time in milliseconds in which a piece can be done
    * @return pieces in order; empty if none fits
    */
-  List<WaitingPiece> take(int maxPieces, long room, long nowMs, long workMs) {
-    waiting.sort(order(nowMs, workMs));
+  List<WaitingPiece> take(String dataCentre, int maxPieces, long room, long nowMs, long workMs) {
+    waiting.sort(order(dataCentre, nowMs, workMs));
     Map<Submission, List<WaitingPiece>> groups = new LinkedHashMap<>();
     waiting.forEach(
         piece -> groups.computeIfAbsent(piece.submission(), any -> new ArrayList<>()).add(piece));
@@ -135,10 +154,13 @@
     return List.copyOf(group.getValue().subList(0, taken));
   }
 
-  private static Comparator<WaitingPiece> order(long nowMs, long workMs) {
+  private static Comparator<WaitingPiece> order(String dataCentre, long nowMs, long workMs) {
     return Comparator.comparing(
             (WaitingPiece piece) -> piece.submission().targetAtMs() - nowMs < workMs)
         .thenComparingInt(piece -> piece.submission().work().priority())
-        .thenComparingLong(piece -> piece.submission().targetAtMs());
+        .thenComparingLong(
+            piece ->
+                piece.submission().targetAtMs()
+                    + (prefers(piece, dataCentre) ? 0 : OTHER_DATA_CENTRE_MS));
   }
 }
--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -205,7 +205,8 @@
           work.resultBytes(),
           work.remainingMs() - passedMs,
           work.targetRemainingMs() - passedMs,
-          work.priority());
+          work.priority(),
+          work.dataCentre());
     }
 
     private void sendElsewhere(String reason) {
--- a/src/main/java/org/ragwortpick/batch/ResultRoom.java
+++ b/src/main/java/org/ragwortpick/batch/ResultRoom.java
@@ -12,11 +12,12 @@
   private static final double SHRINK = 0.85;
   private static final double GROWTH = 0.01;
   private static final double LEAST_PART = 0.3;
+  private static final double FIRST_PART = 0.9;
 
   private final Map<String, Held> held = new HashMap<>();
   private long heldBytes;
   private long reservedBytes;
-  private double usablePart = 1.0;
+  private double usablePart = FIRST_PART;
 
   /**
    * Returns the room for further results.
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,6 +32,9 @@
   /** Time after which an upstream has fetched the inputs of a call, a few megabytes at most. */
   private static final long INPUT_FETCH_MS = 150;
 
+  /** Part of the free room up to which results fit although their sizes are approximate. */
+  private static final double CERTAIN_PART = 0.75;
+
   /** Interval at which upstreams that were left alone are looked at again. */
   private static final long RECHECK_MS = 50;
 
@@ -197,11 +201,15 @@
       return;
     }
     refreshUpstreams();
-    for (UpstreamWork work : freeUpstreams(limits.get(), nowMs)) {
+    List<UpstreamWork> free = new ArrayList<>(freeUpstreams(limits.get(), nowMs));
+    // Upstreams in the data centres of the inputs choose first; none stays idle.
+    free.sort(Comparator.comparing(work -> !queue.anyPrefers(work.upstream().dataCentre())));
+    for (UpstreamWork work : free) {
       long room = work.room().free(limits.get().resultRoomBytes(), nowMs);
-      List<WaitingPiece> batch = queue.take(limits.get().maxPieces(), room, nowMs, workMs);
+      List<WaitingPiece> batch =
+          queue.take(work.upstream().dataCentre(), limits.get().maxPieces(), room, nowMs, workMs);
       if (!batch.isEmpty()) {
-        send(work, batch, limits.get(), nowMs);
+        send(work, batch, room, limits.get(), nowMs);
       }
     }
     if (queue.size() > 0) {
@@ -247,22 +255,21 @@
     }
   }
 
-  private void send(UpstreamWork work, List<WaitingPiece> batch, BatchProfile limits, long nowMs) {
+  private void send(
+      UpstreamWork work, List<WaitingPiece> batch, long room, BatchProfile limits, long nowMs) {
     long bytes = batch.stream().mapToLong(piece -> piece.submission().work().resultBytes()).sum();
     work.started(nowMs, StageTimes.callMs(limits, batch.size()));
     work.room().reserve(bytes);
-    Timers.Timer fetch = timers.schedule(INPUT_FETCH_MS, () -> onFetched(batch));
+    boolean roomIsCertain = bytes <= CERTAIN_PART * room;
+    Timers.Timer fetch =
+        roomIsCertain ? timers.schedule(INPUT_FETCH_MS, () -> onFetched(batch)) : () -> {};
     transport.run(
         work.upstream(),
         batch.stream().map(piece -> piece.call(nowMs)).toList(),
         work.timeoutMs(limits, batch.size()),
         outcome -> {
           work.room().unreserve(bytes);
-          if (outcome instanceof BatchOutcome.Answered) {
-            onFetched(batch);
-          } else {
-            fetch.cancel();
-          }
+          fetch.cancel();
           onOutcome(work, batch, limits, nowMs, outcome);
           pump();
         });
@@ -270,7 +277,8 @@
 
   /**
    * An upstream fetches the inputs when it begins with a call, so they need not be held while it
-   * works. That leaves their upstreams room for the results of other requests.
+   * works. That leaves their upstreams room for the results of other requests. A piece that may
+   * find no room is asked for again, so its inputs are held until it was produced.
    */
   private void onFetched(List<WaitingPiece> batch) {
     for (WaitingPiece piece : batch) {
@@ -332,6 +340,7 @@
     Submission submission = piece.submission();
     if (result instanceof PieceResult.Produced produced) {
       work.room().hold(produced.handle(), submission.work().resultBytes(), expiresAtMs);
+      onFetched(List.of(piece));
       if (submission.isEnded()) {
         release(List.of(produced.handle()));
       } else {
--- a/src/main/java/org/ragwortpick/batch/StageWork.java
+++ b/src/main/java/org/ragwortpick/batch/StageWork.java
@@ -16,6 +16,8 @@
  * @param targetRemainingMs time in milliseconds within which they are needed for an answer within
  *     the target latency; negative if it has passed
  * @param priority rank of the request, 0 first
+ * @param dataCentre data centre in which the work causes least traffic between data centres; empty
+ *     for none
  */
 public record StageWork(
     String service,
@@ -27,7 +29,8 @@
     long resultBytes,
     long remainingMs,
     long targetRemainingMs,
-    int priority) {
+    int priority,
+    String dataCentre) {
 
   /** Copies the inputs. */
   public StageWork {
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -20,6 +20,7 @@
  * @param loads load of upstreams
  * @param stages runs stages
  * @param answerTimes time from a send to its answer by route
+ * @param places finds results of stages
  * @param calls sends calls to upstreams
  * @param retryBudgets budget of each service for requests that are sent again
  * @param timers timers on the I/O thread
@@ -37,6 +38,7 @@
     UpstreamLoads loads,
     StageRunner stages,
     AnswerTimes answerTimes,
+    ResultPlaces places,
     HttpCalls calls,
     RetryBudgets retryBudgets,
     Timers timers,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -25,7 +25,7 @@
   private final HttpServerExchange exchange;
   private final CallerRequest request;
   private final String service;
-  private final long prefixHash;
+  private final PromptPrefix prefix;
   private final AnswerRelay relay;
   private final RequestLog log;
   private final RepeatPolicy repeats;
@@ -54,8 +54,7 @@
     this.exchange = exchange;
     this.request = request;
     this.service = service;
-    this.prefixHash =
-        PromptPrefix.sharedHash(request.headers().getFirst(dependencies.headers().prefixes()));
+    this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
     this.relay = new AnswerRelay(exchange);
     this.log = new RequestLog(request, dependencies.clock(), dependencies.metrics());
     this.repeats = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
@@ -91,6 +90,8 @@
             key == null ? "" : key,
             plan,
             dependencies.answerTimes().expectedMs(request.route().name()),
+            dependencies.chooser().likelyDataCentre(service, prefix),
+            dependencies.places(),
             dependencies.stages(),
             dependencies.clock()::millis,
             this::onStagesEnded);
@@ -121,7 +122,11 @@
           "suspended");
       return;
     }
-    Optional<Upstream> chosen = dependencies.chooser().choose(service, prefixHash, tried);
+    Optional<Upstream> chosen =
+        dependencies
+            .chooser()
+            .choose(
+                service, prefix, stages.map(StageGraphRun::dataCentreOfResults).orElse(""), tried);
     if (chosen.isEmpty()) {
       refuse(
           Refusal.unavailable("service " + service + " has no free upstream", RETRY_AFTER_MS),
--- a/src/main/java/org/ragwortpick/forward/StageGraphRun.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -1,9 +1,12 @@
 package org.ragwortpick.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.ragwortpick.batch.StageInput;
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.batch.StageTicket;
@@ -17,10 +20,15 @@
  */
 final class StageGraphRun {
 
+  /** Size of a result in bytes from which it is made where it is needed. */
+  private static final long LARGE_RESULT_BYTES = 100_000;
+
   private final CallerRequest request;
   private final String pieceKey;
   private final StagePlan plan;
   private final long answerMs;
+  private final String answerDataCentre;
+  private final ResultPlaces places;
   private final StageRunner runner;
   private final LongSupplier nowMs;
   private final Consumer<SubmissionEnd> whenEnded;
@@ -36,6 +44,8 @@
    * @param pieceKey key of the pieces of stages without inputs
    * @param plan stages of the request
    * @param answerMs expected time from the last stage to the answer in milliseconds
+   * @param answerDataCentre data centre of the upstream that will answer; empty if it is not known
+   * @param places finds results
    * @param runner runs the stages
    * @param nowMs monotonic time in milliseconds
    * @param whenEnded receives the handles of the last stages, or the failure
@@ -45,6 +55,8 @@
       String pieceKey,
       StagePlan plan,
       long answerMs,
+      String answerDataCentre,
+      ResultPlaces places,
       StageRunner runner,
       LongSupplier nowMs,
       Consumer<SubmissionEnd> whenEnded) {
@@ -52,6 +64,8 @@
     this.pieceKey = pieceKey;
     this.plan = plan;
     this.answerMs = answerMs;
+    this.answerDataCentre = answerDataCentre;
+    this.places = places;
     this.runner = runner;
     this.nowMs = nowMs;
     this.whenEnded = whenEnded;
@@ -99,10 +113,43 @@
             description.resultBytes(),
             request.deadlineAtMs() - now - plan.followingMs(stage, service -> 0),
             request.targetAtMs() - now - behindMs,
-            priority);
+            priority,
+            dataCentreOf(inputs, description.resultBytes()));
     tickets[stage] = runner.submit(work, end -> onEnd(stage, end));
   }
 
+  /** Large results go where they are needed; small ones stay where their inputs are. */
+  private String dataCentreOf(List<StageInput> inputs, long resultBytes) {
+    if (inputs.isEmpty()) {
+      return resultBytes >= LARGE_RESULT_BYTES ? answerDataCentre : "";
+    }
+    Map<String, List<String>> byService =
+        inputs.stream()
+            .collect(
+                Collectors.groupingBy(
+                    StageInput::service,
+                    Collectors.mapping(StageInput::handle, Collectors.toList())));
+    return places.mostBytes(Map.of(), byService);
+  }
+
+  /**
+   * Returns the data centre that holds most of what the request needs.
+   *
+   * @return name of the data centre; empty if it is not known
+   */
+  String dataCentreOfResults() {
+    Map<String, Long> bytes = new HashMap<>();
+    Map<String, List<String>> byService = new HashMap<>();
+    for (int stage : request.route().lastStages()) {
+      RouteStage description = plan.stages().get(stage);
+      bytes.merge(description.service(), description.resultBytes(), Math::max);
+      byService
+          .computeIfAbsent(description.service(), any -> new ArrayList<>())
+          .addAll(handles.get(stage));
+    }
+    return places.mostBytes(bytes, byService);
+  }
+
   private List<StageInput> inputsOf(int stage) {
     String service = plan.stages().get(stage).service();
     boolean exclusive = plan.followers(stage) == 1;
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -66,17 +66,40 @@
         .toList();
   }
 
+  /**
+   * Returns the data centre of the upstream that would be chosen now, without any claim to it.
+   *
+   * @param service name of the service
+   * @param prefix shared part of the prompt
+   * @return name of the data centre; empty if no warm upstream is available
+   */
+  String likelyDataCentre(String service, PromptPrefix prefix) {
+    List<Upstream> ready =
+        available(service).stream()
+            .filter(upstream -> upstream.state() == UpstreamState.READY)
+            .toList();
+    SelectionRequest request =
+        new SelectionRequest(service, prefix.hash(), prefix.tokens(), "", Set.of());
+    return selector
+        .select(request, loads.describe(ready))
+        .map(candidate -> candidate.upstream().dataCentre())
+        .orElse("");
+  }
+
   /**
    * Chooses an upstream.
    *
    * @param service name of the service
-   * @param prefixHash hash of the prompt prefix; 0 for none
+   * @param prefix shared part of the prompt
+   * @param dataCentre data centre that holds what the request needs; empty for none
    * @param tried ids of upstreams that are passed over
    * @return the upstream, if one may take the request now
    */
-  public Optional<Upstream> choose(String service, long prefixHash, Set<String> tried) {
+  Optional<Upstream> choose(
+      String service, PromptPrefix prefix, String dataCentre, Set<String> tried) {
     List<Upstream> available = available(service);
-    SelectionRequest request = new SelectionRequest(service, prefixHash, tried);
+    SelectionRequest request =
+        new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate =
         configuration
             .get()
--- a/src/main/java/org/ragwortpick/policy/select/RendezvousAffinitySelector.java
+++ b/src/main/java/org/ragwortpick/policy/select/RendezvousAffinitySelector.java
@@ -12,11 +12,16 @@
  * loaded than the best one. The order of engines for a prefix is a hash, so that all VMs agree
  * without exchanging what they sent where.
  *
+ * <p>A request with a short prefix goes to the data centre that holds its inputs instead.
+ *
  * <p>Load answered: conversations whose prompts share thousands of tokens. Reading a prefix again
  * costs the engine time that all requests beside it feel.
  */
 public final class RendezvousAffinitySelector implements UpstreamSelector {
 
+  /** Tokens of a prefix from which reading it again costs more than moving results. */
+  private static final long LARGE_PREFIX_TOKENS = 2_000;
+
   private final UpstreamSelector byLoad;
   private final double margin;
 
@@ -34,20 +39,27 @@
 
   @Override
   public Optional<Candidate> select(SelectionRequest request, List<Candidate> candidates) {
-    if (request.prefixHash() == 0) {
-      return byLoad.select(request, candidates);
-    }
     List<Candidate> suitable =
         candidates.stream()
             .filter(Candidate::isAvailable)
             .filter(candidate -> !request.excludedIds().contains(candidate.upstream().id()))
             .toList();
     double limit = suitable.stream().mapToDouble(LoadScore::of).min().orElse(0) + margin;
+    List<Candidate> light =
+        suitable.stream().filter(candidate -> LoadScore.of(candidate) <= limit).toList();
+    List<Candidate> near =
+        light.stream()
+            .filter(candidate -> candidate.upstream().dataCentre().equals(request.dataCentre()))
+            .toList();
+    boolean stayNear = !near.isEmpty() && request.prefixTokens() < LARGE_PREFIX_TOKENS;
+    if (request.prefixHash() == 0) {
+      return byLoad.select(request, stayNear ? near : candidates);
+    }
     String key = Long.toHexString(request.prefixHash());
-    return suitable.stream()
-        .filter(candidate -> LoadScore.of(candidate) <= limit)
-        .max(
-            Comparator.comparingLong(
-                candidate -> Rendezvous.score(key, candidate.upstream().id())));
+    return (stayNear ? near : light)
+        .stream()
+            .max(
+                Comparator.comparingLong(
+                    candidate -> Rendezvous.score(key, candidate.upstream().id())));
   }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -30,6 +30,7 @@
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
 import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.ResultPlaces;
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
@@ -164,6 +165,7 @@
             loads,
             stages,
             new AnswerTimes(),
+            new ResultPlaces(sync::announced),
             calls,
             retryBudgets(role, clock),
             timers,
--- /dev/null
+++ b/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
@@ -0,0 +1,197 @@
+package org.ragwortpick.batch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.entry.ExecutorTimers;
+import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.proto.BatchCollectorGrpc;
+import org.ragwortpick.proto.PieceFailure;
+import org.ragwortpick.proto.ReleaseResultsReply;
+import org.ragwortpick.proto.ReleaseResultsRequest;
+import org.ragwortpick.proto.SubmitPiecesReply;
+import org.ragwortpick.proto.SubmitPiecesRequest;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against stage work that is lost with its collector: a dead, silent or useless one. */
+public final class RemoteStageRunnerTest {
+
+  private static final HostPort SELF = new HostPort("127.0.0.1", 1);
+  private static final long LIMIT_MS = 5_000;
+
+  private final List<Server> servers = new ArrayList<>();
+  private final List<VmRecord> vms = new ArrayList<>();
+  private ScheduledExecutorService loop;
+  private PeerChannels channels;
+  private RemoteStageRunner runner;
+
+  @BeforeMethod
+  public void setUp() {
+    loop = Executors.newSingleThreadScheduledExecutor();
+    channels = new PeerChannels();
+    servers.clear();
+    vms.clear();
+    StageCollectors local =
+        new StageCollectors(
+            service -> {
+              throw new AssertionError("the local VM is not in the list");
+            });
+    runner =
+        new RemoteStageRunner(
+            SELF,
+            () -> List.copyOf(vms),
+            local,
+            channels,
+            loop,
+            new ExecutorTimers(loop),
+            new MonotonicClock());
+  }
+
+  @AfterMethod
+  public void tearDown() {
+    servers.forEach(Server::shutdownNow);
+    channels.close();
+    loop.shutdownNow();
+  }
+
+  private Collector collector(Mode mode) throws Exception {
+    Collector collector = new Collector(mode);
+    Server server =
+        NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+            .addService(collector)
+            .build()
+            .start();
+    servers.add(server);
+    HostPort address = new HostPort("127.0.0.1", server.getPort());
+    collector.vm =
+        new VmRecord(address.toString(), 1, 1, "dc", address, address, VmState.READY, 0, false);
+    vms.add(collector.vm);
+    return collector;
+  }
+
+  /** Names a service whose first collector is the given one. */
+  private String serviceOf(Collector first) {
+    for (int i = 0; ; i++) {
+      String service = "service-" + i;
+      if (CollectorPlacement.order(service, vms).get(0).equals(first.vm)) {
+        return service;
+      }
+    }
+  }
+
+  private SubmissionEnd submit(String service) throws Exception {
+    CompletableFuture<SubmissionEnd> end = new CompletableFuture<>();
+    StageWork work =
+        new StageWork(service, "r", 0, 1, "k", List.of(), 1, LIMIT_MS, LIMIT_MS, 0, "");
+    loop.execute(() -> runner.submit(work, end::complete));
+    return end.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void assertMovesOn(Mode mode) throws Exception {
+    Collector first = collector(mode);
+    Collector second = collector(Mode.WORKS);
+    String service = serviceOf(first);
+    if (mode == Mode.DEAD) {
+      servers.get(0).shutdownNow().awaitTermination();
+    }
+    assertEquals(submit(service), new SubmissionEnd.Produced(List.of("handle")));
+    assertEquals(submit(service), new SubmissionEnd.Produced(List.of("handle")));
+    assertTrue(first.submits.get() <= 1, "the collector that failed is asked again at once");
+    assertEquals(second.submits.get(), 2);
+  }
+
+  @Test
+  public void workOfADeadCollectorMovesOn() throws Exception {
+    assertMovesOn(Mode.DEAD);
+  }
+
+  @Test
+  public void workOfASilentCollectorMovesOn() throws Exception {
+    assertMovesOn(Mode.SILENT);
+  }
+
+  @Test
+  public void workOfACollectorWithAnOldViewMovesOn() throws Exception {
+    assertMovesOn(Mode.UNAVAILABLE);
+  }
+
+  @Test
+  public void aSlowCollectorThatAnswersProbesKeepsItsWork() throws Exception {
+    Collector slow = collector(Mode.SLOW);
+    Collector other = collector(Mode.WORKS);
+    assertEquals(submit(serviceOf(slow)), new SubmissionEnd.Produced(List.of("handle")));
+    assertEquals(other.submits.get(), 0);
+    assertEquals(slow.submits.get(), 1);
+  }
+
+  private enum Mode {
+    WORKS,
+    SLOW,
+    DEAD,
+    SILENT,
+    UNAVAILABLE
+  }
+
+  private final class Collector extends BatchCollectorGrpc.BatchCollectorImplBase {
+    private final Mode mode;
+    private final AtomicInteger submits = new AtomicInteger();
+    private VmRecord vm;
+
+    private Collector(Mode mode) {
+      this.mode = mode;
+    }
+
+    @Override
+    public void submit(SubmitPiecesRequest request, StreamObserver<SubmitPiecesReply> observer) {
+      submits.incrementAndGet();
+      switch (mode) {
+        case WORKS -> reply(observer, SubmitPiecesReply.newBuilder().addHandles("handle").build());
+        case SLOW ->
+            loop.schedule(
+                () -> reply(observer, SubmitPiecesReply.newBuilder().addHandles("handle").build()),
+                1_500,
+                TimeUnit.MILLISECONDS);
+        case UNAVAILABLE ->
+            reply(
+                observer,
+                SubmitPiecesReply.newBuilder()
+                    .setFailure(PieceFailure.PIECE_FAILURE_UNAVAILABLE)
+                    .build());
+        default -> {
+          // The call stays without a reply.
+        }
+      }
+    }
+
+    private void reply(StreamObserver<SubmitPiecesReply> observer, SubmitPiecesReply reply) {
+      observer.onNext(reply);
+      observer.onCompleted();
+    }
+
+    @Override
+    public void release(
+        ReleaseResultsRequest request, StreamObserver<ReleaseResultsReply> observer) {
+      if (mode != Mode.SILENT) {
+        observer.onNext(ReleaseResultsReply.getDefaultInstance());
+        observer.onCompleted();
+      }
+    }
+  }
+}
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -74,7 +74,17 @@
       String id, int pieces, long remainingMs, long targetMs, int priority, long resultBytes) {
     StageWork work =
         new StageWork(
-            "svc", id, 0, pieces, "key", List.of(), resultBytes, remainingMs, targetMs, priority);
+            "svc",
+            id,
+            0,
+            pieces,
+            "key",
+            List.of(),
+            resultBytes,
+            remainingMs,
+            targetMs,
+            priority,
+            "");
     return collector.submit(work, ends::add);
   }
 
@@ -177,7 +187,7 @@
   public void inputsAreReleasedOnceAllPiecesHaveFetchedThem() {
     List<StageInput> inputs =
         List.of(new StageInput("before", "i1", true), new StageInput("before", "i2", false));
-    StageWork work = new StageWork("svc", "a", 1, 6, "", inputs, 10, 5_000, 5_000, 0);
+    StageWork work = new StageWork("svc", "a", 1, 6, "", inputs, 10, 5_000, 5_000, 0, "");
     collector.submit(work, ends::add);
     transport.produce(transport.take());
     assertEquals(inputsReleased, List.of());
@@ -187,6 +197,21 @@
     assertEquals(inputsReleased, List.of("i1"));
   }
 
+  @Test
+  public void inputsOfAPieceThatFoundNoRoomAreKept() {
+    List<StageInput> inputs = List.of(new StageInput("before", "i1", true));
+    collector.submit(
+        new StageWork("svc", "a", 1, 1, "", inputs, 850, 5_000, 5_000, 0, ""), ends::add);
+    time.runAll();
+    transport
+        .take()
+        .whenDone()
+        .accept(
+            new BatchOutcome.Answered(
+                List.of(new PieceResult.NotProduced(PieceResult.Cause.NO_ROOM))));
+    assertEquals(inputsReleased, List.of());
+  }
+
   @Test
   public void aRequestIsNotSplitWhenThereIsNoRoomForTheRest() {
     submit("a", 2, 5_000, 5_000, 0, 300);
--- a/src/test/java/org/ragwortpick/entry/http/RawUpstream.java
+++ b/src/test/java/org/ragwortpick/entry/http/RawUpstream.java
@@ -16,7 +16,7 @@
 import org.ragwortpick.common.HostPort;
 
 /** Upstream on plain sockets, for faults that no HTTP server produces. */
-final class RawUpstream implements AutoCloseable {
+public final class RawUpstream implements AutoCloseable {
 
   private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -24,17 +24,17 @@
   private final AtomicInteger work = new AtomicInteger();
   private final Behaviour behaviour;
 
-  RawUpstream(Behaviour behaviour) throws IOException {
+  public RawUpstream(Behaviour behaviour) throws IOException {
     this.behaviour = behaviour;
     threads.execute(this::accept);
   }
 
-  HostPort address() {
+  public HostPort address() {
     return new HostPort("127.0.0.1", server.getLocalPort());
   }
 
   /** Number of requests received, cancels not included. */
-  int workRequests() {
+  public int workRequests() {
     return work.get();
   }
 
@@ -95,11 +95,11 @@
   }
 
   /** Complete answer with the echoed identity. */
-  static String answer(Map<String, String> request, String extraHeaders, String body) {
+  public static String answer(Map<String, String> request, String extraHeaders, String body) {
     return head(request, extraHeaders + "Content-Length: " + body.length() + "\r\n") + body;
   }
 
-  static String head(Map<String, String> request, String extraHeaders) {
+  public static String head(Map<String, String> request, String extraHeaders) {
     return "HTTP/1.1 200 OK\r\nRequest-Id: "
         + request.get("request-id")
         + "\r\nStage: "
@@ -118,7 +118,7 @@
   }
 
   /** Decides on answers. */
-  interface Behaviour {
+  public interface Behaviour {
 
     /**
      * Returns the bytes to send; an empty text leaves the request unanswered. The connection is
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -0,0 +1,180 @@
+package org.ragwortpick.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.entry.http.RawUpstream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against answers of other requests, broken answers that look complete, false promises that
+ * a request has not run, and headers that pass although they must not.
+ */
+public final class ForwardFaultsTest {
+
+  private static final HostPort NOBODY = new HostPort("127.0.0.1", 1);
+
+  private ForwardTestServer server;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    server = new ForwardTestServer();
+  }
+
+  @AfterMethod
+  public void stop() {
+    server.close();
+  }
+
+  private static String refused(Map<String, String> request) {
+    return "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: "
+        + request.get("request-id")
+        + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  @Test
+  public void passesTheRequestWithOnlyItsOwnHeaders() throws Exception {
+    AtomicReference<Map<String, String>> seen = new AtomicReference<>();
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, request, headers) -> {
+              seen.set(headers);
+              return RawUpstream.answer(headers, "Mark: m1\r\n", "answer");
+            })) {
+      server.announce("u1", upstream.address());
+      HttpResponse<String> response =
+          server.send(
+              server
+                  .request("/safe/a%20b?x=1&y=%2F", "r1")
+                  .header("Workspace", "forged")
+                  .header("Internal", "forged")
+                  .header("Other", "kept")
+                  .POST(HttpRequest.BodyPublishers.ofString("body"))
+                  .build());
+      assertEquals(response.statusCode(), 200);
+      assertEquals(response.body(), "answer");
+      assertEquals(response.headers().firstValue("Mark"), Optional.of("m1"));
+      assertEquals(seen.get().get("path"), "/safe/a%20b?x=1&y=%2F");
+      assertEquals(seen.get().get("workspace"), "w1");
+      assertEquals(seen.get().get("expected-upstream"), "u1");
+      assertEquals(seen.get().get("other"), "kept");
+      assertEquals(seen.get().get("body"), "body");
+      assertFalse(seen.get().containsKey("key"));
+      assertFalse(seen.get().containsKey("internal"));
+      assertTrue(Integer.parseInt(seen.get().get("deadline-ms")) <= 700);
+    }
+  }
+
+  @Test
+  public void aRefusalNamesWhatIsWrong() throws Exception {
+    assertEquals(server.post("/absent/x", "r1").statusCode(), 404);
+    HttpRequest wrongKey =
+        HttpRequest.newBuilder(server.request("/safe/x", "r2").build().uri())
+            .header("Request-Id", "r2")
+            .header("Key", "unknown")
+            .build();
+    assertEquals(server.send(wrongKey).statusCode(), 401);
+    HttpResponse<String> noUpstream = server.post("/safe/x", "r3");
+    assertEquals(noUpstream.statusCode(), 503);
+    assertTrue(noUpstream.headers().firstValue("Retry-After").isPresent());
+    server.forgetConfiguration();
+    assertEquals(server.post("/absent/x", "r4").statusCode(), 503);
+  }
+
+  @Test
+  public void aRequestThatWasNotRunGoesToAnotherUpstream() throws Exception {
+    try (RawUpstream busy = new RawUpstream((c, r, headers) -> refused(headers));
+        RawUpstream free =
+            new RawUpstream((c, r, headers) -> RawUpstream.answer(headers, "", "done"))) {
+      server.announce("busy", busy.address());
+      server.announce("free", free.address());
+      server.announce("gone", NOBODY);
+      for (int i = 0; i < 5; i++) {
+        assertEquals(server.post("/once/x", "r" + i).body(), "done");
+      }
+    }
+  }
+
+  @Test
+  public void aLostAnswerIsNeverCalledNotRun() throws Exception {
+    try (RawUpstream upstream = new RawUpstream((c, r, headers) -> "no answer")) {
+      server.announce("u1", upstream.address());
+      server.announce("u2", upstream.address());
+      assertEquals(server.post("/once/x", "r1").statusCode(), 502);
+      assertEquals(upstream.workRequests(), 1);
+      assertEquals(server.post("/safe/x", "r2").statusCode(), 502);
+      assertEquals(upstream.workRequests(), 3);
+    }
+  }
+
+  @Test
+  public void aSilentUpstreamCostsTheTimeOfTheCallerAndNoPromise() throws Exception {
+    try (RawUpstream upstream = new RawUpstream((c, r, headers) -> "")) {
+      server.announce("u1", upstream.address());
+      assertEquals(server.post("/once/x", "r1").statusCode(), 504);
+    }
+  }
+
+  @Test
+  public void anAnswerOfAnotherRequestIsDropped() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, request, headers) -> {
+              // A second answer follows the first and meets the next request of the connection.
+              String answer = RawUpstream.answer(headers, "", headers.get("request-id"));
+              return answer + answer;
+            })) {
+      server.announce("u1", upstream.address());
+      for (int i = 0; i < 6; i++) {
+        HttpResponse<String> response = server.post("/once/x", "r" + i);
+        assertTrue(
+            response.statusCode() == 502 || response.body().equals("r" + i), response.body());
+      }
+    }
+  }
+
+  @Test
+  public void aBrokenAnswerDoesNotLookComplete() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, request, headers) ->
+                RawUpstream.head(
+                        headers, "Content-Type: text/event-stream\r\nContent-Length: 500\r\n")
+                    + "Connection: close"
+                    + "id: 1\n\n")) {
+      server.announce("u1", upstream.address());
+      assertThrows(IOException.class, () -> server.post("/stream/x", "r1"));
+      assertEquals(server.post("/once/x", "r2").statusCode(), 502);
+    }
+  }
+
+  @Test
+  public void anErrorOfTheUpstreamIsPassedOnOnceItMayNotBeRepeated() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, request, headers) ->
+                "HTTP/1.1 500 Failed\r\nMark: m\r\nRequest-Id: "
+                    + headers.get("request-id")
+                    + "\r\nContent-Length: 3\r\n\r\nbad")) {
+      server.announce("u1", upstream.address());
+      server.announce("u2", upstream.address());
+      HttpResponse<String> once = server.post("/once/x", "r1");
+      assertEquals(once.statusCode(), 500);
+      assertEquals(once.headers().firstValue("Mark"), Optional.of("m"));
+      assertEquals(upstream.workRequests(), 1);
+      assertEquals(server.post("/safe/x", "r2").statusCode(), 500);
+      assertEquals(upstream.workRequests(), 3);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -0,0 +1,219 @@
+package org.ragwortpick.forward;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HttpString;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.ragwortpick.batch.StageRunner;
+import org.ragwortpick.batch.StageTicket;
+import org.ragwortpick.batch.StageWork;
+import org.ragwortpick.batch.SubmissionEnd;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Rules;
+import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.upstream.HttpCalls;
+import org.ragwortpick.policy.budget.RatioRetryBudget;
+import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.routing.RequestKind;
+import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.routing.RoutingFixture;
+import org.ragwortpick.routing.WeightedService;
+import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Forwarding server on loopback with one route of each kind; tests announce the upstreams. */
+final class ForwardTestServer implements AutoCloseable {
+
+  static final RoutingHeaders NAMES =
+      new RoutingHeaders(
+          HttpString.tryFromString("Request-Id"),
+          HttpString.tryFromString("Deadline-Ms"),
+          HttpString.tryFromString("Key"),
+          HttpString.tryFromString("Workspace"),
+          HttpString.tryFromString("Expected-Upstream"),
+          HttpString.tryFromString("Not-Run"),
+          HttpString.tryFromString("Upstream-Id"),
+          HttpString.tryFromString("Load"),
+          HttpString.tryFromString("Prefixes"),
+          HttpString.tryFromString("Piece-Counts"),
+          HttpString.tryFromString("Piece-Key"),
+          HttpString.tryFromString("Inputs"),
+          Set.of(
+              HttpString.tryFromString("Key"),
+              HttpString.tryFromString("Workspace"),
+              HttpString.tryFromString("Deadline-Ms"),
+              HttpString.tryFromString("Internal")));
+
+  private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
+  private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
+  private final XnioWorker worker;
+  private final HttpCalls calls;
+  private final EntryServer server;
+  private final HttpClient client = HttpClient.newHttpClient();
+  private volatile boolean accepting = true;
+  private volatile Configuration configuration = configuration();
+
+  ForwardTestServer() throws Exception {
+    MonotonicClock clock = new MonotonicClock();
+    worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    calls = new HttpCalls(worker, buffers, clock, 300, 5_000);
+    UpstreamLoads loads = new UpstreamLoads(clock);
+    Random random = new Random(7);
+    UpstreamChooser chooser =
+        new UpstreamChooser(
+            () -> configuration,
+            service ->
+                upstreams.values().stream().filter(u -> u.service().equals(service)).toList(),
+            new LeastLoadedSelector("dc", random),
+            loads,
+            new ColdRateShare("vm", clock),
+            () -> List.of("vm"));
+    RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
+    WorkCounter work = new WorkCounter();
+    server =
+        new EntryServer(
+            "127.0.0.1",
+            0,
+            worker,
+            buffers,
+            new ForwardHandler(
+                new ForwardDependencies(
+                    NAMES,
+                    new View(),
+                    chooser,
+                    () -> true,
+                    loads,
+                    new NoStages(),
+                    new AnswerTimes(),
+                    new ResultPlaces(service -> List.of()),
+                    calls,
+                    service -> budget,
+                    new IoThreadTimers(worker.getIoThread()),
+                    clock,
+                    () -> accepting,
+                    () -> true,
+                    work,
+                    new ForwardMetrics(new PrometheusRegistry())),
+                random),
+            work);
+    server.start();
+  }
+
+  private static Configuration configuration() {
+    RoutingConfiguration routing =
+        new RoutingConfiguration(
+            4,
+            List.of(
+                route("safe", RequestKind.IDEMPOTENT, 2),
+                route("once", RequestKind.NON_IDEMPOTENT, 2),
+                route("stream", RequestKind.STREAMING, 1)),
+            List.of(RoutingFixture.service("s1")),
+            List.of(RoutingFixture.workspace("w1", "k1")),
+            null,
+            "");
+    return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Optional.of(routing));
+  }
+
+  private static Route route(String name, RequestKind kind, int attempts) {
+    return new Route(
+        name,
+        "127.0.0.1",
+        "/" + name + "/",
+        kind,
+        1_000,
+        100,
+        0,
+        List.of(new WeightedService("s1", 1)),
+        attempts,
+        List.of(),
+        false,
+        false,
+        false);
+  }
+
+  void announce(String id, HostPort address) {
+    upstreams.put(
+        id,
+        new Upstream(
+            id, 1, 1, address, "dc", "s1", "", "", List.of(), UpstreamState.READY, 4, 1, 0, false));
+  }
+
+  void forgetConfiguration() {
+    configuration = Configuration.EMPTY;
+  }
+
+  HttpRequest.Builder request(String path, String id) {
+    return HttpRequest.newBuilder(URI.create("http://" + server.address() + path))
+        .header("Request-Id", id)
+        .header("Key", "k1")
+        .header("Deadline-Ms", "700");
+  }
+
+  HttpResponse<String> post(String path, String id) throws Exception {
+    return send(request(path, id).POST(HttpRequest.BodyPublishers.ofString("body")).build());
+  }
+
+  HttpResponse<String> send(HttpRequest request) throws Exception {
+    return client.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+    calls.close();
+    worker.shutdownNow();
+  }
+
+  private final class View implements ConfigurationView {
+    @Override
+    public Configuration current() {
+      return configuration;
+    }
+
+    @Override
+    public boolean isInForce() {
+      return true;
+    }
+
+    @Override
+    public long confirmedAtMs() {
+      return 1;
+    }
+  }
+
+  private static final class NoStages implements StageRunner {
+    @Override
+    public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
+      throw new AssertionError("the routes have no stages");
+    }
+
+    @Override
+    public long expectedWaitMs(String service, int priority) {
+      return 0;
+    }
+  }
+}
--- a/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
+++ b/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
@@ -32,6 +32,9 @@
           new RouteStage("b", List.of(1), 60),
           new RouteStage("c", List.of(2), 6));
 
+  private static final ResultPlaces PLACES =
+      new ResultPlaces(service -> List.of(TestPlaces.upstream(service)));
+
   private static final long WAIT_MS = 7;
 
   private final Runner runner = new Runner();
@@ -76,7 +79,8 @@
             route,
             List.of(counts),
             service -> Optional.of(RoutingFixture.batch(10, 100, 10, 10_000)));
-    StageGraphRun run = new StageGraphRun(request, "key", plan, 50, runner, () -> 0, ends::add);
+    StageGraphRun run =
+        new StageGraphRun(request, "key", plan, 50, "dc-9", PLACES, runner, () -> 0, ends::add);
     run.start();
     return run;
   }
@@ -101,6 +105,20 @@
     assertEquals(ends, List.of(new SubmissionEnd.Produced(List.of("s0-0", "s0-1", "s3"))));
   }
 
+  @Test
+  public void stagesStayInTheDataCentreOfTheirInputs() {
+    StageGraphRun run = start(1, 1, 1, 1);
+    produce(0, "10.0.0.1:80/x");
+    produce(1, "10.0.0.1:80/y");
+    assertEquals(runner.submitted.get(1).work.dataCentre(), "");
+    assertEquals(runner.submitted.get(2).work.dataCentre(), "dc-a");
+    produce(2, "10.0.0.2:80/z");
+    assertEquals(runner.submitted.get(3).work.dataCentre(), "dc-b");
+    produce(3, "10.0.0.3:80/w");
+    // One result of 800 bytes in the first data centre outweighs one of 6 in the third.
+    assertEquals(run.dataCentreOfResults(), "dc-a");
+  }
+
   @Test
   public void aStageWithoutPiecesIsLeftOut() {
     start(0, 1, 1, 1);
