Write decisions as structured lines and remove a silent voter beyond those kept

Membership: a replaced control VM stayed a voter, so the loss of another one would have cost the quorum. The leader removes a voter that was silent for 2.5 s while more voters than the tolerated losses need remain; it joins again when it is back. Test first: ScenarioTest with four voters.

--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.Timers;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
@@ -104,16 +105,16 @@
     }
     Optional<SubmissionEnd.Failed> refusal = refusal(work, limits.get());
     if (refusal.isPresent()) {
-      LOG.infof(
-          "request %s: stage %d refused (%s), %d ms to wait, %d ms to the target latency, %d ms"
-              + " left, %d pieces wait",
-          work.requestId(),
-          work.stage(),
-          refusal.get().cause(),
-          refusal.get().waitMs(),
-          work.targetRemainingMs(),
-          work.remainingMs(),
-          queue.size());
+      DecisionLine.of("stage refused")
+          .with("request", work.requestId())
+          .with("stage", work.stage())
+          .with("service", service)
+          .with("cause", refusal.get().cause())
+          .with("waitMs", refusal.get().waitMs())
+          .with("targetRemainingMs", work.targetRemainingMs())
+          .with("remainingMs", work.remainingMs())
+          .with("waitingPieces", queue.size())
+          .info(LOG);
       submission.end(refusal.get());
       return () -> {};
     }
@@ -298,15 +299,15 @@
       BatchOutcome outcome) {
     long nowMs = clock.millis();
     if (outcome instanceof BatchOutcome.Answered answered) {
-      LOG.infof(
-          "batch of %d pieces at upstream %s of service %s answered after %d ms, %d ms stated, %d"
-              + " pieces wait",
-          batch.size(),
-          work.upstream().id(),
-          service,
-          nowMs - sentAtMs,
-          (long) StageTimes.callMs(limits, batch.size()),
-          queue.size());
+      DecisionLine.of("batch answered")
+          .with("service", service)
+          .with("upstream", work.upstream().id())
+          .with("requests", requestsOf(batch))
+          .with("pieces", batch.size())
+          .with("tookMs", nowMs - sentAtMs)
+          .with("statedMs", (long) StageTimes.callMs(limits, batch.size()))
+          .with("waitingPieces", queue.size())
+          .info(LOG);
       work.answered(StageTimes.callMs(limits, batch.size()), nowMs - sentAtMs);
       noteRoom(work.room(), answered.results());
       for (int i = 0; i < batch.size(); i++) {
@@ -316,17 +317,24 @@
     }
     boolean lost = outcome instanceof BatchOutcome.Lost;
     work.failed(nowMs, lost);
-    LOG.infof(
-        "call of %d pieces to upstream %s of service %s: %s after %d ms; the pieces are queued"
-            + " again",
-        batch.size(),
-        work.upstream().id(),
-        service,
-        outcome.getClass().getSimpleName(),
-        nowMs - sentAtMs);
+    DecisionLine.of("batch not answered")
+        .with("service", service)
+        .with("upstream", work.upstream().id())
+        .with("requests", requestsOf(batch))
+        .with("outcome", outcome.getClass().getSimpleName())
+        .with("tookMs", nowMs - sentAtMs)
+        .with("pausedMs", work.pausedUntilMs() - nowMs)
+        .info(LOG);
     batch.forEach(piece -> requeue(lost ? piece.failed() : piece));
   }
 
+  private static String requestsOf(List<WaitingPiece> batch) {
+    return batch.stream()
+        .map(piece -> piece.submission().work().requestId())
+        .distinct()
+        .collect(Collectors.joining(","));
+  }
+
   private static void noteRoom(ResultRoom room, List<PieceResult> results) {
     if (results.contains(new PieceResult.NotProduced(PieceResult.Cause.NO_ROOM))) {
       room.exceeded();
@@ -366,14 +374,14 @@
 
   private void fail(Submission submission, SubmissionEnd.Cause cause, String detail) {
     if (!submission.isEnded()) {
-      LOG.infof(
-          "request %s: stage %d of service %s failed (%s): %s; %d pieces wait",
-          submission.work().requestId(),
-          submission.work().stage(),
-          service,
-          cause,
-          detail,
-          queue.size());
+      DecisionLine.of("stage failed")
+          .with("request", submission.work().requestId())
+          .with("stage", submission.work().stage())
+          .with("service", service)
+          .with("cause", cause)
+          .with("detail", detail)
+          .with("waitingPieces", queue.size())
+          .info(LOG);
       List<String> produced = submission.producedHandles();
       submission.end(new SubmissionEnd.Failed(cause, expectedWaitMs(submission.work().priority())));
       release(produced);
--- a/src/main/java/org/ragwortpick/cli/ForwardCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ForwardCommand.java
@@ -61,7 +61,7 @@
     }
     try (SettingsReload reload = new SettingsReload(file, process::reload)) {
       reload.start();
-      return ProcessEnd.await(process);
+      return ProcessEnd.await(process, LoggingSetup::close);
     }
   }
 
--- a/src/main/java/org/ragwortpick/cli/ProcessEnd.java
+++ b/src/main/java/org/ragwortpick/cli/ProcessEnd.java
@@ -20,6 +20,17 @@
    * @return exit code
    */
   static int await(StoppableProcess process) {
+    return await(process, () -> {});
+  }
+
+  /**
+   * Waits for the graceful stop of a process.
+   *
+   * @param process the process
+   * @param last runs after the process has closed
+   * @return exit code
+   */
+  static int await(StoppableProcess process, Runnable last) {
     CountDownLatch closed = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
@@ -31,6 +42,7 @@
     try {
       process.stopped().get();
       process.close();
+      last.run();
       return ExitCode.OK;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/src/main/java/org/ragwortpick/consensus/ConsensusOptions.java
+++ b/src/main/java/org/ragwortpick/consensus/ConsensusOptions.java
@@ -18,6 +18,7 @@
  *     not larger
  * @param openMembership whether any control VM may join; the names of VMs are then their peer
  *     addresses, and {@code controlVms} lists those to ask first
+ * @param keptVoters voters below which a silent one is never removed; 0 keeps all
  */
 public record ConsensusOptions(
     String vm,
@@ -25,7 +26,8 @@
     Path dataFolder,
     Map<String, HostPort> controlVms,
     long snapshotLogBytes,
-    boolean openMembership) {
+    boolean openMembership,
+    int keptVoters) {
 
   private static final long SNAPSHOT_LOG_BYTES = 8L * 1024 * 1024;
 
@@ -38,6 +40,7 @@
    * @param controlVms peer addresses by VM
    * @param snapshotLogBytes size of the log after which a snapshot is taken
    * @param openMembership whether any control VM may join
+   * @param keptVoters voters below which a silent one is never removed; 0 keeps all
    * @throws IllegalArgumentException if the VM is not one of the control VMs
    */
   public ConsensusOptions {
@@ -58,7 +61,7 @@
    */
   public ConsensusOptions(
       String vm, String clusterId, Path dataFolder, Map<String, HostPort> controlVms) {
-    this(vm, clusterId, dataFolder, controlVms, SNAPSHOT_LOG_BYTES, false);
+    this(vm, clusterId, dataFolder, controlVms, SNAPSHOT_LOG_BYTES, false, 0);
   }
 
   /**
@@ -68,14 +71,19 @@
    * @param clusterId name of the cluster
    * @param dataFolder folder for all files
    * @param seeds peer addresses of control VMs to ask first
+   * @param keptVoters voters below which a silent one is never removed
    * @return the options
    */
   public static ConsensusOptions open(
-      HostPort address, String clusterId, Path dataFolder, Collection<HostPort> seeds) {
+      HostPort address,
+      String clusterId,
+      Path dataFolder,
+      Collection<HostPort> seeds,
+      int keptVoters) {
     Map<String, HostPort> first =
         seeds.stream().collect(Collectors.toMap(HostPort::toString, Function.identity()));
     return new ConsensusOptions(
-        address.toString(), clusterId, dataFolder, first, SNAPSHOT_LOG_BYTES, true);
+        address.toString(), clusterId, dataFolder, first, SNAPSHOT_LOG_BYTES, true, keptVoters);
   }
 
   /**
--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -77,7 +77,9 @@
                 options.addressOf(peerVm),
                 channels);
     options.controlVms().keySet().forEach(this::addPeer);
-    RaftSettings settings = RaftSettings.standard(folder.identity().replicaId(), options::mayVote);
+    RaftSettings settings =
+        RaftSettings.standard(
+            folder.identity().replicaId(), options::mayVote, options.keptVoters());
     this.replica =
         new Replica(
             group,
--- a/src/main/java/org/ragwortpick/consensus/raft/LeaderState.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/LeaderState.java
@@ -185,11 +185,24 @@
   }
 
   /**
-   * Returns whether a replica responded lately.
+   * Tells whether a voter was silent for the voter timeout.
    *
-   * @param identity identity of a replica
+   * @param identity identity of the replica
+   * @param nowMs monotonic time
+   * @return whether it was
+   */
+  boolean isSilent(String identity, long nowMs) {
+    return follower(identity)
+        .filter(progress -> nowMs - progress.lastResponseMs() > settings.voterTimeoutMs())
+        .isPresent();
+  }
+
+  /**
+   * Tells whether a replica responded recently.
+   *
+   * @param identity identity of the replica
    * @param nowMs monotonic time
-   * @return whether it did; always true for this one
+   * @return whether it did
    */
   boolean isActive(String identity, long nowMs) {
     return identity.equals(settings.identity())
--- a/src/main/java/org/ragwortpick/consensus/raft/MembershipSteps.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/MembershipSteps.java
@@ -54,6 +54,7 @@
     Membership current = log.membership();
     return removeOldIdentity(current)
         .or(() -> replacement.flatMap(request -> retire(current, request)))
+        .or(() -> removeSilent(current, leader, nowMs))
         .filter(next -> hasActiveQuorum(next, leader, nowMs))
         .or(() -> promote(current, leader, nowMs));
   }
@@ -77,6 +78,17 @@
     return Optional.of(current.withoutVoter(old.get(0)).withRetired(request.oldVm()));
   }
 
+  /** A lost voter beyond those that must be kept only makes the quorum larger. */
+  private Optional<Membership> removeSilent(Membership current, LeaderState leader, long nowMs) {
+    if (settings.keptVoters() == 0 || current.voters().size() <= settings.keptVoters()) {
+      return Optional.empty();
+    }
+    return current.voters().stream()
+        .filter(voter -> leader.isSilent(voter, nowMs))
+        .map(current::withoutVoter)
+        .findFirst();
+  }
+
   private Optional<Membership> promote(Membership current, LeaderState leader, long nowMs) {
     return leader.learners().stream()
         .filter(learner -> leader.isActive(learner, nowMs))
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
@@ -16,6 +16,9 @@
  * @param windowBytes limit of the entries sent to one follower and not acknowledged by it
  * @param snapshotChunkBytes size of the parts of a snapshot
  * @param maxPendingBytes limit of the entries appended by a leader and not committed
+ * @param keptVoters voters below which a silent one is never removed; 0 keeps all
+ * @param voterTimeoutMs silence after which a voter beyond {@code keptVoters} is removed; it joins
+ *     again when it is back
  */
 public record RaftSettings(
     String identity,
@@ -27,7 +30,9 @@
     int maxAppendBytes,
     int windowBytes,
     int snapshotChunkBytes,
-    long maxPendingBytes) {
+    long maxPendingBytes,
+    int keptVoters,
+    long voterTimeoutMs) {
 
   private static final long HEARTBEAT_MS = 100;
 
@@ -42,6 +47,9 @@
   /** Far below the message limit of the peer channels, 64 MiB. */
   private static final int SNAPSHOT_CHUNK_BYTES = 1024 * 1024;
 
+  /** Above the longest pause of a healthy VM, and below the time in which a successor counts. */
+  private static final long VOTER_TIMEOUT_MS = 2_500;
+
   private static final long MAX_PENDING_BYTES = 64L * 1024 * 1024;
 
   /**
@@ -49,9 +57,10 @@
    *
    * @param identity identity of the replica
    * @param mayVote tells whether the replicas of a VM may become voters
+   * @param keptVoters voters below which a silent one is never removed; 0 keeps all
    * @return the settings
    */
-  public static RaftSettings standard(String identity, Predicate<String> mayVote) {
+  public static RaftSettings standard(String identity, Predicate<String> mayVote, int keptVoters) {
     return new RaftSettings(
         identity,
         mayVote,
@@ -62,6 +71,8 @@
         MAX_APPEND_BYTES,
         WINDOW_BYTES,
         SNAPSHOT_CHUNK_BYTES,
-        MAX_PENDING_BYTES);
+        MAX_PENDING_BYTES,
+        keptVoters,
+        VOTER_TIMEOUT_MS);
   }
 }
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -9,6 +9,7 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.http.BodyReader;
 import org.ragwortpick.entry.http.CallerConnection;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.routing.Route;
 import org.ragwortpick.routing.RoutedWorkspace;
 import org.ragwortpick.routing.RoutingTable;
@@ -146,14 +147,17 @@
   }
 
   private void refuse(HttpServerExchange exchange, Refusal refusal) {
-    LOG.infof(
-        "request %s refused: %s, status %d, host %s, path %s, configuration revision %d",
-        exchange.getRequestHeaders().getFirst(dependencies.headers().requestId()),
-        refusal.error(),
-        refusal.status(),
-        hostOf(exchange),
-        exchange.getRequestURI(),
-        dependencies.configuration().current().revision());
+    DecisionLine.of("request refused")
+        .with("request", exchange.getRequestHeaders().getFirst(dependencies.headers().requestId()))
+        .with("reason", refusal.error())
+        .with("status", refusal.status())
+        .with("host", hostOf(exchange))
+        .with("path", exchange.getRequestURI())
+        .with("revision", dependencies.configuration().current().revision())
+        .with(
+            "revisionAgeMs",
+            dependencies.clock().millis() - dependencies.configuration().confirmedAtMs())
+        .info(LOG);
     RefusalWriter.write(exchange, refusal);
   }
 }
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -2,6 +2,8 @@
 
 import java.time.Clock;
 import org.jboss.logging.Logger;
+import org.ragwortpick.logging.DecisionLine;
+import org.ragwortpick.routing.RoutedWorkspace;
 import org.ragwortpick.sync.Upstream;
 
 /** One line for each request that ended, with what decided. */
@@ -58,9 +60,12 @@
    * @param outcome how the last send ended
    */
   void repeating(SendOutcome outcome) {
-    LOG.infof(
-        "request %s: sent again after %s at upstream %s, %d ms left",
-        request.id(), outcome, upstream, request.deadlineAtMs() - clock.millis());
+    DecisionLine.of("request sent again")
+        .with("request", request.id())
+        .with("outcome", outcome)
+        .with("upstream", upstream)
+        .with("remainingMs", request.deadlineAtMs() - clock.millis())
+        .info(LOG);
   }
 
   /**
@@ -82,24 +87,23 @@
    */
   void ended(String end, int sends) {
     metrics.ended(request.route().name(), end);
-    LOG.infof(
-        "request %s ended: %s, status %d, route %s, routing %d, workspace %s, priority %d,"
-            + " upstream %s, announced %s, sends %d, stages %d ms, sent %d ms, answer %d ms, end %d"
-            + " ms, deadline %d ms",
-        request.id(),
-        end,
-        status,
-        request.route().name(),
-        request.routingNumber(),
-        request.workspace().map(owner -> owner.name()).orElse("-"),
-        request.priority(),
-        upstream,
-        upstreamState,
-        sends,
-        stagesMs,
-        sentMs,
-        answeredMs,
-        elapsedMs(),
-        request.deadlineAtMs() - request.arrivedAtMs());
+    DecisionLine.of("request ended")
+        .with("request", request.id())
+        .with("end", end)
+        .with("status", status)
+        .with("route", request.route().name())
+        .with("routing", request.routingNumber())
+        .with("workspace", request.workspace().map(RoutedWorkspace::name).orElse("-"))
+        .with("priority", request.priority())
+        .with("upstream", upstream)
+        .with("upstreamState", upstreamState)
+        .with("sends", sends)
+        .with("stagesMs", stagesMs)
+        .with("sentMs", sentMs)
+        .with("answerMs", answeredMs)
+        .with("endMs", elapsedMs())
+        .with("targetMs", request.route().targetLatencyMs())
+        .with("deadlineMs", request.deadlineAtMs() - request.arrivedAtMs())
+        .info(LOG);
   }
 }
--- a/src/main/java/org/ragwortpick/logging/LoggingSetup.java
+++ b/src/main/java/org/ragwortpick/logging/LoggingSetup.java
@@ -6,7 +6,9 @@
 import org.jboss.logmanager.Logger;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.StructuredFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
+import org.ragwortpick.common.MonotonicClock;
 
 /** Sets the log output of the process: one JSON object per line on standard error. */
 public final class LoggingSetup {
@@ -14,6 +16,12 @@
   /** System property that names the log manager. */
   private static final String MANAGER_PROPERTY = "java.util.logging.manager";
 
+  /** Lines that wait for standard output; further ones are dropped so that nothing ever blocks. */
+  private static final int QUEUED_LINES = 4_096;
+
+  /** Lines of one kind in one second, above the rate of requests that one VM is built for. */
+  private static final int LINES_PER_SECOND = 100;
+
   private static final Map<String, Level> LEVELS =
       Map.of(
           "TRACE", org.jboss.logmanager.Level.TRACE,
@@ -42,8 +50,12 @@
     formatter.setPrintDetails(false);
     formatter.setExceptionOutputType(StructuredFormatter.ExceptionOutputType.FORMATTED);
     formatter.setMetaData("vm=" + vm);
-    ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter);
-    handler.setAutoFlush(true);
+    ConsoleHandler console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, formatter);
+    console.setAutoFlush(true);
+    AsyncHandler handler = new AsyncHandler(QUEUED_LINES);
+    handler.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+    handler.setFilter(new LineRateFilter(new MonotonicClock(), LINES_PER_SECOND));
+    handler.addHandler(console);
     Logger root = LogContext.getLogContext().getLogger("");
     root.setHandlers(new java.util.logging.Handler[] {handler});
     root.setLevel(org.jboss.logmanager.Level.WARN);
@@ -51,4 +63,12 @@
         .getLogger("org.ragwortpick")
         .setLevel(LEVELS.getOrDefault(levelName, org.jboss.logmanager.Level.INFO));
   }
+
+  /** Writes the lines that wait. To be called before the process ends. */
+  public static void close() {
+    for (java.util.logging.Handler handler :
+        LogContext.getLogContext().getLogger("").getHandlers()) {
+      handler.close();
+    }
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -77,10 +77,14 @@
     if (folder.isEmpty()) {
       return Optional.empty();
     }
+    ForwardingSettings.ControlRole role = settings.control().orElseThrow();
     ConsensusOptions options =
         ConsensusOptions.open(
-            settings.peerAddress(), settings.clusterId(), folder.get(), settings.seeds());
-    ForwardingSettings.ControlRole role = settings.control().orElseThrow();
+            settings.peerAddress(),
+            settings.clusterId(),
+            folder.get(),
+            settings.seeds(),
+            role.minimumVoters());
     if (role.firstStart() && isFirstSeed(settings)) {
       form(options, channels);
     }
--- a/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
+++ b/src/test/java/org/ragwortpick/consensus/LoopbackCluster.java
@@ -56,7 +56,8 @@
   }
 
   ConsensusOptions options(String vm) {
-    return new ConsensusOptions(vm, "test", root.resolve(vm), addresses, snapshotLogBytes, false);
+    return new ConsensusOptions(
+        vm, "test", root.resolve(vm), addresses, snapshotLogBytes, false, 0);
   }
 
   List<String> bootstrap(String vm) throws IOException {
--- a/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
+++ b/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
@@ -78,6 +78,26 @@
     assertFalse(leader.status().voters().contains(old));
   }
 
+  /** A lost voter that still counted would cost the quorum when a second one is lost later. */
+  @Test
+  public void silentVoterBeyondTheKeptOnesIsRemovedAndJoinsAgain() {
+    SimulatedGroup four = new SimulatedGroup(11, 4, 3);
+    SimulatedVm leading = four.awaitLeader();
+    SimulatedVm lost = four.vms().stream().filter(vm -> vm != leading).findFirst().orElseThrow();
+    lost.crash();
+    four.awaitWithin(5_000, "removal", () -> leading.status().voters().size() == 3);
+    SimulatedVm second =
+        four.running().stream().filter(vm -> vm != leading).findFirst().orElseThrow();
+    second.crash();
+    four.runFor(6_000);
+    assertEquals(leading.status().voters().size(), 3, "the kept voters stay");
+    four.commitOne();
+    lost.start();
+    second.start();
+    four.awaitWithin(10_000, "return", () -> leading.status().voters().size() == 4);
+    four.settle();
+  }
+
   /** The new voter must hold everything before the old one stops to count. */
   @Test
   public void secondDiskLostRightAfterRepairLosesNothing() {
--- a/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
@@ -32,6 +32,7 @@
   private final Map<Long, String> leaderByTerm = new HashMap<>();
   private final Set<String> isolated = new HashSet<>();
   private final Set<String> cutLink = new HashSet<>();
+  private final int keptVoters;
   private double lossRate;
   private int maxDelayMs = 5;
   private int maxDiskDelayMs = 5;
@@ -39,6 +40,11 @@
   private int commandNumber;
 
   SimulatedGroup(long seed, int voters) {
+    this(seed, voters, 0);
+  }
+
+  SimulatedGroup(long seed, int voters, int keptVoters) {
+    this.keptVoters = keptVoters;
     random = new Random(seed);
     for (int i = 0; i < voters; i++) {
       String name = String.valueOf((char) ('a' + i));
@@ -61,6 +67,10 @@
     return history;
   }
 
+  int keptVoters() {
+    return keptVoters;
+  }
+
   Set<String> vmNames() {
     return Set.copyOf(vms.keySet());
   }
--- a/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
@@ -98,7 +98,9 @@
               1_024,
               4_096,
               100,
-              1 << 20);
+              1 << 20,
+              group.keptVoters(),
+              2_500);
       RaftCore core = new RaftCore(settings, store.recovered(), group.clock(), random);
       replica =
           Optional.of(
