--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -174,18 +174,29 @@
    * @param handles handles of the results
    */
   public void release(List<String> handles) {
-    Map<UpstreamWork, List<String>> byUpstream = new HashMap<>();
+    Map<Upstream, List<String>> byUpstream = new HashMap<>();
     for (String handle : handles) {
-      for (UpstreamWork work : known.values()) {
-        if (work.room().release(handle)) {
-          byUpstream.computeIfAbsent(work, any -> new ArrayList<>()).add(handle);
-        }
-      }
+      upstreamOf(handle)
+          .ifPresent(
+              upstream ->
+                  byUpstream.computeIfAbsent(upstream, any -> new ArrayList<>()).add(handle));
     }
-    byUpstream.forEach((work, released) -> transport.release(work.upstream(), released));
+    byUpstream.forEach(transport::release);
     pump();
   }
 
+  /** Another VM may have collected the result, so its upstream is told by its address. */
+  private Optional<Upstream> upstreamOf(String handle) {
+    for (UpstreamWork work : known.values()) {
+      if (work.room().release(handle)) {
+        return Optional.of(work.upstream());
+      }
+    }
+    return upstreams.get().stream()
+        .filter(upstream -> handle.startsWith(upstream.address() + "/"))
+        .findFirst();
+  }
+
   /** Sends calls to all upstreams that are free. */
   private void pump() {
     Optional<BatchProfile> limits = profile.get();
--- a/src/main/java/org/ragwortpick/batch/StageCollectors.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollectors.java
@@ -48,12 +48,9 @@
    * Gives up results.
    *
    * @param service service that made them
-   * @param handles handles of the results; unknown ones are ignored
+   * @param handles handles of the results, also those that another VM has collected
    */
   public void release(String service, List<String> handles) {
-    StageCollector collector = collectors.get(service);
-    if (collector != null) {
-      collector.release(handles);
-    }
+    collectors.computeIfAbsent(service, newCollector).release(handles);
   }
 }
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -221,6 +221,12 @@
     assertEquals(ids(transport.calls().get(0)), List.of("c0", "c1"));
   }
 
+  @Test
+  public void resultsThatAnotherVmCollectedAreReleasedByTheirAddress() {
+    collector.release(List.of("127.0.0.1:9/abc", "127.0.0.1:8/def"));
+    assertEquals(transport.released(), List.of("127.0.0.1:9/abc"));
+  }
+
   @Test
   public void resultsOfACancelledRequestAreReleased() {
     Runnable cancel = submit("a", 1, 5_000, 0);
