--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -18,7 +18,10 @@
 final class PieceQueue {
 
   /** Delay that a piece bears to be worked on in the data centre of its inputs. */
-  private static final long OTHER_DATA_CENTRE_MS = 150;
+  private static final long OTHER_DATA_CENTRE_MS = 400;
+
+  /** Time for which a piece waits for an upstream in the data centre of its inputs to be free. */
+  private static final long STAY_MS = 80;
 
   private final List<WaitingPiece> waiting = new ArrayList<>();
 
@@ -139,8 +142,11 @@
   List<WaitingPiece> take(String dataCentre, int maxPieces, long room, long nowMs, long workMs) {
     waiting.sort(order(dataCentre, nowMs, workMs));
     Map<Submission, List<WaitingPiece>> groups = new LinkedHashMap<>();
-    waiting.forEach(
-        piece -> groups.computeIfAbsent(piece.submission(), any -> new ArrayList<>()).add(piece));
+    waiting.stream()
+        .filter(piece -> prefers(piece, dataCentre) || piece.submission().ageMs(nowMs) >= STAY_MS)
+        .forEach(
+            piece ->
+                groups.computeIfAbsent(piece.submission(), any -> new ArrayList<>()).add(piece));
     List<WaitingPiece> batch = takeWhole(groups, maxPieces, room);
     if (batch.isEmpty() && !groups.isEmpty()) {
       batch = takePart(groups.entrySet().iterator().next(), maxPieces, room);
--- a/src/main/java/org/ragwortpick/batch/Submission.java
+++ b/src/main/java/org/ragwortpick/batch/Submission.java
@@ -9,6 +9,7 @@
 final class Submission {
 
   private final StageWork work;
+  private final long arrivedAtMs;
   private final long deadlineAtMs;
   private final long targetAtMs;
   private final String[] handles;
@@ -27,6 +28,7 @@
    */
   Submission(StageWork work, long nowMs, Consumer<SubmissionEnd> whenEnded) {
     this.work = work;
+    this.arrivedAtMs = nowMs;
     this.deadlineAtMs = nowMs + work.remainingMs();
     this.targetAtMs = nowMs + work.targetRemainingMs();
     this.handles = new String[work.pieceCount()];
@@ -44,6 +46,16 @@
     return work;
   }
 
+  /**
+   * Returns how long the pieces have waited.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return time in milliseconds
+   */
+  long ageMs(long nowMs) {
+    return nowMs - arrivedAtMs;
+  }
+
   /**
    * Returns the time after which the pieces are not needed.
    *
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -251,6 +251,16 @@
     assertTrue(ends.get(1) instanceof SubmissionEnd.Produced);
   }
 
+  @Test
+  public void aPieceWaitsAWhileForTheDataCentreOfItsInputs() {
+    upstreams.add(upstream("u2"));
+    StageWork work = new StageWork("svc", "a", 0, 1, "key", List.of(), 10, 5_000, 5_000, 0, "dc-2");
+    collector.submit(work, ends::add);
+    assertEquals(transport.calls().size(), 0);
+    time.runAll();
+    assertEquals(transport.calls().size(), 1);
+  }
+
   @Test
   public void aRequestIsNotSplitWhenThereIsNoRoomForTheRest() {
     submit("a", 2, 5_000, 5_000, 0, 300);
