Let the deadline end a silent send before its progress timeout

Both timers were set to the same moment, so their order was open. The progress timeout of a send now ends 100 ms after the deadline. Both codes promise nothing about the request, so no rule depended on it.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -26,6 +26,9 @@
 
   private static final long LEAST_OVERLOAD_RETRY_MS = 1_000;
 
+  /** The timer of the deadline must end a silent send before its progress timeout does. */
+  private static final long DEADLINE_MARGIN_MS = 100;
+
   /** Callers wait at most a third of the time that they have left. */
   private static final long DEADLINE_DIVISOR = 4;
 
@@ -195,7 +198,7 @@
         headers,
         request.body(),
         false,
-        remainingMs,
+        remainingMs + DEADLINE_MARGIN_MS,
         () -> !ended);
   }
 
