Keep the platform's names in its folder, tests included; read one timer

The test of the boundary and a test server outside platform/ carried names of the platform.

MonotonicClock takes its timer as a dependency and is the only reader of the runtime's one; Slopes measures with the clock.

--- a/src/bench/java/org/ragwortpick/bench/Slopes.java
+++ b/src/bench/java/org/ragwortpick/bench/Slopes.java
@@ -1,6 +1,8 @@
 package org.ragwortpick.bench;
 
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -147,11 +149,11 @@
     for (int i = 0; i < WARM_UP; i++) {
       call.accept(i);
     }
-    long startNs = System.nanoTime();
+    Instant start = clock.instant();
     for (int i = 0; i < CALLS; i++) {
       call.accept(i);
     }
-    double eachNs = (double) (System.nanoTime() - startNs) / CALLS;
+    double eachNs = (double) Duration.between(start, clock.instant()).toNanos() / CALLS;
     System.out.printf(Locale.ROOT, "%-34s %10d %14.0f%n", decision, size, eachNs);
   }
 
--- a/src/main/java/org/ragwortpick/common/MonotonicClock.java
+++ b/src/main/java/org/ragwortpick/common/MonotonicClock.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.ZoneId;
 import java.time.ZoneOffset;
+import java.util.function.LongSupplier;
 
 /**
  * Clock that never runs backwards within a process.
@@ -18,7 +19,23 @@
   /** Offset added so that instants are positive from the start of the process. */
   private static final long ORIGIN_MS = 1_000_000L;
 
-  private final long startNanos = System.nanoTime();
+  private final LongSupplier tickerNs;
+  private final long startNs;
+
+  /** Creates the clock on the timer of the runtime, which nothing else reads. */
+  public MonotonicClock() {
+    this(System::nanoTime);
+  }
+
+  /**
+   * Creates a clock.
+   *
+   * @param tickerNs timer in nanoseconds with any origin, also a negative one
+   */
+  MonotonicClock(LongSupplier tickerNs) {
+    this.tickerNs = tickerNs;
+    this.startNs = tickerNs.getAsLong();
+  }
 
   @Override
   public ZoneId getZone() {
@@ -32,11 +49,15 @@
 
   @Override
   public Instant instant() {
-    return Instant.ofEpochMilli(millis());
+    return Instant.ofEpochMilli(ORIGIN_MS).plusNanos(elapsedNs());
   }
 
   @Override
   public long millis() {
-    return ORIGIN_MS + (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+    return ORIGIN_MS + elapsedNs() / NANOS_PER_MILLI;
+  }
+
+  private long elapsedNs() {
+    return tickerNs.getAsLong() - startNs;
   }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -38,7 +38,7 @@
   }
 
   private static String refused(Map<String, String> request) {
-    return "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: "
+    return "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nRequest-Id: "
         + request.get("request-id")
         + "\r\nContent-Length: 0\r\n\r\n";
   }
@@ -70,9 +70,9 @@
       assertEquals(seen.get().get("expected-upstream"), "u1");
       assertEquals(seen.get().get("other"), "kept");
       assertEquals(seen.get().get("body"), "body");
-      assertFalse(seen.get().containsKey("key"));
+      assertFalse(seen.get().containsKey("access-code"));
       assertFalse(seen.get().containsKey("internal"));
-      assertTrue(Integer.parseInt(seen.get().get("deadline-ms")) <= 700);
+      assertTrue(Integer.parseInt(seen.get().get("time-left-ms")) <= 700);
     }
   }
 
@@ -82,7 +82,7 @@
     HttpRequest wrongKey =
         HttpRequest.newBuilder(server.request("/safe/x", "r2").build().uri())
             .header("Request-Id", "r2")
-            .header("Key", "unknown")
+            .header("Access-Code", "unknown")
             .build();
     assertEquals(server.send(wrongKey).statusCode(), 401);
     HttpResponse<String> noUpstream = server.post("/safe/x", "r3");
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -49,21 +49,21 @@
   static final RoutingHeaders NAMES =
       new RoutingHeaders(
           HttpString.tryFromString("Request-Id"),
-          HttpString.tryFromString("Deadline-Ms"),
-          HttpString.tryFromString("Key"),
+          HttpString.tryFromString("Time-Left-Ms"),
+          HttpString.tryFromString("Access-Code"),
           HttpString.tryFromString("Workspace"),
           HttpString.tryFromString("Expected-Upstream"),
-          HttpString.tryFromString("Not-Run"),
+          HttpString.tryFromString("Untouched"),
           HttpString.tryFromString("Upstream-Id"),
-          HttpString.tryFromString("Load"),
+          HttpString.tryFromString("Work-Load"),
           HttpString.tryFromString("Prefixes"),
-          HttpString.tryFromString("Piece-Counts"),
-          HttpString.tryFromString("Piece-Key"),
-          HttpString.tryFromString("Inputs"),
+          HttpString.tryFromString("Parts"),
+          HttpString.tryFromString("Part-Seed"),
+          HttpString.tryFromString("Results"),
           Set.of(
-              HttpString.tryFromString("Key"),
+              HttpString.tryFromString("Access-Code"),
               HttpString.tryFromString("Workspace"),
-              HttpString.tryFromString("Deadline-Ms"),
+              HttpString.tryFromString("Time-Left-Ms"),
               HttpString.tryFromString("Internal")));
 
   private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
@@ -169,8 +169,8 @@
   HttpRequest.Builder request(String path, String id) {
     return HttpRequest.newBuilder(URI.create("http://" + server.address() + path))
         .header("Request-Id", id)
-        .header("Key", "k1")
-        .header("Deadline-Ms", "700");
+        .header("Access-Code", "k1")
+        .header("Time-Left-Ms", "700");
   }
 
   HttpResponse<String> post(String path, String id) throws Exception {
