Never call a request not run after an upstream may have run it

Found by reading the request path: a repeatable request whose first upstream failed or lost its answer was refused with 503 when the second one did not run it, or when none was left. 503 promises that nothing ran. Such a refusal is now 502. Test first: ForwardFaultsTest.aRequestThatRanOnceIsNeverCalledNotRun told 503 after a run.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -265,7 +265,8 @@
 
   private void refuse(Refusal refusal, String reason) {
     finish(reason);
-    RefusalWriter.write(exchange, refusal);
+    boolean deniesARun = repeats.mayHaveRun() && refusal.promisesNotRun();
+    RefusalWriter.write(exchange, deniesARun ? Refusal.OUTCOME_UNKNOWN : refusal);
   }
 
   private void finish(String end) {
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -70,6 +70,15 @@
           "the answer of the upstream was lost; the request may have run",
           0);
 
+  /**
+   * Tells whether the status code promises that the request has not run.
+   *
+   * @return whether it does
+   */
+  boolean promisesNotRun() {
+    return status == StatusCodes.SERVICE_UNAVAILABLE;
+  }
+
   /**
    * Refuses a request that no upstream can take now.
    *
--- a/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
+++ b/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
@@ -18,6 +18,7 @@
   private final RetryBudget budget;
   private int sends;
   private int unreached;
+  private boolean mayHaveRun;
 
   /**
    * Creates the policy of one request.
@@ -44,6 +45,15 @@
     return sends;
   }
 
+  /**
+   * Tells whether an upstream may have run the request, so that no refusal may deny it.
+   *
+   * @return whether a send ended with an error of its upstream or without a usable answer
+   */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
   /**
    * Decides after a send.
    *
@@ -51,6 +61,7 @@
    * @return whether the request is sent again
    */
   boolean mayRepeat(SendOutcome outcome) {
+    mayHaveRun |= outcome == SendOutcome.FAILED || outcome == SendOutcome.LOST;
     if (outcome == SendOutcome.NOT_REACHED) {
       unreached++;
       return unreached < MAX_UNREACHED;
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -118,6 +118,28 @@
     }
   }
 
+  /** A second upstream that did not run the request says nothing about the first one. */
+  @Test
+  public void aRequestThatRanOnceIsNeverCalledNotRun() throws Exception {
+    try (RawUpstream failing =
+            new RawUpstream(
+                (c, r, headers) ->
+                    "HTTP/1.1 500 Failed\r\nRequest-Id: "
+                        + headers.get("request-id")
+                        + "\r\nContent-Length: 0\r\n\r\n");
+        RawUpstream busy = new RawUpstream((c, r, headers) -> refused(headers))) {
+      server.announce("failing", failing.address());
+      server.announce("busy", busy.address());
+      for (int i = 0; i < 12; i++) {
+        int before = failing.workRequests();
+        int status = server.post("/safe/x", "r" + i).statusCode();
+        boolean ran = failing.workRequests() > before;
+        assertTrue(!ran || status != 503, "told 503 after a run");
+      }
+      assertTrue(failing.workRequests() > 0, "the case did not occur");
+    }
+  }
+
   @Test
   public void aSilentUpstreamCostsTheTimeOfTheCallerAndNoPromise() throws Exception {
     try (RawUpstream upstream = new RawUpstream((c, r, headers) -> "")) {
