Let the lowest seed that has a disk form the control group

A deployment whose lowest seed has no disk would have served nothing from its first second.

Change: a seed with a disk asks the lower seeds whether they host a replica and forms the group if all of them say that they do not.

Open: a first start whose seeds all lack a disk still forms no group.

--- a/src/main/java/org/ragwortpick/consensus/DataFolder.java
+++ b/src/main/java/org/ragwortpick/consensus/DataFolder.java
@@ -1,6 +1,5 @@
 package org.ragwortpick.consensus;
 
-import io.grpc.StatusRuntimeException;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -13,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.consensus.raft.Membership;
@@ -24,9 +22,7 @@
 import org.ragwortpick.consensus.storage.FileDisk;
 import org.ragwortpick.consensus.storage.LogStore;
 import org.ragwortpick.peer.PeerChannels;
-import org.ragwortpick.proto.ConsensusDescribeRequest;
 import org.ragwortpick.proto.ConsensusDescription;
-import org.ragwortpick.proto.ConsensusGrpc;
 
 /**
  * Data folder of the consensus module: the identity of the disk and one subfolder per group. Locked
@@ -36,7 +32,6 @@
 
   private static final String LOCK_NAME = "lock";
   private static final String GROUP_PREFIX = "group-";
-  private static final long DESCRIBE_TIMEOUT_MS = 2_000;
 
   private final Path path;
   private final FileDisk disk;
@@ -75,10 +70,12 @@
                 + folder.identity.clusterId()
                 + " already; start the VM without bootstrap");
       }
+      ReplicaProbe probe = new ReplicaProbe(channels);
       List<String> unreachable = new ArrayList<>();
       for (Map.Entry<String, HostPort> controlVm : new TreeMap<>(options.controlVms()).entrySet()) {
         if (!controlVm.getKey().equals(options.vm())) {
-          Optional<ConsensusDescription> description = describe(controlVm.getValue(), channels);
+          Optional<ConsensusDescription> description =
+              probe.describe(controlVm.getValue()).toJavaOptional();
           if (description.isEmpty()) {
             unreachable.add(controlVm.getKey());
           } else if (description.get().getClusterId().equals(options.clusterId())
@@ -221,15 +218,4 @@
     }
     return channel;
   }
-
-  private static Optional<ConsensusDescription> describe(HostPort address, PeerChannels channels) {
-    try {
-      return Optional.of(
-          ConsensusGrpc.newBlockingStub(channels.channel(address))
-              .withDeadlineAfter(DESCRIBE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-              .describe(ConsensusDescribeRequest.getDefaultInstance()));
-    } catch (StatusRuntimeException e) {
-      return Optional.empty();
-    }
-  }
 }
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +17,7 @@
 import org.ragwortpick.consensus.ConsensusHost;
 import org.ragwortpick.consensus.ConsensusOptions;
 import org.ragwortpick.consensus.DataFolder;
+import org.ragwortpick.consensus.ReplicaProbe;
 import org.ragwortpick.control.AdministrationServer;
 import org.ragwortpick.control.ConfigurationStateMachine;
 import org.ragwortpick.control.LeaderAdministration;
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Opens the data folder. On the first start of a deployment the lowest seed bootstraps the group;
-   * every other VM with an empty folder joins the group.
+   * Opens the data folder. On the first start of a deployment the lowest seed with a disk
+   * bootstraps the group; every other VM with an empty folder joins the group.
    *
    * @param settings settings of the process
    * @param channels channels to the other VMs
@@ -86,7 +86,7 @@
             dataFolder.get(),
             settings.seeds(),
             role.minimumVoters());
-    if (role.firstStart() && isLowestSeed(settings)) {
+    if (role.firstStart() && formsGroup(settings, channels, clock)) {
       bootstrap(options, channels);
     }
     ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
@@ -97,11 +97,10 @@
         new ControlReplica(host, stateMachine, role.minimumVoters(), clock, scheduler));
   }
 
-  private static boolean isLowestSeed(ForwardingSettings settings) {
-    return settings.seeds().stream()
-        .min(Comparator.comparing(HostPort::toString))
-        .filter(settings.peerAddress()::equals)
-        .isPresent();
+  private static boolean formsGroup(
+      ForwardingSettings settings, PeerChannels channels, Clock clock) {
+    return new FirstVoter(settings.peerAddress(), settings.seeds(), new ReplicaProbe(channels)::ask)
+        .isLocal(clock);
   }
 
   private static void bootstrap(ConsensusOptions options, PeerChannels channels)
