Bound the head and the body of every response of an upstream

Callers of an affected VM would have waited for their deadlines, and a head at full speed filled the heap.

Cause: the HTTP client reads a head in one go as long as bytes arrive, and accumulates it. A body was bounded by the deadline only, a refusal's body was collected without a limit, and a body that trickles kept the progress timeout of a batch call from ever ending it, with its upstream occupied.

Change: the source of each connection counts received bytes, 64 KiB for a head and then the body limit of the request (16 MiB, batches 1 MiB). Batch calls have a total timeout. The body of a refusal is not collected.

--- a/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
@@ -1,6 +1,5 @@
 package org.ragwortpick.entry.upstream;
 
-import io.undertow.client.ClientConnection;
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ragwortpick.common.HostPort;
-import org.xnio.IoUtils;
 
 /**
  * Pool of idle connections by upstream address. The most recently used one is reused first.
@@ -50,9 +48,9 @@
    * @param address address of the upstream
    * @return an open connection, or empty if a new one has to be opened
    */
-  Optional<ClientConnection> take(HostPort address) {
+  Optional<UpstreamConnection> take(HostPort address) {
     List<IdleConnection> toClose = new ArrayList<>();
-    Optional<ClientConnection> found = Optional.empty();
+    Optional<UpstreamConnection> found = Optional.empty();
     synchronized (this) {
       Deque<IdleConnection> connections = idleByAddress.get(address);
       while (found.isEmpty() && connections != null && !connections.isEmpty()) {
@@ -77,7 +75,7 @@
    * @param idleTimeoutMs time in milliseconds after which the upstream closes an idle connection;
    *     {@link Long#MAX_VALUE} if it states none
    */
-  void put(HostPort address, ClientConnection connection, long idleTimeoutMs) {
+  void put(HostPort address, UpstreamConnection connection, long idleTimeoutMs) {
     long usableMs = Math.min(staleAfterMs, idleTimeoutMs - CLOSING_MARGIN_MS);
     IdleConnection added = new IdleConnection(connection, clock.millis(), usableMs);
     IdleConnection toClose = null;
@@ -130,10 +128,10 @@
     toClose.forEach(IdleConnection::close);
   }
 
-  private record IdleConnection(ClientConnection connection, long progressAtMs, long usableMs) {
+  private record IdleConnection(UpstreamConnection connection, long progressAtMs, long usableMs) {
 
     private void close() {
-      connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+      connection.ioThread().execute(connection::close);
     }
   }
 }
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -1,24 +1,18 @@
 package org.ragwortpick.entry.upstream;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.IOException;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
@@ -31,17 +25,18 @@
 
   private static final Logger LOG = Logger.getLogger(HttpCall.class);
 
-  private static final OptionMap CONNECTION_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+  private static final long MAX_HEAD_BYTES = 64 * 1024;
 
   private final HttpRequest request;
   private final HttpListener listener;
   private final XnioIoThread ioThread;
   private final Dependencies dependencies;
-  private ClientConnection connection;
+  private UpstreamConnection connection;
   private HeaderMap responseHeaders;
   private boolean ended;
   private boolean bodyWriteStarted;
   private long startedAtMs;
+  private long sentAtMs;
   private long progressAtMs;
   private XnioExecutor.Key timer;
 
@@ -70,7 +65,7 @@
    * @param pooled connection of the same I/O thread
    * @return this call
    */
-  HttpCall useConnection(ClientConnection pooled) {
+  HttpCall useConnection(UpstreamConnection pooled) {
     this.connection = pooled;
     return this;
   }
@@ -98,15 +93,14 @@
     }
     connection = null;
     armTimer(dependencies.connectTimeoutMs(), this::onConnectTimeout);
-    UndertowClient.getInstance()
+    dependencies
+        .connector()
         .connect(
+            request.address(),
+            ioThread,
             callback(
                 this::onConnected,
-                e -> end(new CallFailure.NotConnected(String.valueOf(e.getMessage())), true)),
-            URI.create("http://" + request.address()),
-            ioThread,
-            dependencies.buffers(),
-            CONNECTION_OPTIONS);
+                e -> end(new CallFailure.NotConnected(String.valueOf(e.getMessage())), true)));
   }
 
   private void onConnectTimeout() {
@@ -115,9 +109,9 @@
         true);
   }
 
-  private void onConnected(ClientConnection opened) {
+  private void onConnected(UpstreamConnection opened) {
     if (ended) {
-      IoUtils.safeClose(opened);
+      opened.close();
       return;
     }
     connection = opened;
@@ -131,8 +125,12 @@
       return;
     }
     progressAtMs = dependencies.clock().millis();
-    armTimer(request.progressTimeoutMs(), this::checkProgress);
-    connection.sendRequest(clientRequest(), callback(this::onExchange, this::failAsBroken));
+    sentAtMs = progressAtMs;
+    checkTimeouts();
+    connection.receiveLimit().startHead(MAX_HEAD_BYTES);
+    connection
+        .client()
+        .sendRequest(clientRequest(), callback(this::onExchange, this::failAsBroken));
   }
 
   private boolean isPermitted() {
@@ -166,6 +164,7 @@
       return;
     }
     progressAtMs = dependencies.clock().millis();
+    connection.receiveLimit().permitBody(request.limits().maxBodyBytes());
     responseHeaders = exchange.getResponse().getResponseHeaders();
     listener.onHead(exchange.getResponse().getResponseCode(), responseHeaders);
     if (ended) {
@@ -207,10 +206,13 @@
         && !"close".equalsIgnoreCase(responseHeaders.getFirst(Headers.CONNECTION));
   }
 
-  private void checkProgress() {
-    long withoutProgressMs = dependencies.clock().millis() - progressAtMs;
-    if (withoutProgressMs < request.progressTimeoutMs()) {
-      armTimer(request.progressTimeoutMs() - withoutProgressMs, this::checkProgress);
+  private void checkTimeouts() {
+    ResponseLimits limits = request.limits();
+    long endAtMs =
+        Math.min(progressAtMs + limits.progressTimeoutMs(), sentAtMs + limits.totalTimeoutMs());
+    long remainingMs = endAtMs - dependencies.clock().millis();
+    if (remainingMs > 0) {
+      armTimer(remainingMs, this::checkTimeouts);
       return;
     }
     dependencies.pool().closeWithoutProgressSince(request.address(), startedAtMs);
@@ -242,7 +244,7 @@
     cancelTimer();
     if (connection != null) {
       if (closeConnection || request.freshConnection() || !connection.isOpen()) {
-        IoUtils.safeClose(connection);
+        connection.close();
       } else {
         dependencies
             .pool()
@@ -272,8 +274,13 @@
    * @param buffers pool of read buffers
    * @param clock monotonic clock
    * @param connectTimeoutMs timeout in milliseconds for opening a connection
+   * @param connector opens connections
    * @param pool pool of idle connections
    */
   record Dependencies(
-      ByteBufferPool buffers, Clock clock, long connectTimeoutMs, ConnectionPool pool) {}
+      ByteBufferPool buffers,
+      Clock clock,
+      long connectTimeoutMs,
+      UpstreamConnector connector,
+      ConnectionPool pool) {}
 }
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
@@ -1,6 +1,5 @@
 package org.ragwortpick.entry.upstream;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.connector.ByteBufferPool;
 import java.time.Clock;
 import org.xnio.XnioIoThread;
@@ -31,7 +30,11 @@
     this.worker = worker;
     this.dependencies =
         new HttpCall.Dependencies(
-            buffers, clock, connectTimeoutMs, new ConnectionPool(clock, staleAfterMs));
+            buffers,
+            clock,
+            connectTimeoutMs,
+            new UpstreamConnector(buffers),
+            new ConnectionPool(clock, staleAfterMs));
   }
 
   /**
@@ -55,8 +58,8 @@
   }
 
   private HttpCall pooledCall(
-      ClientConnection connection, HttpRequest request, HttpListener listener) {
-    return new HttpCall(request, listener, connection.getIoThread(), dependencies)
+      UpstreamConnection connection, HttpRequest request, HttpListener listener) {
+    return new HttpCall(request, listener, connection.ioThread(), dependencies)
         .useConnection(connection);
   }
 
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpRequest.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpRequest.java
@@ -14,8 +14,7 @@
  * @param headers headers; Content-Length is set from the body
  * @param body body; empty for none
  * @param freshConnection whether no pooled connection may be used
- * @param progressTimeoutMs time in milliseconds without a received byte after which the call times
- *     out
+ * @param limits limits of the response
  * @param permit evaluated immediately before the request is written; false prevents sending
  */
 public record HttpRequest(
@@ -25,5 +24,5 @@
     HeaderMap headers,
     byte[] body,
     boolean freshConnection,
-    long progressTimeoutMs,
+    ResponseLimits limits,
     BooleanSupplier permit) {}
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
@@ -50,7 +50,7 @@
                 headers(),
                 request.body(),
                 request.freshConnection(),
-                request.progressTimeoutMs(),
+                ResponseLimits.withoutTotalTimeout(request.progressTimeoutMs(), maxResponseBytes),
                 request.permit()),
             this);
     return this;
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.upstream.HttpRequest;
+import org.ragwortpick.entry.upstream.ResponseLimits;
 import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
@@ -35,6 +36,9 @@
    */
   private static final long DEADLINE_MARGIN_MS = 100;
 
+  /** Limit of the body of a response, which callers of a pipeline or a service stay far below. */
+  private static final long MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
   /** The longest retry time is the remaining time of the caller divided by this number. */
   private static final long RETRY_DEADLINE_DIVISOR = 4;
 
@@ -211,7 +215,7 @@
         headers,
         request.body(),
         false,
-        remainingMs + DEADLINE_MARGIN_MS,
+        ResponseLimits.withoutTotalTimeout(remainingMs + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
         () -> !ended);
   }
 
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.entry.upstream.HttpEnd;
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
+import org.ragwortpick.entry.upstream.ResponseLimits;
 import org.ragwortpick.sync.Upstream;
 
 /** Calls upstreams of stage services over HTTP. Confined to the I/O thread. */
@@ -29,7 +30,7 @@
   /** Results that were not released within this time will expire anyway. */
   private static final long RELEASE_TIMEOUT_MS = 1_000;
 
-  private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
+  private static final long MAX_RESPONSE_BYTES = 1024 * 1024;
   private static final int MISDIRECTED_REQUEST = 421;
 
   private final HttpCallClient callClient;
@@ -120,7 +121,14 @@
     headers.put(names.expectedUpstream(), upstream.id());
     callClient.send(
         new HttpRequest(
-            upstream.address(), Methods.POST, path, headers, body, false, timeoutMs, () -> true),
+            upstream.address(),
+            Methods.POST,
+            path,
+            headers,
+            body,
+            false,
+            new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
+            () -> true),
         new Response(whenDone));
   }
 
@@ -147,7 +155,7 @@
       byte[] copy = new byte[bytes.remaining()];
       bytes.get(copy);
       body.writeBytes(copy);
-      return body.size() <= MAX_RESPONSE_BYTES;
+      return true;
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -27,6 +27,9 @@
    */
   private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+  /** Maximum size of the body of a response that states that the request was not run. */
+  private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
   private static final int FIRST_SUCCESS_STATUS = 200;
   private static final int MISDIRECTED_REQUEST = 421;
   private static final int FIRST_REDIRECT_STATUS = 300;
@@ -42,6 +45,7 @@
   private HttpCall call;
   private HeaderMap headers = new HeaderMap();
   private int status;
+  private int refusalBytes;
   private boolean headReceived;
   private boolean notRun;
   private boolean mismatched;
@@ -139,10 +143,15 @@
     if (relaying) {
       return relay.write(bytes);
     }
+    if (notRun) {
+      // The head says all; the connection is kept if the body ends soon.
+      refusalBytes += bytes.remaining();
+      return refusalBytes <= MAX_REFUSAL_BYTES;
+    }
     byte[] copy = new byte[bytes.remaining()];
     bytes.get(copy);
     buffered.writeBytes(copy);
-    if (buffered.size() > MAX_BUFFERED_BYTES && !notRun) {
+    if (buffered.size() > MAX_BUFFERED_BYTES) {
       startRelay();
       return relay.write(ByteBuffer.wrap(buffered.toByteArray()));
     }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -0,0 +1,108 @@
+package org.ragwortpick.entry.upstream;
+
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.entry.http.EndlessUpstream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Guards against calls that read a body without an end as long as bytes arrive. */
+public final class HttpCallClientTest {
+
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final long MAX_BODY_BYTES = 1024 * 1024;
+  private static final long MAX_HEAD_BYTES = 64 * 1024;
+  private static final long PROGRESS_TIMEOUT_MS = 60_000;
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
+
+  private XnioWorker worker;
+  private HttpCallClient client;
+
+  @BeforeMethod
+  public void start() throws IOException {
+    worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    client =
+        new HttpCallClient(
+            worker, new DefaultByteBufferPool(true, BUFFER_BYTES), new MonotonicClock(), 300, 0);
+  }
+
+  @AfterMethod
+  public void stop() {
+    client.close();
+    worker.shutdownNow();
+  }
+
+  @DataProvider
+  public static Object[][] endlessBodies() {
+    return new Object[][] {
+      {OK + "Content-Length: 99999999999\r\n\r\n", "a"},
+      {OK + "\r\n", "a"},
+      {CHUNKED, "1\r\na\r\n"},
+      {CHUNKED + "1;", "a"},
+      {CHUNKED + "0\r\n", "Mark: a\r\n"},
+    };
+  }
+
+  @Test(dataProvider = "endlessBodies")
+  public void endlessBodyEndsCallAtLimit(String beginning, String repeated) throws Exception {
+    try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, 0)) {
+      CountingListener listener = new CountingListener();
+      HeaderMap headers = new HeaderMap();
+      headers.put(Headers.HOST, upstream.address().toString());
+      client.send(
+          new HttpRequest(
+              upstream.address(),
+              Methods.GET,
+              "/",
+              headers,
+              new byte[0],
+              false,
+              ResponseLimits.withoutTotalTimeout(PROGRESS_TIMEOUT_MS, MAX_BODY_BYTES),
+              () -> true),
+          listener);
+      assertTrue(listener.end.get(5, TimeUnit.SECONDS) instanceof CallFailure.Broken);
+      assertTrue(listener.bodyBytes <= MAX_HEAD_BYTES + MAX_BODY_BYTES + BUFFER_BYTES);
+    }
+  }
+
+  /** Accepts all bytes. */
+  private static final class CountingListener implements HttpListener {
+
+    private final CompletableFuture<HttpEnd> end = new CompletableFuture<>();
+    private volatile long bodyBytes;
+
+    @Override
+    public void onHead(int status, HeaderMap headers) {
+      // The head has no use in these tests.
+    }
+
+    @Override
+    public boolean onBytes(ByteBuffer bytes) {
+      bodyBytes += bytes.remaining();
+      return true;
+    }
+
+    @Override
+    public void onEnd(HttpEnd ended) {
+      end.complete(ended);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -0,0 +1,103 @@
+package org.ragwortpick.forward;
+
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ragwortpick.batch.BatchOutcome;
+import org.ragwortpick.batch.BatchProtocol;
+import org.ragwortpick.batch.PieceCall;
+import org.ragwortpick.batch.PieceResult;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.entry.http.EndlessUpstream;
+import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.sync.TestUpstreams;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Guards against batch calls that never end and keep their upstream occupied. */
+public final class HttpBatchTransportTest {
+
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+  private static final long TIMEOUT_MS = 500;
+  private static final long PAUSE_NANOS = 20_000_000L;
+
+  private XnioWorker worker;
+  private HttpCallClient callClient;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    callClient =
+        new HttpCallClient(
+            worker, new DefaultByteBufferPool(true, 16 * 1024), new MonotonicClock(), 300, 5_000);
+  }
+
+  @AfterMethod
+  public void stop() {
+    callClient.close();
+    worker.shutdownNow();
+  }
+
+  @DataProvider
+  public static Object[][] endlessResponses() {
+    return new Object[][] {
+      {"HTTP/1.1 200 OK\r\nMark: ", "a", 0L}, {HEAD, "a", 0L}, {HEAD, "a", PAUSE_NANOS},
+    };
+  }
+
+  @Test(dataProvider = "endlessResponses")
+  public void endlessResponseIsLostWithinTimeout(String beginning, String repeated, long pauseNanos)
+      throws Exception {
+    try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, pauseNanos)) {
+      CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
+      new HttpBatchTransport(callClient, new EmptyBatches(), ForwardTestServer.HEADERS)
+          .run(
+              TestUpstreams.ready("u1", "s1", upstream.address(), "dc"),
+              List.of(),
+              TIMEOUT_MS,
+              outcome::complete);
+      assertTrue(outcome.get(4 * TIMEOUT_MS, TimeUnit.MILLISECONDS) instanceof BatchOutcome.Lost);
+    }
+  }
+
+  /** Protocol of calls without pieces. */
+  private static final class EmptyBatches implements BatchProtocol {
+
+    @Override
+    public String runPath() {
+      return "/run";
+    }
+
+    @Override
+    public byte[] encodeRun(List<PieceCall> pieces) {
+      return "{}".getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Override
+    public List<PieceResult> decodeRun(byte[] body) {
+      return List.of();
+    }
+
+    @Override
+    public String releasePath() {
+      return "/release";
+    }
+
+    @Override
+    public byte[] encodeRelease(List<String> handles) {
+      return "{}".getBytes(StandardCharsets.US_ASCII);
+    }
+  }
+}
