--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -70,11 +70,13 @@
    * @param stopTimeoutMs time in milliseconds after which a graceful stop aborts requests in flight
    * @param retryRatioPercent retry budget in percent of the requests of all VMs
    * @param retryConstant retries allowed in addition to the ratio, divided among all VMs
+   * @param processorPercent processor of the VM in percent of a core; 0 if it is not stated
    */
   public record EntryRole(
       HostPort callerAddress,
       HostPort readinessAddress,
       long stopTimeoutMs,
       int retryRatioPercent,
-      int retryConstant) {}
+      int retryConstant,
+      int processorPercent) {}
 }
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -19,6 +19,7 @@
   private static final int MAX_RETRY_RATIO_PERCENT = 1_000;
   private static final int MAX_RETRY_CONSTANT = 1_000_000;
   private static final int PERCENT = 100;
+  private static final int MAX_PROCESSOR_PERCENT = 1_000_000;
   private static final long MIN_STOP_TIMEOUT_MS = 1_000;
   private static final long MAX_STOP_TIMEOUT_MS = 600_000;
 
@@ -116,7 +117,15 @@
         reader.optionalLong(
             "stopTimeoutMs", MIN_STOP_TIMEOUT_MS, MIN_STOP_TIMEOUT_MS, MAX_STOP_TIMEOUT_MS),
         (int) Math.min(MAX_RETRY_RATIO_PERCENT, Math.round(ratio * PERCENT)),
-        (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT));
+        (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
+        reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent));
+  }
+
+  /** A processor is stated as a share of a core and the speed of that core, 1 for a usual one. */
+  private static int readProcessorPercent(ObjectReader reader) {
+    double cores =
+        reader.optionalNonNegativeDouble("share", 0) * reader.optionalNonNegativeDouble("speed", 1);
+    return (int) Math.min(MAX_PROCESSOR_PERCENT, Math.round(cores * PERCENT));
   }
 
   private static void checkAcrossKeys(ObjectReader reader, ForwardingSettings settings) {
--- a/src/main/java/org/ragwortpick/sync/SyncIdentity.java
+++ b/src/main/java/org/ragwortpick/sync/SyncIdentity.java
@@ -13,6 +13,7 @@
  * @param peerAddress address for other VMs
  * @param controlVms control VMs, including the local VM if it is one
  * @param relays peer addresses of other entry VMs
+ * @param processorPercent processor of the local VM in percent of a core; 0 if it is not known
  */
 public record SyncIdentity(
     String vm,
@@ -21,7 +22,11 @@
     HostPort callerAddress,
     HostPort peerAddress,
     List<ControlVm> controlVms,
-    List<HostPort> relays) {
+    List<HostPort> relays,
+    int processorPercent) {
+
+  /** Value of the processor of a VM whose settings do not state it. */
+  public static final int UNKNOWN_PROCESSOR_PERCENT = 0;
 
   /** Copies the lists. */
   public SyncIdentity {
--- a/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
+++ b/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
@@ -78,7 +78,8 @@
             identity.peerAddress(),
             VmState.valueOf(chart.initialState()),
             0,
-            identity.isControl());
+            identity.isControl(),
+            identity.processorPercent());
     publisher.accept(record);
   }
 
@@ -147,7 +148,8 @@
             record.peerAddress(),
             state,
             load,
-            record.control());
+            record.control(),
+            record.processorPercent());
     publisher.accept(record);
   }
 }
--- a/src/main/java/org/ragwortpick/sync/VmRecord.java
+++ b/src/main/java/org/ragwortpick/sync/VmRecord.java
@@ -14,6 +14,7 @@
  * @param state life cycle state
  * @param load requests in flight, rounded to a coarse level
  * @param control whether the VM runs control replicas
+ * @param processorPercent processor of the VM in percent of a core; 0 if it is not known
  */
 public record VmRecord(
     String vm,
@@ -24,7 +25,8 @@
     HostPort peerAddress,
     VmState state,
     int load,
-    boolean control) {
+    boolean control,
+    int processorPercent) {
 
   /**
    * Tells whether the VM has an address for callers.
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -94,6 +94,7 @@
         .setState(vm.state().ordinal())
         .setLoad(vm.load())
         .setControl(vm.control())
+        .setProcessorPercent(vm.processorPercent())
         .build();
   }
 
@@ -150,7 +151,8 @@
             HostPort.parse(message.getPeerAddress()),
             VmState.values()[message.getState()],
             message.getLoad(),
-            message.getControl()));
+            message.getControl(),
+            message.getProcessorPercent()));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -115,7 +115,8 @@
         settings.entry().map(ForwardingSettings.EntryRole::callerAddress).orElse(HostPort.NONE),
         settings.peerAddress(),
         controlVms(controlVms),
-        List.of());
+        List.of(),
+        settings.entry().map(ForwardingSettings.EntryRole::processorPercent).orElse(0));
   }
 
   /** Lists the control VMs of the directory first, then the seeds, which may be outdated. */
--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -113,7 +113,8 @@
         settings.controlVms().stream()
             .map(vm -> new SyncIdentity.ControlVm(vm.vm(), vm.dataCentre(), vm.peerAddress()))
             .toList(),
-        settings.peers().stream().map(PeerVm::peerAddress).toList());
+        settings.peers().stream().map(PeerVm::peerAddress).toList(),
+        SyncIdentity.UNKNOWN_PROCESSOR_PERCENT);
   }
 
   private List<GroupStatus> consensusGroups() {
--- a/src/test/java/org/ragwortpick/batch/CollectorPlacementTest.java
+++ b/src/test/java/org/ragwortpick/batch/CollectorPlacementTest.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.batch;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -15,9 +16,14 @@
 public final class CollectorPlacementTest {
 
   private static VmRecord vm(int number, VmState state, boolean entry) {
+    return vm(number, state, entry, 0);
+  }
+
+  private static VmRecord vm(int number, VmState state, boolean entry, int processorPercent) {
     HostPort peer = new HostPort("10.0.0." + number, 7_700);
     HostPort callers = entry ? new HostPort("10.0.0." + number, 80) : HostPort.NONE;
-    return new VmRecord(peer.toString(), 1, 1, "dc", callers, peer, state, 0, !entry);
+    return new VmRecord(
+        peer.toString(), 1, 1, "dc", callers, peer, state, 0, !entry, processorPercent);
   }
 
   @Test
@@ -40,4 +46,20 @@
     }
     assertEquals(used.size(), 9);
   }
+
+  @Test
+  public void smallVmCollectsOnlyWithoutLargeOnes() {
+    List<VmRecord> vms = new ArrayList<>();
+    for (int i = 1; i <= 64; i++) {
+      vms.add(vm(i, VmState.READY, true, i % 8 == 0 ? 96 - i % 3 : 36));
+    }
+    Set<String> used = new TreeSet<>();
+    for (int i = 0; i < 100; i++) {
+      List<VmRecord> order = CollectorPlacement.order("service-" + i, vms);
+      assertEquals(order.size(), 64);
+      assertTrue(order.subList(0, 8).stream().allMatch(vm -> vm.processorPercent() > 90));
+      used.add(order.get(0).vm());
+    }
+    assertEquals(used.size(), 8);
+  }
 }
--- a/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
+++ b/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
@@ -85,7 +85,7 @@
     servers.add(server);
     HostPort address = new HostPort("127.0.0.1", server.getPort());
     collector.vm =
-        new VmRecord(address.toString(), 1, 1, "dc", address, address, VmState.READY, 0, false);
+        new VmRecord(address.toString(), 1, 1, "dc", address, address, VmState.READY, 0, false, 0);
     vms.add(collector.vm);
     return collector;
   }
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -43,7 +43,7 @@
     ends = new ArrayList<>();
     viewAgeMs = RECENT_VIEW_MS;
     HostPort address = new HostPort("127.0.0.1", 5);
-    vms = List.of(new VmRecord("vm", 1, 1, "dc", address, address, VmState.READY, 0, false));
+    vms = List.of(new VmRecord("vm", 1, 1, "dc", address, address, VmState.READY, 0, false, 0));
     inputsReleased = new ArrayList<>();
     collector =
         new StageCollector(
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -139,7 +139,7 @@
     SimulatedStageService service = new SimulatedStageService(time, PROFILE, RESULT_BYTES);
     List<Upstream> upstreams = upstreams();
     HostPort address = new HostPort("127.0.0.1", 5);
-    VmRecord vm = new VmRecord("vm", 1, 1, "dc-0", address, address, VmState.READY, 0, false);
+    VmRecord vm = new VmRecord("vm", 1, 1, "dc-0", address, address, VmState.READY, 0, false, 0);
     StageCollector collector =
         new StageCollector(
             "svc",
--- a/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
+++ b/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
@@ -21,7 +21,7 @@
   private final List<VmRecord> published = new ArrayList<>();
   private final VmLifeCycle lifeCycle =
       new VmLifeCycle(
-          new SyncIdentity("e1", 7, "norte-a", ADDRESS, ADDRESS, List.of(), List.of()),
+          new SyncIdentity("e1", 7, "norte-a", ADDRESS, ADDRESS, List.of(), List.of(), 0),
           clock,
           view,
           inFlight::get,
@@ -77,6 +77,6 @@
 
   private static VmRecord record(String vm, String dataCentre, VmState state, int load, int port) {
     HostPort address = new HostPort("10.0.0.1", port);
-    return new VmRecord(vm, 1, 1, dataCentre, address, address, state, load, false);
+    return new VmRecord(vm, 1, 1, dataCentre, address, address, state, load, false, 0);
   }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -227,7 +227,8 @@
               address(index),
               address(index),
               controlVms,
-              List.of(address((index + 1) % cut.length)));
+              List.of(address((index + 1) % cut.length)),
+              0);
       state =
           new SyncState(
               identity,
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
@@ -221,7 +221,8 @@
               address,
               address,
               List.of(),
-              List.of());
+              List.of(),
+              0);
       replica = new FakeLeader(committed, clock::millis);
       state = new SyncState(identity, clock, () -> {});
       duties = new LeaderDuties(clock, replica, state);
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -106,7 +106,8 @@
             new HostPort("127.0.0.1", address.port()),
             address,
             List.of(controlVm),
-            relays);
+            relays,
+            0);
     PeerChannels channels = new PeerChannels();
     SyncNode node = new SyncNode(identity, clock, leader, channels, () -> 0, 5_000);
     Server server =
