Let new work behind busy upstreams cost no pass over the queue

Cause: every submission sorted and searched the whole queue of its service three times, and the removal of a batch compared each piece with each other. With 800 pieces waiting and 170 submissions a second on one VM of 0.36 cores calls took 1.6 times their stated time, because the thread was late.

Change: new work starts a dispatch only if an upstream may be free; behind 64 or more pieces without result capacity, changes within 5 ms share one. The trackers of the upstreams move to a class of their own.

--- /dev/null
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -0,0 +1,118 @@
+package org.ragwortpick.batch;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ragwortpick.routing.BatchProfile;
+import org.ragwortpick.sync.Upstream;
+
+/** Trackers of all upstreams of one stage service. Confined to the thread of the collector. */
+final class CallTrackers {
+
+  private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
+
+  /**
+   * Adds trackers of new upstreams and removes those of upstreams that are gone. A restarted
+   * upstream gets a new tracker.
+   *
+   * @param upstreams upstreams that may take work
+   */
+  void refresh(List<Upstream> upstreams) {
+    Map<String, Upstream> current = new LinkedHashMap<>();
+    upstreams.forEach(upstream -> current.put(keyOf(upstream), upstream));
+    byUpstream.keySet().retainAll(current.keySet());
+    current.forEach(
+        (key, upstream) ->
+            byUpstream.computeIfAbsent(key, id -> new CallTracker(upstream)).update(upstream));
+  }
+
+  private static String keyOf(Upstream upstream) {
+    return upstream.id() + "@" + upstream.incarnation();
+  }
+
+  /**
+   * Returns the tracker of an upstream.
+   *
+   * @param upstream the upstream
+   * @return its tracker; empty if it is gone
+   */
+  Optional<CallTracker> find(Upstream upstream) {
+    return Optional.ofNullable(byUpstream.get(keyOf(upstream)));
+  }
+
+  /**
+   * Finds the upstream that holds a result which was produced for this collector.
+   *
+   * @param handle handle of the result
+   * @return the upstream; empty if no tracker knows the result
+   */
+  Optional<Upstream> holderOf(String handle) {
+    return byUpstream.values().stream()
+        .filter(tracker -> tracker.resultCapacity().contains(handle))
+        .map(CallTracker::upstream)
+        .findFirst();
+  }
+
+  /**
+   * Returns whether a call could be sent if it found result capacity.
+   *
+   * @param limits batch profile of the service
+   * @param nowMs monotonic time in milliseconds
+   * @return whether an upstream is free, or none is known yet
+   */
+  boolean mayHaveFree(BatchProfile limits, long nowMs) {
+    return byUpstream.isEmpty()
+        || byUpstream.values().stream().anyMatch(tracker -> tracker.isFree(limits, nowMs));
+  }
+
+  /**
+   * Lists the free upstreams, the fastest first.
+   *
+   * @param limits batch profile of the service
+   * @param nowMs monotonic time in milliseconds
+   * @return trackers of the free upstreams
+   */
+  List<CallTracker> free(BatchProfile limits, long nowMs) {
+    return byUpstream.values().stream()
+        .filter(tracker -> tracker.isFree(limits, nowMs))
+        .sorted(Comparator.comparingDouble(CallTracker::slowdown))
+        .toList();
+  }
+
+  /**
+   * Returns when the first upstream of a data centre is expected to be free.
+   *
+   * @param dataCentre name of the data centre
+   * @return monotonic time in milliseconds; {@link Long#MAX_VALUE} if it has no upstream
+   */
+  long freeAtMs(String dataCentre) {
+    return byUpstream.values().stream()
+        .filter(tracker -> tracker.upstream().dataCentre().equals(dataCentre))
+        .mapToLong(CallTracker::busyUntilMs)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /**
+   * Returns the expected wait behind queued pieces.
+   *
+   * @param limits batch profile of the service
+   * @param piecesAhead pieces that go first
+   * @param nowMs monotonic time in milliseconds
+   * @return time in milliseconds; 0 if no upstream was used yet
+   */
+  long expectedWaitMs(BatchProfile limits, long piecesAhead, long nowMs) {
+    if (byUpstream.isEmpty()) {
+      return 0;
+    }
+    double piecesPerMs = 0;
+    long freeAtMs = Long.MAX_VALUE;
+    for (CallTracker tracker : byUpstream.values()) {
+      piecesPerMs += tracker.piecesPerMs(limits);
+      freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
+    }
+    return Math.max(0, freeAtMs - nowMs) + (long) (piecesAhead / piecesPerMs);
+  }
+}
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
@@ -171,7 +173,8 @@
               slot.maxPieces(),
               slot.freeResultBytes());
     }
-    waiting.removeAll(batch);
+    Set<WaitingPiece> taken = new HashSet<>(batch);
+    waiting.removeIf(taken::contains);
     return batch;
   }
 
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,6 +41,12 @@
   /** Interval at which waiting pieces are dispatched again, for example to a paused upstream. */
   private static final long REDISPATCH_INTERVAL_MS = 50;
 
+  /** Minimum time between two passes over a long queue that new work causes. */
+  private static final long MIN_DISPATCH_INTERVAL_MS = 5;
+
+  /** Number of queued pieces from which a pass over the queue is worth avoiding. */
+  private static final int LONG_QUEUE_PIECES = 64;
+
   private final String service;
   private final Supplier<Optional<BatchProfile>> profile;
   private final Supplier<List<Upstream>> upstreams;
@@ -51,8 +56,10 @@
   private final Timers timers;
   private final Clock clock;
   private final PieceQueue queue = new PieceQueue();
-  private final Map<String, CallTracker> trackers = new LinkedHashMap<>();
-  private boolean redispatchScheduled;
+  private final CallTrackers trackers = new CallTrackers();
+  private Timers.Timer redispatch = () -> {};
+  private long redispatchAtMs = Long.MAX_VALUE;
+  private long dispatchedAtMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates the collector of a service.
@@ -124,7 +131,7 @@
       return () -> {};
     }
     queue.add(submission.pieces());
-    dispatch();
+    dispatchIfUseful();
     return () -> cancel(submission);
   }
 
@@ -153,18 +160,10 @@
    * @return time in milliseconds; 0 if the service has no profile or no upstream was used yet
    */
   public long expectedWaitMs(int priority) {
-    Optional<BatchProfile> limits = profile.get();
-    if (limits.isEmpty() || trackers.isEmpty()) {
-      return 0;
-    }
-    long nowMs = clock.millis();
-    double piecesPerMs = 0;
-    long freeAtMs = Long.MAX_VALUE;
-    for (CallTracker tracker : trackers.values()) {
-      piecesPerMs += tracker.piecesPerMs(limits.get());
-      freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
-    }
-    return Math.max(0, freeAtMs - nowMs) + (long) (queue.countAhead(priority) / piecesPerMs);
+    return profile
+        .get()
+        .map(limits -> trackers.expectedWaitMs(limits, queue.countAhead(priority), clock.millis()))
+        .orElse(0L);
   }
 
   private void cancel(Submission submission) {
@@ -194,23 +193,19 @@
   }
 
   private void onReleased(Upstream upstream, List<String> handles) {
-    CallTracker tracker = trackers.get(keyOf(upstream));
-    if (tracker != null) {
-      handles.forEach(tracker.resultCapacity()::remove);
-    }
-    dispatch();
+    trackers.find(upstream).ifPresent(tracker -> handles.forEach(tracker.resultCapacity()::remove));
+    dispatchIfUseful();
   }
 
   /** Finds the upstream of a result; of another collector's result by the address in the handle. */
   private Optional<Upstream> upstreamOf(String handle) {
-    for (CallTracker tracker : trackers.values()) {
-      if (tracker.resultCapacity().contains(handle)) {
-        return Optional.of(tracker.upstream());
-      }
-    }
-    return upstreams.get().stream()
-        .filter(upstream -> handle.startsWith(upstream.address() + "/"))
-        .findFirst();
+    return trackers
+        .holderOf(handle)
+        .or(
+            () ->
+                upstreams.get().stream()
+                    .filter(upstream -> handle.startsWith(upstream.address() + "/"))
+                    .findFirst());
   }
 
   /** Fails the pieces that can no longer be served, and sends calls to all free upstreams. */
@@ -220,6 +215,7 @@
       return;
     }
     long nowMs = clock.millis();
+    dispatchedAtMs = nowMs;
     long minCallMs = (long) StageTimes.callMs(limits.get(), 1);
     queue
         .removeLate(nowMs, minCallMs)
@@ -228,8 +224,8 @@
         .findOverdue(nowMs - MAX_TARGET_OVERRUN_MS, limits.get().maxPieces())
         .forEach(work -> fail(work, SubmissionEnd.Cause.OVERLOADED, "target missed in the queue"));
     failUnpermittedWork(nowMs);
-    refreshUpstreams();
-    List<CallTracker> free = new ArrayList<>(freeUpstreams(limits.get(), nowMs));
+    trackers.refresh(upstreams.get());
+    List<CallTracker> free = new ArrayList<>(trackers.free(limits.get(), nowMs));
     // Upstreams in preferred data centres come first; the others still get what is left.
     free.sort(Comparator.comparing(tracker -> !queue.anyPrefers(tracker.upstream().dataCentre())));
     for (CallTracker tracker : free) {
@@ -241,13 +237,13 @@
               nowMs,
               minCallMs,
               (long) StageTimes.callMs(limits.get(), limits.get().maxPieces()));
-      List<WaitingPiece> batch = queue.takeBatch(slot, this::freeAtMs);
+      List<WaitingPiece> batch = queue.takeBatch(slot, trackers::freeAtMs);
       if (!batch.isEmpty()) {
         sendBatch(tracker, batch, limits.get(), nowMs);
       }
     }
     if (queue.size() > 0) {
-      scheduleRedispatch();
+      scheduleRedispatch(nowMs + REDISPATCH_INTERVAL_MS);
     }
   }
 
@@ -263,45 +259,38 @@
                     "collector leaving or its view too old"));
   }
 
-  private void refreshUpstreams() {
-    Map<String, Upstream> current = new LinkedHashMap<>();
-    upstreams.get().forEach(upstream -> current.put(keyOf(upstream), upstream));
-    trackers.keySet().retainAll(current.keySet());
-    current.forEach(
-        (key, upstream) ->
-            trackers.computeIfAbsent(key, id -> new CallTracker(upstream)).update(upstream));
-  }
-
-  private static String keyOf(Upstream upstream) {
-    return upstream.id() + "@" + upstream.incarnation();
-  }
-
-  private long freeAtMs(String dataCentre) {
-    return trackers.values().stream()
-        .filter(tracker -> tracker.upstream().dataCentre().equals(dataCentre))
-        .mapToLong(CallTracker::busyUntilMs)
-        .min()
-        .orElse(Long.MAX_VALUE);
-  }
-
-  /** Lists the free upstreams, the fastest first. */
-  private List<CallTracker> freeUpstreams(BatchProfile limits, long nowMs) {
-    return trackers.values().stream()
-        .filter(tracker -> tracker.isFree(limits, nowMs))
-        .sorted((a, b) -> Double.compare(a.slowdown(), b.slowdown()))
-        .toList();
+  /**
+   * Dispatches after a change that may let a call start. While all upstreams are busy there is
+   * nothing to send, so new work costs no pass over the queue then. Behind a long queue that waits
+   * for result capacity, several changes share a pass.
+   */
+  private void dispatchIfUseful() {
+    long nowMs = clock.millis();
+    boolean mayStart =
+        profile.get().filter(limits -> trackers.mayHaveFree(limits, nowMs)).isPresent();
+    if (!mayStart) {
+      scheduleRedispatch(nowMs + REDISPATCH_INTERVAL_MS);
+    } else if (queue.size() < LONG_QUEUE_PIECES
+        || nowMs - dispatchedAtMs >= MIN_DISPATCH_INTERVAL_MS) {
+      dispatch();
+    } else {
+      scheduleRedispatch(dispatchedAtMs + MIN_DISPATCH_INTERVAL_MS);
+    }
   }
 
-  private void scheduleRedispatch() {
-    if (!redispatchScheduled) {
-      redispatchScheduled = true;
-      timers.schedule(
-          REDISPATCH_INTERVAL_MS,
-          () -> {
-            redispatchScheduled = false;
-            dispatch();
-          });
+  private void scheduleRedispatch(long atMs) {
+    if (atMs >= redispatchAtMs) {
+      return;
     }
+    redispatch.cancel();
+    redispatchAtMs = atMs;
+    redispatch =
+        timers.schedule(
+            Math.max(0, atMs - clock.millis()),
+            () -> {
+              redispatchAtMs = Long.MAX_VALUE;
+              dispatch();
+            });
   }
 
   private void sendBatch(
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -29,6 +29,7 @@
   private VirtualTime time;
   private ScriptedTransport transport;
   private List<Upstream> upstreams;
+  private int upstreamReads;
   private List<SubmissionEnd> ends;
   private StageCollector collector;
   private long viewAgeMs;
@@ -49,7 +50,10 @@
         new StageCollector(
             "svc",
             () -> Optional.of(PROFILE),
-            () -> upstreams,
+            () -> {
+              upstreamReads++;
+              return upstreams;
+            },
             new CollectorRole("vm", () -> vms, () -> true, () -> viewAgeMs, time.clock()),
             transport,
             (service, handles) -> inputsReleased.addAll(handles),
@@ -109,6 +113,30 @@
     assertEquals(((SubmissionEnd.Produced) ends.get(1)).handles().size(), 2);
   }
 
+  @Test
+  public void workBehindBusyUpstreamsCausesNoPassOverTheQueue() {
+    submit("busy", 4, 5_000, 0);
+    int before = upstreamReads;
+    for (int i = 0; i < 200; i++) {
+      submit("r" + i, 1, 60_000, 0);
+    }
+    assertTrue(upstreamReads - before <= 200, upstreamReads - before + " reads");
+  }
+
+  @Test
+  public void workBehindLongQueueWithoutCapacitySharesPasses() {
+    submit("first", 1, 60_000, 60_000, 0, PROFILE.resultRoomBytes() / 2);
+    transport.produce(transport.take());
+    for (int i = 0; i < 100; i++) {
+      submit("large" + i, 1, 60_000, 60_000, 0, PROFILE.resultRoomBytes() / 2);
+    }
+    int before = upstreamReads;
+    for (int i = 0; i < 200; i++) {
+      submit("r" + i, 1, 60_000, 60_000, 0, PROFILE.resultRoomBytes() / 2);
+    }
+    assertTrue(upstreamReads - before <= 200, upstreamReads - before + " reads");
+  }
+
   @Test
   public void piecesAreOrderedByTargetThenPriority() {
     submit("busy", 4, 5_000, 0);
