Name every ready VM to some callers if there are more than a response holds

Callers of the grown sites never used two of the 66 entry VMs: the directory named the first 64 in the order of names, so the last VMs of one data centre got no request, and their share went to the others.

Cause: the limit of a response was right as long as there are fewer VMs. Change: each caller gets the VMs by a hash of its address and the name of the VM, which changes little when VMs come and go. With 64 VMs or fewer the set is the same as before.

Evidence: VmLifeCycleTest.everyVmIsNamedToSomeCallersIfThereAreMoreThanTheLimit lists the selections of 300 callers; the order by name could not pass it, since it names the same 64 to all.

--- a/src/main/java/org/ragwortpick/edge/EntryAddressSource.java
+++ b/src/main/java/org/ragwortpick/edge/EntryAddressSource.java
@@ -7,11 +7,13 @@
 public interface EntryAddressSource {
 
   /**
-   * Returns the addresses to use at this moment.
+   * Returns the addresses that a caller is to use at this moment.
    *
+   * @param caller address of the caller
+   * @param limit largest number of addresses
    * @return addresses of VMs that accept requests of callers; empty if none is known
    */
-  List<HostPort> addresses();
+  List<HostPort> addressesFor(String caller, int limit);
 
   /**
    * Returns the time for which callers may cache the addresses.
--- a/src/main/java/org/ragwortpick/sync/AddressResponses.java
+++ b/src/main/java/org/ragwortpick/sync/AddressResponses.java
@@ -58,15 +58,20 @@
   }
 
   /**
-   * Lists the addresses of all ready VMs that serve callers, regardless of their data centre, for a
-   * deployment in which only upstreams are taken out of service.
+   * Lists ready VMs that serve callers, regardless of their data centre, for a deployment in which
+   * only upstreams are taken out of service. If there are more VMs than the limit, each caller gets
+   * a selection of its own, so that every VM is named to some callers, and one that changes little
+   * with the VMs, so that callers keep their connections.
    *
-   * @return addresses in the order of the names of the VMs
+   * @param caller name or address of the caller
+   * @param limit largest number of addresses
+   * @return the addresses
    */
-  public List<HostPort> allReady() {
+  public List<HostPort> anyReady(String caller, int limit) {
     return vms.vms().stream()
         .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
-        .sorted(Comparator.comparing(VmRecord::vm))
+        .sorted(Comparator.comparingLong(vm -> callerOrder(caller, vm.vm())))
+        .limit(limit)
         .map(VmRecord::callerAddress)
         .toList();
   }
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -173,8 +173,8 @@
   }
 
   @Override
-  public List<HostPort> addresses() {
-    return sync.addressResponses().allReady();
+  public List<HostPort> addressesFor(String caller, int limit) {
+    return sync.addressResponses().anyReady(caller, limit);
   }
 
   @Override
--- a/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
+++ b/src/test/java/org/ragwortpick/sync/VmLifeCycleTest.java
@@ -1,9 +1,13 @@
 package org.ragwortpick.sync;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.ManualClock;
@@ -71,6 +75,24 @@
     assertEquals(ports(responses), List.of(3, 2));
   }
 
+  @Test
+  public void everyVmIsNamedToSomeCallersIfThereAreMoreThanTheLimit() {
+    List<VmRecord> vms = new ArrayList<>();
+    for (int i = 1; i <= 66; i++) {
+      vms.add(record("10.0.0." + i, "norte-a", VmState.READY, 0, i));
+    }
+    AddressResponses responses = new AddressResponses(() -> vms, null, () -> vms.get(0));
+    Map<Integer, Integer> callersByPort = new TreeMap<>();
+    for (int caller = 0; caller < 300; caller++) {
+      List<HostPort> addresses = responses.anyReady("10.9.0." + caller, 64);
+      assertEquals(addresses.size(), 64);
+      assertEquals(responses.anyReady("10.9.0." + caller, 64), addresses);
+      addresses.forEach(address -> callersByPort.merge(address.port(), 1, Integer::sum));
+    }
+    assertEquals(callersByPort.size(), 66);
+    assertTrue(Collections.min(callersByPort.values()) >= 200, callersByPort.toString());
+  }
+
   private static List<Integer> ports(AddressResponses responses) {
     return responses.preferredFor("caller").addresses().stream().map(HostPort::port).toList();
   }
