Handle calls between VMs on the threads of their connections

Change: the gRPC server and the channels use the direct executor. Handlers were looked through: they pass work to the loop of their module or compute a short reply; none waits for another thread.

--- a/src/main/java/org/ragwortpick/peer/PeerChannels.java
+++ b/src/main/java/org/ragwortpick/peer/PeerChannels.java
@@ -11,6 +11,9 @@
 /**
  * Pool with one gRPC channel per peer address.
  *
+ * <p>Replies are handled on the thread of the connection, so handlers must not block; a change of
+ * threads for each message would cost more than most handlers.
+ *
  * <p>A connection may become unresponsive while new connections work. After a timeout the caller
  * therefore discards the channel, so that the next call uses a new connection.
  */
@@ -54,6 +57,7 @@
   private static ManagedChannel open(HostPort address) {
     return NettyChannelBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
         .usePlaintext()
+        .directExecutor()
         .disableServiceConfigLookUp()
         .keepAliveTime(KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS)
         .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
--- a/src/main/java/org/ragwortpick/vm/PeerServer.java
+++ b/src/main/java/org/ragwortpick/vm/PeerServer.java
@@ -9,7 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import org.ragwortpick.common.HostPort;
 
-/** gRPC server for calls of the other VMs. */
+/**
+ * gRPC server for calls of the other VMs. Calls are handled on the threads of the connections, so
+ * services must not block.
+ */
 final class PeerServer implements AutoCloseable {
 
   private static final int MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
@@ -29,6 +32,7 @@
   PeerServer(HostPort address, List<BindableService> services) {
     NettyServerBuilder builder =
         NettyServerBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
+            .directExecutor()
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
             .permitKeepAliveTime(MIN_KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS)
             .permitKeepAliveWithoutCalls(true);
