Log how the body of a response was framed and where it ended

The lines of a request that its engine had broken off say "answered", and nothing tells a response without length or chunks from a framed one whose end was missed.

Change: `request ended` gets framing, bodyBytes and insideEvent, and ragwortpick_forward_bodies_total counts complete bodies by route, framing and inside_event. BodyTracker follows the body in HttpCall, so all readers of responses can use it. No decision changes.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -33,6 +33,7 @@
   private final Dependencies dependencies;
   private UpstreamConnection connection;
   private HeaderMap responseHeaders;
+  private BodyTracker body;
   private boolean ended;
   private boolean bodyWriteStarted;
   private long startedAtMs;
@@ -166,7 +167,12 @@
     progressAtMs = dependencies.clock().millis();
     connection.receiveLimit().permitBody(request.limits().maxBodyBytes());
     responseHeaders = exchange.getResponse().getResponseHeaders();
-    listener.onHead(exchange.getResponse().getResponseCode(), responseHeaders);
+    int status = exchange.getResponse().getResponseCode();
+    HttpHead head =
+        new HttpHead(
+            status, responseHeaders, BodyFraming.of(request.method(), status, responseHeaders));
+    body = new BodyTracker(head);
+    listener.onHead(head);
     if (ended) {
       return;
     }
@@ -183,7 +189,7 @@
         int count = channel.read(buffer);
         if (count < 0) {
           // Undertow throws an exception if the body is shorter than its stated length.
-          end(new HttpEnd.Completed(), !mayReuseConnection());
+          end(new HttpEnd.Completed(body.received()), !mayReuseConnection());
           return;
         }
         if (count == 0) {
@@ -192,6 +198,7 @@
         }
         buffer.flip();
         progressAtMs = dependencies.clock().millis();
+        body.record(buffer);
         if (!listener.onBytes(buffer)) {
           end(new CallFailure.Broken("the listener rejected the response body"), true);
         }
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
@@ -1,6 +1,5 @@
 package org.ragwortpick.entry.upstream;
 
-import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 
 /** Receives the response to a call, on the I/O thread of its connection. */
@@ -9,10 +8,9 @@
   /**
    * The status line and the headers of the response were received.
    *
-   * @param status status code
-   * @param headers headers of the response
+   * @param head status and headers
    */
-  void onHead(int status, HeaderMap headers);
+  void onHead(HttpHead head);
 
   /**
    * Bytes of the body were received.
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
@@ -80,9 +80,9 @@
   }
 
   @Override
-  public void onHead(int status, HeaderMap headers) {
-    head = UpstreamHeaders.parse(status, headers);
-    streaming = request.stream() && status == 200;
+  public void onHead(HttpHead httpHead) {
+    head = UpstreamHeaders.parse(httpHead.status(), httpHead.headers());
+    streaming = request.stream() && httpHead.status() == 200;
     listener.onHead(head);
   }
 
--- a/src/main/java/org/ragwortpick/forward/AttemptListener.java
+++ b/src/main/java/org/ragwortpick/forward/AttemptListener.java
@@ -1,5 +1,7 @@
 package org.ragwortpick.forward;
 
+import org.ragwortpick.entry.upstream.HttpEnd;
+
 /** Receives the events of one attempt. */
 interface AttemptListener {
 
@@ -27,11 +29,11 @@
   void onResponseStarted(int status);
 
   /**
-   * Called when the response has ended.
+   * Called when a response that was passed to the caller has ended.
    *
-   * @param complete false if the response is incomplete
+   * @param end end of the call to the upstream
    */
-  void onResponseEnded(boolean complete);
+  void onResponseEnded(HttpEnd end);
 
   /**
    * Called when the attempt has ended without a response for the caller and is not repeated.
--- a/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.ragwortpick.entry.upstream.ReceivedBody;
 
 /** Counters and histograms of forwarded requests. */
 public final class ForwardMetrics {
@@ -11,6 +12,7 @@
 
   private final Counter requests;
   private final Counter attempts;
+  private final Counter bodies;
   private final Histogram firstByte;
 
   /**
@@ -31,6 +33,12 @@
             .help("Requests sent to upstreams by service and outcome")
             .labelNames("service", "outcome")
             .register(registry);
+    this.bodies =
+        Counter.builder()
+            .name("ragwortpick_forward_bodies_total")
+            .help("Complete bodies by route, framing and whether an event stream ended in an event")
+            .labelNames("route", "framing", "inside_event")
+            .register(registry);
     this.firstByte =
         Histogram.builder()
             .name("ragwortpick_forward_first_byte_seconds")
@@ -59,6 +67,16 @@
     attempts.labelValues(service, outcome).inc();
   }
 
+  /**
+   * Counts a body that was received completely.
+   *
+   * @param route name of the route
+   * @param body the body
+   */
+  void bodyReceived(String route, ReceivedBody body) {
+    bodies.labelValues(route, body.framing().name(), String.valueOf(body.insideEvent())).inc();
+  }
+
   /**
    * Observes the time from the headers of a request to the head of its response.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
+import org.ragwortpick.entry.upstream.HttpEnd;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.entry.upstream.ResponseLimits;
 import org.ragwortpick.routing.RoutingTable;
@@ -240,8 +241,13 @@
   }
 
   @Override
-  public void onResponseEnded(boolean complete) {
-    finish(complete ? "answered" : "broken_off");
+  public void onResponseEnded(HttpEnd end) {
+    if (end instanceof HttpEnd.Completed completed) {
+      log.bodyReceived(completed.body());
+      finish("answered");
+    } else {
+      finish("broken_off");
+    }
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -17,6 +17,7 @@
 import org.ragwortpick.batch.PieceResult;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.entry.upstream.HttpEnd;
+import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.entry.upstream.ResponseLimits;
@@ -145,9 +146,9 @@
     }
 
     @Override
-    public void onHead(int code, HeaderMap headers) {
-      status = code;
-      notExecuted = headers.contains(names.notExecuted());
+    public void onHead(HttpHead head) {
+      status = head.status();
+      notExecuted = head.headers().contains(names.notExecuted());
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -1,7 +1,9 @@
 package org.ragwortpick.forward;
 
 import java.time.Clock;
+import java.util.Optional;
 import org.jboss.logging.Logger;
+import org.ragwortpick.entry.upstream.ReceivedBody;
 import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.routing.RoutedWorkspace;
 import org.ragwortpick.sync.Upstream;
@@ -20,6 +22,7 @@
   private long stagesMs = -1;
   private long attemptStartedMs = -1;
   private long responseStartedMs = -1;
+  private Optional<ReceivedBody> body = Optional.empty();
 
   /**
    * Creates the log of one request.
@@ -79,6 +82,16 @@
     metrics.responseStarted(request.route().name(), responseStartedMs);
   }
 
+  /**
+   * Records the body of the response that was passed to the caller.
+   *
+   * @param received body of the upstream's response
+   */
+  void bodyReceived(ReceivedBody received) {
+    body = Optional.of(received);
+    metrics.bodyReceived(request.route().name(), received);
+  }
+
   /**
    * Logs the end of the request.
    *
@@ -102,6 +115,9 @@
         .with("sentMs", attemptStartedMs)
         .with("answerMs", responseStartedMs)
         .with("endMs", elapsedMs())
+        .with("framing", body.map(ReceivedBody::framing).map(Enum::name).orElse("-"))
+        .with("bodyBytes", body.map(ReceivedBody::sizeBytes).orElse(-1L))
+        .with("insideEvent", body.map(ReceivedBody::insideEvent).orElse(false))
         .with("targetMs", request.route().targetLatencyMs())
         .with("deadlineMs", request.deadlineAtMs() - request.arrivedAtMs())
         .info(LOG);
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.upstream.HttpCall;
 import org.ragwortpick.entry.upstream.HttpEnd;
+import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.routing.RequestKind;
@@ -103,14 +104,14 @@
   }
 
   @Override
-  public void onHead(int code, HeaderMap responseHeaders) {
+  public void onHead(HttpHead head) {
     headReceived = true;
-    status = code;
-    headers = responseHeaders;
+    status = head.status();
+    headers = head.headers();
     RoutingHeaders names = dependencies.headers();
-    String echoed = responseHeaders.getFirst(names.requestId());
-    notRun = code == MISDIRECTED_REQUEST || responseHeaders.contains(names.notExecuted());
-    boolean success = code >= FIRST_SUCCESS_STATUS && code < FIRST_REDIRECT_STATUS;
+    String echoed = headers.getFirst(names.requestId());
+    notRun = status == MISDIRECTED_REQUEST || headers.contains(names.notExecuted());
+    boolean success = status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
     mismatched = echoed == null ? success : !echoed.equals(request.id());
     if (mismatched) {
       LOG.warnf(
@@ -119,7 +120,7 @@
       call.abort();
       return;
     }
-    LoadReport.parse(responseHeaders.getFirst(names.load()))
+    LoadReport.parse(headers.getFirst(names.load()))
         .ifPresent(load -> dependencies.loads().recordReport(upstream.id(), load.totalRequests()));
     if (!notRun && success && request.route().kind() == RequestKind.STREAMING) {
       startRelay();
@@ -169,9 +170,9 @@
     if (relaying) {
       endRelay(complete, end);
     } else if (complete && !notRun) {
-      onCompleteResponse();
+      onCompleteResponse(end);
     } else {
-      AttemptOutcome outcome = outcomeOf(end, complete);
+      AttemptOutcome outcome = outcomeOf(end);
       recordFailure(outcome, end);
       repeatOrFail(outcome);
     }
@@ -185,10 +186,10 @@
       recordFailure(AttemptOutcome.LOST, end);
       relay.abort();
     }
-    listener.onResponseEnded(complete);
+    listener.onResponseEnded(end);
   }
 
-  private void onCompleteResponse() {
+  private void onCompleteResponse(HttpEnd end) {
     boolean failed = status >= StatusCodes.INTERNAL_SERVER_ERROR;
     dependencies.metrics().attemptEnded(upstream.service(), failed ? "failed" : "answered");
     if (failed) {
@@ -200,10 +201,10 @@
     }
     listener.onResponseStarted(status);
     relay.sendComplete(status, headers, buffered);
-    listener.onResponseEnded(true);
+    listener.onResponseEnded(end);
   }
 
-  private AttemptOutcome outcomeOf(HttpEnd end, boolean complete) {
+  private AttemptOutcome outcomeOf(HttpEnd end) {
     if (end.nothingSent()) {
       return AttemptOutcome.NOT_REACHED;
     }
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -90,7 +90,7 @@
     private volatile long bodyBytes;
 
     @Override
-    public void onHead(int status, HeaderMap headers) {
+    public void onHead(HttpHead head) {
       // The head has no use in these tests.
     }
 
