Add failing tests of responses that are cut off and look complete

Two more places with the same fault: half a JSON body counts as the response of a booking, and as that of an idempotent service.

--- a/src/test/java/org/ragwortpick/entry/http/UpstreamFaultsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/UpstreamFaultsTest.java
@@ -172,6 +172,48 @@
     }
   }
 
+  /** Returns a response whose body ends with its connection. */
+  private static String unframed(Map<String, String> request, String body) {
+    return RawUpstream.head(request, "Connection: close\r\n") + body;
+  }
+
+  @Test(groups = "known-red")
+  public void truncatedUnframedResponseOfBookingIsNotRecorded() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((connection, request, headers) -> unframed(headers, "{\"booked\":tr"))) {
+      announce("book-0", upstream.address(), "booking");
+      for (int i = 0; i < 2; i++) {
+        HttpResponse<String> response = book("k1");
+        assertEquals(response.statusCode(), 202, response.body());
+      }
+      assertEquals(upstream.workRequests(), 1);
+    }
+  }
+
+  @Test(groups = "known-red")
+  public void truncatedUnframedResponseOfIdempotentServiceIsRepeated() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((connection, request, headers) -> unframed(headers, "{\"left\":"))) {
+      announce("stock-0", upstream.address(), "stock");
+      entry.upstream("stock-1", "stock", TestUpstreams.responding(200, "{\"left\":1}"));
+      for (int i = 0; i < 4; i++) {
+        HttpResponse<String> response = entry.send(entry.post("/v1/services/stock", "{}"));
+        assertEquals(response.body(), "{\"left\":1}");
+      }
+    }
+  }
+
+  @Test
+  public void wholeUnframedResponseIsPassedOn() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((connection, request, headers) -> unframed(headers, "{\"booked\":true}"))) {
+      announce("book-0", upstream.address(), "booking");
+      HttpResponse<String> response = book("k1");
+      assertEquals(response.body(), "{\"booked\":true}");
+      assertEquals(response.headers().firstValue("Execution").get(), "done");
+    }
+  }
+
   @Test
   public void malformedAndForeignResponsesAreDiscarded() throws Exception {
     try (RawUpstream garbage =
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -10,8 +10,10 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.entry.http.EndlessUpstream;
+import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -31,6 +33,9 @@
   private static final String OK = "HTTP/1.1 200 OK\r\n";
   private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
+  private static final String CLOSING = OK + "Connection: close\r\n";
+  private static final String CLOSING_CHUNKED = CLOSING + "Transfer-Encoding: chunked\r\n\r\n";
+
   private XnioWorker worker;
   private HttpCallClient client;
 
@@ -61,23 +66,54 @@
     };
   }
 
+  private CountingListener call(HostPort address) {
+    CountingListener listener = new CountingListener();
+    HeaderMap headers = new HeaderMap();
+    headers.put(Headers.HOST, address.toString());
+    client.send(
+        new HttpRequest(
+            address,
+            Methods.GET,
+            "/",
+            headers,
+            new byte[0],
+            false,
+            ResponseLimits.withoutTotalTimeout(PROGRESS_TIMEOUT_MS, MAX_BODY_BYTES),
+            () -> true),
+        listener);
+    return listener;
+  }
+
+  @DataProvider
+  public static Object[][] truncatedResponses() {
+    return new Object[][] {
+      {CLOSING},
+      {CLOSING + "Content-Length: 5\r\n\r\n"},
+      {CLOSING + "Content-Length: 5\r\n\r\nabcd"},
+      {CLOSING_CHUNKED},
+      {CLOSING_CHUNKED + "5\r\nab"},
+      {CLOSING_CHUNKED + "2\r\nab"},
+      {CLOSING_CHUNKED + "2\r\nab\r\n"},
+      {CLOSING_CHUNKED + "2\r\nab\r\n0"},
+      {CLOSING_CHUNKED + "2\r\nab\r\n0\r\n"},
+      {CLOSING + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n"},
+      {CLOSING + "Content-Type: text/event-stream\r\n\r\ndata: a\n"},
+      {CLOSING + "Content-Type: text/event-stream\r\nContent-Length: 8\r\n\r\ndata: a\n"},
+    };
+  }
+
+  @Test(dataProvider = "truncatedResponses", groups = "known-red")
+  public void truncatedResponseIsNotComplete(String response) throws Exception {
+    try (RawUpstream upstream = new RawUpstream((c, r, headers) -> response)) {
+      assertTrue(
+          call(upstream.address()).end.get(5, TimeUnit.SECONDS) instanceof CallFailure.Broken);
+    }
+  }
+
   @Test(dataProvider = "endlessBodies")
   public void endlessBodyEndsCallAtLimit(String beginning, String repeated) throws Exception {
     try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, 0)) {
-      CountingListener listener = new CountingListener();
-      HeaderMap headers = new HeaderMap();
-      headers.put(Headers.HOST, upstream.address().toString());
-      client.send(
-          new HttpRequest(
-              upstream.address(),
-              Methods.GET,
-              "/",
-              headers,
-              new byte[0],
-              false,
-              ResponseLimits.withoutTotalTimeout(PROGRESS_TIMEOUT_MS, MAX_BODY_BYTES),
-              () -> true),
-          listener);
+      CountingListener listener = call(upstream.address());
       assertTrue(listener.end.get(5, TimeUnit.SECONDS) instanceof CallFailure.Broken);
       assertTrue(listener.bodyBytes <= MAX_HEAD_BYTES + MAX_BODY_BYTES + BUFFER_BYTES);
     }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -156,6 +156,10 @@
         false);
   }
 
+  HostPort address() {
+    return server.address();
+  }
+
   void announce(String id, HostPort address) {
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
   }
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -11,8 +12,10 @@
 import org.ragwortpick.batch.BatchProtocol;
 import org.ragwortpick.batch.PieceCall;
 import org.ragwortpick.batch.PieceResult;
+import org.ragwortpick.common.Json;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.entry.http.EndlessUpstream;
+import org.ragwortpick.entry.http.RawUpstream;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.sync.TestUpstreams;
 import org.testng.annotations.AfterMethod;
@@ -72,8 +75,39 @@
     }
   }
 
+  @Test
+  public void truncatedUnframedResponseLosesItsPieces() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, request, headers) ->
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"Items\":[{\"Hand")) {
+      CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
+      new HttpBatchTransport(callClient, new JsonBatches(), ForwardTestServer.HEADERS)
+          .run(
+              TestUpstreams.ready("u1", "s1", upstream.address(), "dc"),
+              List.of(),
+              TIMEOUT_MS,
+              outcome::complete);
+      assertTrue(outcome.get(4 * TIMEOUT_MS, TimeUnit.MILLISECONDS) instanceof BatchOutcome.Lost);
+    }
+  }
+
+  /** Protocol of calls without pieces whose response is any JSON value. */
+  private static final class JsonBatches extends EmptyBatches {
+
+    @Override
+    public List<PieceResult> decodeRun(byte[] body) {
+      try {
+        Json.MESSAGES.readTree(body);
+        return List.of();
+      } catch (IOException e) {
+        throw new IllegalArgumentException(e);
+      }
+    }
+  }
+
   /** Protocol of calls without pieces. */
-  private static final class EmptyBatches implements BatchProtocol {
+  private static class EmptyBatches implements BatchProtocol {
 
     @Override
     public String runPath() {
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/RawCaller.java
@@ -0,0 +1,123 @@
+package org.ragwortpick.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.ragwortpick.common.HostPort;
+
+/** Caller on a plain socket, which sees how a response was framed and how its connection ended. */
+final class RawCaller {
+
+  private static final int READ_TIMEOUT_MS = 5_000;
+  private static final String HEAD_END = "\r\n\r\n";
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+
+  private RawCaller() {}
+
+  /** Sends a request whose connection ends after the response, and reads until it ends. */
+  static Response send(HostPort address, String version, String path, String connectionHeader)
+      throws IOException {
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      String request =
+          "POST "
+              + path
+              + " "
+              + version
+              + "\r\nHost: "
+              + address
+              + "\r\nRequest-Id: r1\r\nAccess-Code: k1\r\nTime-Left-Ms: 700\r\n"
+              + connectionHeader
+              + "Content-Length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      ByteArrayOutputStream received = new ByteArrayOutputStream();
+      boolean reset = !readToEnd(socket.getInputStream(), received);
+      return new Response(received.toString(StandardCharsets.US_ASCII), reset);
+    }
+  }
+
+  /** Reads until the response or the connection ends; false if the connection was reset. */
+  private static boolean readToEnd(InputStream in, ByteArrayOutputStream received)
+      throws IOException {
+    try {
+      int value = in.read();
+      while (value >= 0) {
+        received.write(value);
+        if (new Response(received.toString(StandardCharsets.US_ASCII), false).framedAsComplete()) {
+          return true;
+        }
+        value = in.read();
+      }
+      return true;
+    } catch (java.net.SocketException e) {
+      return false;
+    }
+  }
+
+  /**
+   * Response as the caller received it.
+   *
+   * @param text all bytes
+   * @param reset whether the connection was reset
+   */
+  record Response(String text, boolean reset) {
+
+    String head() {
+      int end = text.indexOf(HEAD_END);
+      return end < 0 ? text : text.substring(0, end).toLowerCase(Locale.ROOT);
+    }
+
+    private String rawBody() {
+      int end = text.indexOf(HEAD_END);
+      return end < 0 ? "" : text.substring(end + HEAD_END.length());
+    }
+
+    boolean chunked() {
+      return head().contains("transfer-encoding: chunked");
+    }
+
+    private int statedLength() {
+      int start = head().indexOf("content-length: ");
+      if (start < 0) {
+        return -1;
+      }
+      return Integer.parseInt(head().substring(start).split("[: \r\n]+")[1]);
+    }
+
+    /** Returns whether its length or its last chunk says that the body is complete. */
+    boolean framedAsComplete() {
+      if (!text.contains(HEAD_END)) {
+        return false;
+      }
+      if (chunked()) {
+        return rawBody().endsWith(LAST_CHUNK);
+      }
+      return statedLength() >= 0 && rawBody().length() >= statedLength();
+    }
+
+    /** Returns whether only the end of the connection ends the body. */
+    boolean endsWithConnection() {
+      return !chunked() && statedLength() < 0;
+    }
+
+    /** Returns the body without the framing of its chunks. */
+    String body() {
+      if (!chunked()) {
+        return rawBody();
+      }
+      StringBuilder body = new StringBuilder();
+      String rest = rawBody();
+      while (rest.contains("\r\n")) {
+        int lineEnd = rest.indexOf("\r\n");
+        int length = Integer.parseInt(rest.substring(0, lineEnd).trim(), 16);
+        int end = Math.min(rest.length(), lineEnd + 2 + length);
+        body.append(rest, lineEnd + 2, end);
+        rest = rest.substring(Math.min(rest.length(), end + 2));
+      }
+      return body.toString();
+    }
+  }
+}
