Name the shared prompt parts of requests that were not answered

Engines end one after the other, and no line says what the requests that broke off had in common.

No decision changes.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -79,7 +79,7 @@
     this.service = service;
     this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
     this.relay = new ResponseRelay(exchange);
-    this.log = new RequestLog(request, dependencies.clock(), dependencies.metrics());
+    this.log = new RequestLog(request, prefix, dependencies.clock(), dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
     this.deadline =
         dependencies
--- a/src/main/java/org/ragwortpick/forward/PromptPrefix.java
+++ b/src/main/java/org/ragwortpick/forward/PromptPrefix.java
@@ -1,16 +1,24 @@
 package org.ragwortpick.forward;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.ragwortpick.policy.PrefixHash;
 
 /**
  * Prefix of a prompt that a request shares with other requests.
  *
+ * @param parts ids of the shared parts in order
  * @param hash hash of the ids of the shared parts; 0 if there are none
  * @param tokens number of tokens of the shared parts
  */
-record PromptPrefix(long hash, long tokens) {
+record PromptPrefix(List<String> parts, long hash, long tokens) {
 
-  private static final PromptPrefix NONE = new PromptPrefix(0, 0);
+  private static final PromptPrefix NONE = new PromptPrefix(List.of(), 0, 0);
+
+  /** Copies the parts. */
+  PromptPrefix {
+    parts = List.copyOf(parts);
+  }
 
   /**
    * Parses the shared prefix of a prompt.
@@ -24,14 +32,14 @@
     if (lastComma <= 0) {
       return NONE;
     }
-    StringBuilder ids = new StringBuilder();
+    List<String> ids = new ArrayList<>();
     long tokens = 0;
     for (String part : header.substring(0, lastComma).split(",")) {
       int colon = part.indexOf(':');
-      ids.append('/').append(colon < 0 ? part.trim() : part.substring(0, colon).trim());
+      ids.add(colon < 0 ? part.trim() : part.substring(0, colon).trim());
       tokens += colon < 0 ? 0 : parseTokens(part.substring(colon + 1).trim());
     }
-    return new PromptPrefix(PrefixHash.of(ids.toString()), tokens);
+    return new PromptPrefix(ids, PrefixHash.of("/" + String.join("/", ids)), tokens);
   }
 
   private static long parseTokens(String text) {
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -16,6 +16,7 @@
   private static final Logger LOG = Logger.getLogger(RequestLog.class);
 
   private final CallerRequest request;
+  private final PromptPrefix prefix;
   private final Clock clock;
   private final ForwardMetrics metrics;
   private String upstream = "-";
@@ -31,11 +32,13 @@
    * Creates the log of one request.
    *
    * @param request the request
+   * @param prefix prefix that its prompt shares with other requests
    * @param clock monotonic clock
    * @param metrics counters and histograms
    */
-  RequestLog(CallerRequest request, Clock clock, ForwardMetrics metrics) {
+  RequestLog(CallerRequest request, PromptPrefix prefix, Clock clock, ForwardMetrics metrics) {
     this.request = request;
+    this.prefix = prefix;
     this.clock = clock;
     this.metrics = metrics;
   }
@@ -113,8 +116,11 @@
    */
   void ended(String end, int attempts) {
     metrics.requestEnded(request.route().name(), end);
-    DecisionLine.of("request ended")
-        .with("request", request.id())
+    DecisionLine line = DecisionLine.of("request ended");
+    if (!end.equals("answered")) {
+      line.with("parts", String.join(",", prefix.parts()));
+    }
+    line.with("request", request.id())
         .with("end", end)
         .with("status", status)
         .with("route", request.route().name())
