--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -164,6 +164,10 @@
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
+  void withdraw(String id) {
+    upstreams.remove(id);
+  }
+
   void removeConfiguration() {
     configuration = Configuration.EMPTY;
   }
