Hold back prompt parts under which upstreams end, by evidence that all VMs share

Cause: a failure counts against its upstream only. Nothing ties the ends to what the requests have in common, no VM sees more than one or two of them, and a repeatable request is sent to the next upstream at once.

Change: a response that breaks off just after its head is evidence against the shared parts of its prompt, a complete one clears them. The evidence is a set of ended incarnations for each part in the sync table, merged by union; each VM draws the same conclusion. A part with three crashes that no other part explains is held back for its service: 503 prompt_part_held at once, with the time of the next trial. After two, requests are not repeated. One VM sends single trials; operators list and release parts (held-parts). Ends of several upstreams within 400 ms count as one event. ForwardingEntry is split on the way.

Why it works: the harmful part is the only one that is present at all its crashes and never in a complete response, and every VM learns of each crash with its next poll.

--- a/src/bench/java/org/ragwortpick/bench/DecisionCosts.java
+++ b/src/bench/java/org/ragwortpick/bench/DecisionCosts.java
@@ -26,15 +26,19 @@
 import org.ragwortpick.policy.SelectionRequest;
 import org.ragwortpick.policy.admission.FairShareAdmissionController;
 import org.ragwortpick.policy.budget.MeasuredDeadlineBudget;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.BoundedPrefixIndex;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 
 /** Measures the time of each decision and the memory of its state at several sizes. */
 final class DecisionCosts {
 
   private static final int[] UPSTREAM_COUNTS = {25, 400, 4_000};
   private static final int[] WORKSPACE_COUNTS = {5, 500, 15_000};
+  private static final int[] CRASHED_PART_COUNTS = {0, 500};
   private static final int WARM_UP_CALLS = 50_000;
   private static final int MEASURED_CALLS = 50_000;
   private static final int PREFIXES_PER_ENGINE = 512;
@@ -55,6 +59,9 @@
       measureAdmission(size);
     }
     measureBudgets();
+    for (int size : CRASHED_PART_COUNTS) {
+      measureQuarantine(size);
+    }
     System.out.printf(Locale.ROOT, "%n%-34s %10s %14s%n", "state", "size", "MB");
     for (int size : UPSTREAM_COUNTS) {
       measureMemory("prefix index", size, () -> createFilledIndex(size));
@@ -95,6 +102,29 @@
     measureTime("looks cold", size, i -> policies.limiter().looksCold(upstreams.get(i % size)));
   }
 
+  private void measureQuarantine(int crashedParts) {
+    PartQuarantine quarantine =
+        new PartQuarantine(
+            new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
+            "vm",
+            () -> List.of("vm"),
+            clock);
+    List<Upstream> upstreams = createUpstreams(2);
+    Upstream upstream = upstreams.get(0);
+    for (int i = 0; i < crashedParts; i++) {
+      quarantine.recordCrash(upstreams.get(1), List.of("crashed" + i));
+    }
+    List<String> unseen = List.of("first", "second");
+    measureTime(
+        "quarantine, prompt without parts", crashedParts, i -> quarantine.decide("s", List.of()));
+    measureTime(
+        "quarantine, parts never blamed", crashedParts, i -> quarantine.decide("s", unseen));
+    measureTime(
+        "quarantine, sound response",
+        crashedParts,
+        i -> quarantine.recordSound(upstream, List.of("first", "second" + i % 1_000), 0));
+  }
+
   private void measureAdmission(int size) {
     FairShareAdmissionController idle = createAdmission(size, 64);
     measureTime(
--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -36,6 +36,7 @@
     @SubCommand(name = "take-out", impl = TakeOutCommand.class),
     @SubCommand(name = "return", impl = ReturnCommand.class),
     @SubCommand(name = "stop", impl = StopCommand.class),
+    @SubCommand(name = "held-parts", impl = HeldPartsCommand.class),
     @SubCommand(name = "call-status", impl = CallStatusCommand.class),
     @SubCommand(name = "await", impl = AwaitCommand.class),
     @SubCommand(name = "demonstrate", impl = DemonstrateCommand.class),
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -8,6 +8,7 @@
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.sync.ConfigurationView;
 
 /**
@@ -19,6 +20,7 @@
  * @param viewIsCurrent whether the view of the upstreams was confirmed since the process last
  *     resumed from a suspension
  * @param loads load of upstreams
+ * @param quarantine holds back prompt parts that end upstreams
  * @param stages runs stages
  * @param responseTimes average response times by route
  * @param resultLocator locates results of stages
@@ -37,6 +39,7 @@
     UpstreamChooser chooser,
     BooleanSupplier viewIsCurrent,
     UpstreamLoads loads,
+    PartQuarantine quarantine,
     StageRunner stages,
     ResponseTimes responseTimes,
     ResultLocator resultLocator,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -13,6 +13,7 @@
 import org.ragwortpick.entry.upstream.HttpEnd;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.entry.upstream.ResponseLimits;
+import org.ragwortpick.policy.quarantine.PartDecision;
 import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
@@ -58,6 +59,7 @@
   private List<String> inputs = List.of();
   private long sentAtMs;
   private long firstByteMs;
+  private boolean trial;
   private boolean ended;
 
   /**
@@ -95,6 +97,9 @@
   void start(RoutingTable table) {
     dependencies.workCounter().enter();
     dependencies.retryBudgets().of(service).recordFirstAttempt();
+    if (refuseIfHeld()) {
+      return;
+    }
     HeaderMap headers = request.headers();
     List<Integer> pieceCounts =
         PieceCounts.parse(
@@ -153,7 +158,25 @@
     return Math.max(RETRY_AFTER_MS, Math.min(drainMs, remainingMs / RETRY_DEADLINE_DIVISOR));
   }
 
+  /** Refuses the request if its prompt has a part that is held back. */
+  private boolean refuseIfHeld() {
+    if (trial) {
+      return false;
+    }
+    PartDecision decision = dependencies.quarantine().decide(service, prefix.parts());
+    trial = decision instanceof PartDecision.Trial;
+    if (decision instanceof PartDecision.Held held) {
+      long retryAfterMs = held.part().trialAtMs() - dependencies.clock().millis();
+      refuse(Refusal.heldPart(held.part(), Math.max(retryAfterMs, RETRY_AFTER_MS)), "part_held");
+      return true;
+    }
+    return false;
+  }
+
   private void startAttempt() {
+    if (refuseIfHeld()) {
+      return;
+    }
     if (!dependencies.viewIsCurrent().getAsBoolean()) {
       refuse(
           Refusal.unavailable(
@@ -182,7 +205,14 @@
     log.attemptStarted(upstream);
     UpstreamAttempt nextAttempt =
         new UpstreamAttempt(
-            dependencies, request, upstream, this, relay, request.route().repeatable());
+            dependencies,
+            request,
+            upstream,
+            this,
+            relay,
+            request.route().repeatable(),
+            new AttemptEvidence(
+                dependencies.quarantine(), prefix.parts(), upstream, dependencies.clock()));
     attempt = Optional.of(nextAttempt);
     nextAttempt.start(httpRequest(upstream));
   }
@@ -223,7 +253,8 @@
 
   @Override
   public boolean mayRepeat(AttemptOutcome outcome) {
-    return !ended && repeatPolicy.mayRepeat(outcome);
+    boolean suspected = trial || dependencies.quarantine().isSuspected(service, prefix.parts());
+    return !ended && repeatPolicy.mayRepeat(outcome, suspected);
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import io.undertow.util.StatusCodes;
+import org.ragwortpick.policy.quarantine.HeldPart;
 
 /**
  * Error response of this system in place of an upstream's response. The status codes 408, 421, 429
@@ -98,6 +99,25 @@
         retryAfterMs);
   }
 
+  /**
+   * Creates the refusal of a request whose prompt has a part under which upstreams ended.
+   *
+   * @param part the part
+   * @param retryAfterMs time in milliseconds until a request with the part may be tried
+   * @return the refusal
+   */
+  static Refusal heldPart(HeldPart part, long retryAfterMs) {
+    return new Refusal(
+        StatusCodes.SERVICE_UNAVAILABLE,
+        "prompt_part_held",
+        "upstreams of service "
+            + part.service()
+            + " ended under requests with the prompt part "
+            + part.part()
+            + "; send the request without it, or retry after the stated time",
+        retryAfterMs);
+  }
+
   /**
    * Creates the refusal of a request that no upstream can take now.
    *
--- a/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
+++ b/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
@@ -60,15 +60,16 @@
    * from the retry budget if the attempt reached an upstream.
    *
    * @param outcome outcome of the attempt
+   * @param suspected whether the request may have ended the upstream
    * @return whether the request is repeated
    */
-  boolean mayRepeat(AttemptOutcome outcome) {
+  boolean mayRepeat(AttemptOutcome outcome, boolean suspected) {
     mayHaveRun |= outcome == AttemptOutcome.FAILED || outcome == AttemptOutcome.LOST;
     if (outcome == AttemptOutcome.NOT_REACHED) {
       unreachedAttempts++;
       return unreachedAttempts < MAX_UNREACHED_ATTEMPTS;
     }
-    boolean allowed = outcome == AttemptOutcome.NOT_RUN || route.repeatable();
+    boolean allowed = outcome == AttemptOutcome.NOT_RUN || (route.repeatable() && !suspected);
     return allowed && attempts - unreachedAttempts < route.maxAttempts() && budget.tryTake();
   }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -41,6 +41,7 @@
   private final AttemptListener listener;
   private final ResponseRelay relay;
   private final boolean repeatable;
+  private final AttemptEvidence evidence;
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private HttpCall call;
   private HttpHead head = new HttpHead(0, new HeaderMap(), BodyFraming.NONE);
@@ -59,6 +60,7 @@
    * @param listener receives the events of the attempt
    * @param relay passes the response to the caller
    * @param repeatable whether the request may run more than once
+   * @param evidence receives what the attempt shows about the prompt
    */
   UpstreamAttempt(
       ForwardDependencies dependencies,
@@ -66,13 +68,15 @@
       Upstream upstream,
       AttemptListener listener,
       ResponseRelay relay,
-      boolean repeatable) {
+      boolean repeatable,
+      AttemptEvidence evidence) {
     this.dependencies = dependencies;
     this.request = request;
     this.upstream = upstream;
     this.listener = listener;
     this.relay = relay;
     this.repeatable = repeatable;
+    this.evidence = evidence;
   }
 
   /**
@@ -116,6 +120,9 @@
     }
     LoadReport.parse(head.headers().getFirst(names.load()))
         .ifPresent(load -> dependencies.loads().recordReport(upstream.id(), load.totalRequests()));
+    if (!notRun) {
+      evidence.onHead(head);
+    }
     if (!notRun && head.isSuccess() && request.route().kind() == RequestKind.STREAMING) {
       startRelay();
     }
@@ -135,6 +142,7 @@
     if (aborted || mismatched) {
       return false;
     }
+    evidence.onBytes();
     if (relaying) {
       return relay.write(bytes);
     }
@@ -160,6 +168,7 @@
       dependencies.metrics().attemptEnded(upstream.service(), "aborted");
       return;
     }
+    evidence.onEnd(end);
     boolean complete = end instanceof HttpEnd.Completed;
     if (relaying) {
       endRelay(complete, end);
--- a/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
+++ b/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.ragwortpick.sync.CrashEvidence;
 import org.ragwortpick.sync.SyncTimings;
 import org.ragwortpick.sync.UpstreamState;
 
@@ -58,6 +59,9 @@
       return upstream.upstream().state() == UpstreamState.LOST
           || !vms.isAlive(upstream.homeVm(), upstream.homeIncarnation());
     }
+    if (record instanceof SoftRecord.OfCrashEvidence crashes) {
+      return isObsolete(crashes.evidence());
+    }
     SoftRecord.Flag flag = (SoftRecord.Flag) record;
     String subject =
         flag.kind() == SoftRecord.Flag.Kind.VM_LOST
@@ -65,4 +69,17 @@
             : SoftRecord.OfUpstream.keyOf(flag.id());
     return table.find(subject).isEmpty();
   }
+
+  /**
+   * Evidence that counts is kept for long, since a part that is held back causes no new crash that
+   * would renew it.
+   */
+  private boolean isObsolete(CrashEvidence evidence) {
+    long retentionMs =
+        evidence.uncleared().size() > 1
+            ? SyncTimings.REPEATED_CRASH_RETENTION_MS
+            : SyncTimings.SINGLE_CRASH_RETENTION_MS;
+    boolean clearedPart = evidence.uncleared().isEmpty() && !evidence.isOfService();
+    return clearedPart || clock.millis() - evidence.lastCrashAtMs() > retentionMs;
+  }
 }
--- a/src/main/java/org/ragwortpick/sync/directory/SoftRecord.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SoftRecord.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.sync.directory;
 
 import java.util.Objects;
+import org.ragwortpick.sync.CrashEvidence;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmRecord;
@@ -112,6 +113,37 @@
     }
   }
 
+  /**
+   * Evidence about a prompt part.
+   *
+   * @param evidence the evidence
+   */
+  record OfCrashEvidence(CrashEvidence evidence) implements SoftRecord {
+
+    /**
+     * Returns the key of the evidence about a prompt part.
+     *
+     * @param service name of the service
+     * @param part id of the prompt part
+     * @return the key
+     */
+    public static String keyOf(String service, String part) {
+      return "c/" + service + "/" + part;
+    }
+
+    @Override
+    public String key() {
+      return keyOf(evidence.service(), evidence.part());
+    }
+
+    @Override
+    public SoftRecord mergedInto(SoftRecord current) {
+      CrashEvidence known = ((OfCrashEvidence) current).evidence();
+      CrashEvidence merged = known.merge(evidence);
+      return merged.equals(known) ? current : new OfCrashEvidence(merged);
+    }
+  }
+
   /**
    * Record of an upstream with its home VM.
    *
--- a/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
@@ -22,6 +22,7 @@
   private final TreeMap<Long, Entry> byVersion = new TreeMap<>();
   private final TreeMap<Long, Entry> byOfferVersion = new TreeMap<>();
   private volatile long version;
+  private volatile long crashEvidenceVersion;
 
   /** Creates an empty table. */
   public SoftTable() {}
@@ -35,6 +36,15 @@
     return version;
   }
 
+  /**
+   * Returns the version of the newest change of evidence about crashes.
+   *
+   * @return the version; 0 without such evidence
+   */
+  public long crashEvidenceVersion() {
+    return crashEvidenceVersion;
+  }
+
   /**
    * Finds a record.
    *
@@ -124,6 +134,9 @@
     version++;
     entry.version = version;
     byVersion.put(version, entry);
+    if (entry.current instanceof SoftRecord.OfCrashEvidence) {
+      crashEvidenceVersion = version;
+    }
     return version;
   }
 
@@ -193,6 +206,9 @@
       byVersion.remove(entry.version);
       byOfferVersion.remove(entry.offerVersion);
       version++;
+      if (entry.current instanceof SoftRecord.OfCrashEvidence) {
+        crashEvidenceVersion = version;
+      }
     }
   }
 
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -4,12 +4,16 @@
 import java.util.TreeMap;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.proto.ConfigurationMessage;
+import org.ragwortpick.proto.CrashEvidenceMessage;
+import org.ragwortpick.proto.CrashMessage;
 import org.ragwortpick.proto.FlagMessage;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
 import org.ragwortpick.proto.UpstreamMessage;
 import org.ragwortpick.proto.VmMessage;
 import org.ragwortpick.sync.ConfigurationDelta;
+import org.ragwortpick.sync.Crash;
+import org.ragwortpick.sync.CrashEvidence;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmRecord;
@@ -58,15 +62,18 @@
    * Encodes changed records.
    *
    * @param changes the changes
+   * @param nowMs monotonic time of the local VM in milliseconds
    * @return the message
    */
-  public static SoftRecords encode(SoftTable.Changes changes) {
+  public static SoftRecords encode(SoftTable.Changes changes, long nowMs) {
     SoftRecords.Builder records = SoftRecords.newBuilder();
     for (SoftRecord record : changes.bodies()) {
       if (record instanceof SoftRecord.OfVm vm) {
         records.addVms(encode(vm.record()));
       } else if (record instanceof SoftRecord.OfUpstream upstream) {
         records.addUpstreams(encode(upstream));
+      } else if (record instanceof SoftRecord.OfCrashEvidence crashes) {
+        records.addCrashEvidence(encode(crashes.evidence(), nowMs));
       } else {
         records.addFlags(encode((SoftRecord.Flag) record));
       }
@@ -132,6 +139,42 @@
         .build();
   }
 
+  private static CrashEvidenceMessage encode(CrashEvidence evidence, long nowMs) {
+    CrashEvidenceMessage.Builder message =
+        CrashEvidenceMessage.newBuilder().setService(evidence.service()).setPart(evidence.part());
+    for (Crash crash : evidence.crashes()) {
+      message.addCrashes(
+          CrashMessage.newBuilder()
+              .setUpstream(crash.upstreamId())
+              .setIncarnation(crash.incarnation())
+              .setAgeMs(Math.max(0, nowMs - crash.observedAtMs()))
+              .setCleared(crash.cleared()));
+    }
+    return message.build();
+  }
+
+  /**
+   * Decodes evidence about a prompt part.
+   *
+   * @param message the message
+   * @param nowMs monotonic time of the local VM in milliseconds
+   * @return the record
+   */
+  public static SoftRecord decode(CrashEvidenceMessage message, long nowMs) {
+    List<Crash> crashes =
+        message.getCrashesList().stream()
+            .map(
+                crash ->
+                    new Crash(
+                        crash.getUpstream(),
+                        crash.getIncarnation(),
+                        nowMs - crash.getAgeMs(),
+                        crash.getCleared()))
+            .toList();
+    return new SoftRecord.OfCrashEvidence(
+        new CrashEvidence(message.getService(), message.getPart(), crashes));
+  }
+
   /**
    * Decodes a VM record.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -64,7 +64,7 @@
             .setRevision(state.view().current().revision())
             .setSourceIncarnation(cursor.sourceIncarnation)
             .setCursor(cursor.receivedVersion)
-            .setRecords(SyncCodec.encode(offers));
+            .setRecords(SyncCodec.encode(offers, nowMs));
     for (VmHeartbeats.Heartbeat heartbeat : state.heartbeats().recent()) {
       request.addHeard(
           HeardVm.newBuilder()
@@ -119,7 +119,7 @@
         .setConfirmedAgeMs(Math.max(0, clock.millis() - confirmedAtMs))
         .setConfiguration(SyncCodec.encode(configurationSince(request.getRevision())))
         .setCursor(changes.version())
-        .setRecords(SyncCodec.encode(changes))
+        .setRecords(SyncCodec.encode(changes, clock.millis()))
         .setOfferAll(!complete)
         .addAllGrants(grants.stream().map(AllowanceCodec::encode).toList())
         .setWarmFloor(state.warmFlags().floor())
@@ -188,6 +188,10 @@
   private boolean merge(SoftRecords records, Consumer<SoftRecord> merger) {
     records.getVmsList().forEach(message -> merger.accept(SyncCodec.decode(message)));
     records.getUpstreamsList().forEach(message -> merger.accept(SyncCodec.decode(message)));
+    long nowMs = clock.millis();
+    records
+        .getCrashEvidenceList()
+        .forEach(message -> merger.accept(SyncCodec.decode(message, nowMs)));
     boolean complete = true;
     for (LoadMessage load : records.getLoadsList()) {
       complete &= mergeLoad(load, merger);
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -13,6 +13,7 @@
 import org.ragwortpick.sync.AddressResponses;
 import org.ragwortpick.sync.ColdAllowances;
 import org.ragwortpick.sync.ConfigurationView;
+import org.ragwortpick.sync.CrashEvidenceTable;
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
 import org.ragwortpick.sync.Upstream;
@@ -197,6 +198,15 @@
     return state.allowances();
   }
 
+  /**
+   * Returns the evidence about crashes of upstreams.
+   *
+   * @return the evidence
+   */
+  public CrashEvidenceTable crashEvidence() {
+    return state.crashEvidence();
+  }
+
   /**
    * Returns the life cycle of the local VM.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -7,6 +7,7 @@
 import org.ragwortpick.sync.directory.RecordRetention;
 import org.ragwortpick.sync.directory.SoftRecord;
 import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.ragwortpick.sync.directory.SyncedUpstreamDirectory;
 import org.ragwortpick.sync.directory.SyncedVmDirectory;
 import org.ragwortpick.sync.directory.UpstreamHome;
@@ -34,6 +35,7 @@
   private final WarmFlags warmFlags;
   private final RecordRetention retention;
   private final LeasedColdAllowances allowances;
+  private final SyncedCrashEvidence crashEvidence;
   private long lastRetentionAtMs;
 
   /**
@@ -42,6 +44,7 @@
    * @param identity identity of the local VM
    * @param clock monotonic clock
    * @param pollTrigger called to poll early, when a request found no free share of a cold upstream
+   *     or there is new evidence about crashes
    */
   public SyncState(SyncIdentity identity, Clock clock, Runnable pollTrigger) {
     this.identity = identity;
@@ -55,6 +58,7 @@
     this.allowances =
         new LeasedColdAllowances(
             identity.vm(), identity.incarnation(), clock, warmFlags, pollTrigger);
+    this.crashEvidence = new SyncedCrashEvidence(identity.vm(), table, pollTrigger);
     this.retention = new RecordRetention(clock, table, vms);
   }
 
@@ -140,6 +144,15 @@
     return allowances;
   }
 
+  /**
+   * Returns the evidence about crashes of upstreams.
+   *
+   * @return the evidence
+   */
+  public SyncedCrashEvidence crashEvidence() {
+    return crashEvidence;
+  }
+
   /**
    * Returns the flags of warm upstreams.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -1,10 +1,12 @@
 package org.ragwortpick.vm;
 
 import io.grpc.BindableService;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.Undertow;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Clock;
@@ -38,6 +40,7 @@
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
 import org.ragwortpick.routing.ServiceProfile;
@@ -83,6 +86,7 @@
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
+  private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
   private final EntryServer server;
   private final Undertow readiness;
@@ -129,15 +133,10 @@
             () -> sync.lifeCycle().state() == VmState.READY,
             freshness::ageMs,
             clock);
-    this.chooser =
-        new UpstreamChooser(
-            this::configuration,
-            sync::announced,
-            new RendezvousAffinitySelector(
-                new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
-            loads,
-            new ColdRateShare(settings.peerAddress().toString(), clock),
-            this::entryVmNames);
+    this.chooser = createChooser(settings, random);
+    this.quarantine =
+        new PartQuarantine(
+            sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
     HttpBatchTransport transport =
         new HttpBatchTransport(httpCallClient, protocol.batches(), protocol.headers());
     this.stages =
@@ -158,15 +157,37 @@
             buffers,
             new ForwardHandler(dependencies(role, protocol, registry, work), random),
             work);
-    this.readiness =
-        Undertow.builder()
-            .setWorker(worker)
-            .setByteBufferPool(buffers)
-            .addHttpListener(
-                role.readinessAddress().port(),
-                role.readinessAddress().host(),
-                MetricsHandler.wrap(registry, protocol.readiness(this::isReady)))
-            .build();
+    this.readiness = createReadinessServer(role, protocol, registry);
+  }
+
+  private UpstreamChooser createChooser(ForwardingSettings settings, RandomGenerator random) {
+    return new UpstreamChooser(
+        this::configuration,
+        sync::announced,
+        new RendezvousAffinitySelector(
+            new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
+        loads,
+        new ColdRateShare(settings.peerAddress().toString(), clock),
+        this::entryVmNames);
+  }
+
+  private Undertow createReadinessServer(
+      ForwardingSettings.EntryRole role, EdgeProtocol protocol, PrometheusRegistry registry) {
+    GaugeWithCallback.builder()
+        .name("ragwortpick_held_prompt_parts")
+        .help("Prompt parts that are held back because upstreams ended under them")
+        .callback(callback -> callback.call(quarantine.held().size()))
+        .register(registry);
+    HttpHandler handler =
+        new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
+    return Undertow.builder()
+        .setWorker(worker)
+        .setByteBufferPool(buffers)
+        .addHttpListener(
+            role.readinessAddress().port(),
+            role.readinessAddress().host(),
+            MetricsHandler.wrap(registry, handler))
+        .build();
   }
 
   private static XnioWorker createWorker() throws IOException {
@@ -207,6 +228,7 @@
         chooser,
         freshness::isConfirmedSinceResume,
         loads,
+        quarantine,
         stages,
         new ResponseTimes(),
         new ResultLocator(sync::announced),
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/HeldPartsHandler.java
@@ -0,0 +1,97 @@
+package org.ragwortpick.vm;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.time.Clock;
+import org.ragwortpick.common.Json;
+import org.ragwortpick.policy.quarantine.HeldPart;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
+
+/**
+ * Shows operators the prompt parts that are held back, and releases one. Runs on the thread of the
+ * quarantine.
+ */
+final class HeldPartsHandler implements HttpHandler {
+
+  private static final String LIST_PATH = "/held-parts";
+  private static final String RELEASE_PATH = "/held-parts/release";
+
+  private final PartQuarantine quarantine;
+  private final Clock clock;
+  private final HttpHandler next;
+
+  /**
+   * Creates a handler.
+   *
+   * @param quarantine the quarantine of the local VM
+   * @param clock monotonic clock
+   * @param next handler of all other paths
+   */
+  HeldPartsHandler(PartQuarantine quarantine, Clock clock, HttpHandler next) {
+    this.quarantine = quarantine;
+    this.clock = clock;
+    this.next = next;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) throws Exception {
+    boolean get = exchange.getRequestMethod().equals(Methods.GET);
+    if (get && exchange.getRequestPath().equals(LIST_PATH)) {
+      send(exchange, StatusCodes.OK, list());
+    } else if (!get && exchange.getRequestPath().equals(RELEASE_PATH)) {
+      exchange.getRequestReceiver().receiveFullString(this::release);
+    } else {
+      next.handleRequest(exchange);
+    }
+  }
+
+  private ObjectNode list() {
+    ObjectNode body = Json.MESSAGES.createObjectNode();
+    ArrayNode parts = body.putArray("heldParts");
+    long nowMs = clock.millis();
+    for (HeldPart part : quarantine.held()) {
+      ObjectNode entry = parts.addObject();
+      entry.put("service", part.service());
+      entry.put("part", part.part());
+      entry.set("companions", Json.MESSAGES.valueToTree(part.companions()));
+      entry.put("crashes", part.crashes());
+      entry.put("heldMs", nowMs - part.heldSinceMs());
+      entry.put("lastCrashAgeMs", nowMs - part.lastCrashAtMs());
+      entry.put("trialInMs", part.trialAtMs() - nowMs);
+    }
+    return body;
+  }
+
+  private void release(HttpServerExchange exchange, String text) {
+    try {
+      JsonNode body = Json.MESSAGES.readTree(text);
+      String service = body.path("service").asText();
+      String part = body.path("part").asText();
+      boolean released = quarantine.release(service, part);
+      send(
+          exchange,
+          released ? StatusCodes.OK : StatusCodes.NOT_FOUND,
+          Json.MESSAGES.createObjectNode().put("released", released));
+    } catch (JsonProcessingException e) {
+      send(
+          exchange,
+          StatusCodes.BAD_REQUEST,
+          Json.MESSAGES
+              .createObjectNode()
+              .put("error", "the body is not JSON; send {\"service\":...,\"part\":...}"));
+    }
+  }
+
+  private static void send(HttpServerExchange exchange, int status, JsonNode body) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.getResponseSender().send(body.toString());
+  }
+}
--- a/src/test/java/org/ragwortpick/forward/CrashingPartTest.java
+++ b/src/test/java/org/ragwortpick/forward/CrashingPartTest.java
@@ -86,7 +86,7 @@
     };
   }
 
-  @Test(dataProvider = "positions", groups = "known-red")
+  @Test(dataProvider = "positions")
   public void requestsWithHarmfulPartStopReachingUpstreams(String path, String parts)
       throws Exception {
     try (RawUpstream first = startUpstream();
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -29,6 +29,7 @@
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.routing.Route;
@@ -38,6 +39,8 @@
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -109,6 +112,11 @@
                     chooser,
                     () -> true,
                     loads,
+                    new PartQuarantine(
+                        new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
+                        "vm",
+                        () -> List.of("vm"),
+                        clock),
                     new NoStages(),
                     new ResponseTimes(),
                     new ResultLocator(service -> List.of()),
--- a/src/test/java/org/ragwortpick/forward/RepeatPolicyTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatPolicyTest.java
@@ -41,31 +41,35 @@
 
   @Test
   public void nonRepeatableRequestIsRepeatedOnlyIfNotRun() {
-    assertFalse(policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.LOST));
-    assertFalse(policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.FAILED));
-    assertFalse(policy(RequestKind.STREAMING, false, 3, 9).mayRepeat(AttemptOutcome.LOST));
-    assertTrue(policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.NOT_RUN));
+    assertFalse(
+        policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.LOST, false));
+    assertFalse(
+        policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.FAILED, false));
+    assertFalse(policy(RequestKind.STREAMING, false, 3, 9).mayRepeat(AttemptOutcome.LOST, false));
     assertTrue(
-        policy(RequestKind.NON_IDEMPOTENT, false, 1, 0).mayRepeat(AttemptOutcome.NOT_REACHED));
+        policy(RequestKind.NON_IDEMPOTENT, false, 3, 9).mayRepeat(AttemptOutcome.NOT_RUN, false));
+    assertTrue(
+        policy(RequestKind.NON_IDEMPOTENT, false, 1, 0)
+            .mayRepeat(AttemptOutcome.NOT_REACHED, false));
   }
 
   @Test
   public void repeatsAreLimitedByAttemptsAndBudget() {
     RepeatPolicy policy = policy(RequestKind.IDEMPOTENT, false, 2, 9);
-    assertTrue(policy.mayRepeat(AttemptOutcome.FAILED));
+    assertTrue(policy.mayRepeat(AttemptOutcome.FAILED, false));
     policy.onAttemptStarted();
-    assertFalse(policy.mayRepeat(AttemptOutcome.FAILED));
-    assertFalse(policy(RequestKind.IDEMPOTENT, false, 2, 0).mayRepeat(AttemptOutcome.LOST));
-    assertTrue(policy(RequestKind.STREAMING, true, 2, 1).mayRepeat(AttemptOutcome.LOST));
+    assertFalse(policy.mayRepeat(AttemptOutcome.FAILED, false));
+    assertFalse(policy(RequestKind.IDEMPOTENT, false, 2, 0).mayRepeat(AttemptOutcome.LOST, false));
+    assertTrue(policy(RequestKind.STREAMING, true, 2, 1).mayRepeat(AttemptOutcome.LOST, false));
   }
 
   @Test
   public void unreachedAttemptsAreLimited() {
     RepeatPolicy policy = policy(RequestKind.IDEMPOTENT, false, 9, 9);
-    assertTrue(policy.mayRepeat(AttemptOutcome.NOT_REACHED));
+    assertTrue(policy.mayRepeat(AttemptOutcome.NOT_REACHED, false));
     policy.onAttemptStarted();
-    assertTrue(policy.mayRepeat(AttemptOutcome.NOT_REACHED));
+    assertTrue(policy.mayRepeat(AttemptOutcome.NOT_REACHED, false));
     policy.onAttemptStarted();
-    assertFalse(policy.mayRepeat(AttemptOutcome.NOT_REACHED));
+    assertFalse(policy.mayRepeat(AttemptOutcome.NOT_REACHED, false));
   }
 }
--- a/src/test/java/org/ragwortpick/sync/TestUpstreams.java
+++ b/src/test/java/org/ragwortpick/sync/TestUpstreams.java
@@ -33,6 +33,25 @@
         false);
   }
 
+  /** Returns one incarnation of a ready upstream of a service. */
+  public static Upstream upstream(String id, String service, long incarnation) {
+    return new Upstream(
+        id,
+        incarnation,
+        1,
+        new HostPort("10.1.2.3", 9_000),
+        "norte-a",
+        service,
+        "",
+        "",
+        List.of(),
+        UpstreamState.READY,
+        16,
+        2,
+        0,
+        false);
+  }
+
   public static Upstream upstream(
       String id, long incarnation, long sequence, UpstreamState state, int load) {
     return upstream(id, incarnation, sequence, state, load, 2, 16);
--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -277,6 +277,14 @@
       return state;
     }
 
+    Clock clock() {
+      return clock;
+    }
+
+    String name() {
+      return name;
+    }
+
     LeaderDuties duties() {
       return duties;
     }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/vm/HeldPartsHandlerTest.java
@@ -0,0 +1,91 @@
+package org.ragwortpick.vm;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.Undertow;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.ragwortpick.common.Json;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.policy.quarantine.PartQuarantine;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SyncedCrashEvidence;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against operators who cannot see or release the parts that are held back. */
+public final class HeldPartsHandlerTest {
+
+  private Undertow server;
+  private String base;
+
+  @BeforeMethod
+  public void start() {
+    ManualClock clock = new ManualClock();
+    PartQuarantine quarantine =
+        new PartQuarantine(
+            new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
+            "vm",
+            () -> List.of("vm"),
+            clock);
+    for (int i = 1; i <= 3; i++) {
+      quarantine.recordCrash(TestUpstreams.upstream("u" + i, "s1", i), List.of("bad"));
+      clock.advanceMs(1_000);
+    }
+    server =
+        Undertow.builder()
+            .addHttpListener(0, "127.0.0.1")
+            .setHandler(
+                new HeldPartsHandler(quarantine, clock, exchange -> exchange.setStatusCode(418)))
+            .build();
+    server.start();
+    InetSocketAddress address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    base = "http://127.0.0.1:" + address.getPort();
+  }
+
+  @AfterMethod
+  public void stop() {
+    server.stop();
+  }
+
+  private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+    return HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private JsonNode held() throws Exception {
+    HttpResponse<String> response =
+        send(HttpRequest.newBuilder(URI.create(base + "/held-parts")).GET());
+    return Json.MESSAGES.readTree(response.body()).get("heldParts");
+  }
+
+  private int release(String body) throws Exception {
+    return send(HttpRequest.newBuilder(URI.create(base + "/held-parts/release"))
+            .POST(HttpRequest.BodyPublishers.ofString(body)))
+        .statusCode();
+  }
+
+  @Test
+  public void heldPartIsListedAndReleased() throws Exception {
+    JsonNode part = held().get(0);
+    assertEquals(part.get("service").asText(), "s1");
+    assertEquals(part.get("part").asText(), "bad");
+    assertEquals(part.get("crashes").asInt(), 3);
+    assertEquals(part.get("heldMs").asLong(), 1_000);
+    assertEquals(release("{\"service\":\"s1\",\"part\":\"other\"}"), 404);
+    assertEquals(release("no JSON"), 400);
+    assertEquals(release("{\"service\":\"s1\",\"part\":\"bad\"}"), 200);
+    assertEquals(held().size(), 0);
+  }
+
+  @Test
+  public void otherPathsReachNextHandler() throws Exception {
+    assertEquals(send(HttpRequest.newBuilder(URI.create(base + "/ready")).GET()).statusCode(), 418);
+  }
+}
