Bound the upstreams and collectors that one request can take down

Change: no third upstream after two that broke off before a token; no fifth collector after four that failed while they held the work. Pieces were bounded by MAX_PIECE_FAILURES, forwarded requests by MaxAttempts, calls that run once by their record.

Measured: requestUnderWhichTwoUpstreamsBrokeOffIsNotSentToAThird and workUnderWhichCollectorsFailIsGivenUp; StageRunTest, RemoteStageRunnerTest and PipelineDifferentialTest pass.

--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -61,6 +61,9 @@
    */
   private static final int MAX_ATTEMPTS = 3;
 
+  /** Maximum number of collectors that fail while they hold one stage, which may be the cause. */
+  private static final int MAX_FAILED_COLLECTORS = 4;
+
   private final HostPort localAddress;
   private final Supplier<List<VmRecord>> vms;
   private final StageCollectors localCollectors;
@@ -172,6 +175,7 @@
     private HostPort collector;
     private Runnable cancel = () -> {};
     private int attempts;
+    private int failedCollectors;
     private boolean ended;
     private List<String> handles = List.of();
 
@@ -221,6 +225,19 @@
           work.dataCentre());
     }
 
+    private void onCollectorFailed(String reason) {
+      failedCollectors++;
+      if (failedCollectors >= MAX_FAILED_COLLECTORS) {
+        LOG.warnf(
+            "request %s: stage %d given up, %d collectors failed while they held it: %s",
+            work.requestId(), work.stage(), failedCollectors, reason);
+        cancel.run();
+        end(new SubmissionEnd.Failed(SubmissionEnd.Cause.FAILED, 0));
+      } else {
+        sendToNextCollector(reason, FAILED_SKIP_MS);
+      }
+    }
+
     private void sendToNextCollector(String reason, long skipMs) {
       if (!ended) {
         LOG.infof(
@@ -338,8 +355,7 @@
       Set<Ticket> affected = new HashSet<>(pending);
       pending.clear();
       affected.forEach(
-          ticket ->
-              ticket.sendToNextCollector("the collector did not reply to a probe", FAILED_SKIP_MS));
+          ticket -> ticket.onCollectorFailed("the collector did not reply to a probe"));
     }
   }
 
@@ -397,7 +413,7 @@
       if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
         ticket.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0));
       } else {
-        ticket.sendToNextCollector(status.toString(), FAILED_SKIP_MS);
+        ticket.onCollectorFailed(status.toString());
       }
     }
 
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
@@ -41,6 +41,7 @@
   private final Span span;
   private final long sentAtMs;
   private UpstreamClient.UpstreamCall call;
+  private final int firstOffset;
   private int nextOffset;
   private long firstByteMs = -1;
   private boolean idChecked;
@@ -80,7 +81,8 @@
     this.dependencies = dependencies;
     this.gate = gate;
     this.owner = owner;
-    this.nextOffset = tokens.count();
+    this.firstOffset = tokens.count();
+    this.nextOffset = firstOffset;
     this.sentAtMs = dependencies.clock().millis();
     this.span =
         dependencies
@@ -131,6 +133,15 @@
     return firstByteMs >= 0;
   }
 
+  /**
+   * Tells whether the attempt has delivered a token.
+   *
+   * @return true if the upstream has got beyond the beginning of its response
+   */
+  boolean hasDelivered() {
+    return nextOffset > firstOffset;
+  }
+
   /** Settles the attempt without a report and cancels its work at the upstream. */
   void cancel() {
     if (settled) {
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -23,6 +23,9 @@
  */
 final class StageRun implements StageAttempt.Owner {
 
+  /** Maximum number of upstreams that break off before they have delivered a token of a stage. */
+  private static final int MAX_BROKEN_ATTEMPTS = 2;
+
   private final StageTask task;
   private final RequestContext request;
   private final EntryDependencies dependencies;
@@ -39,6 +42,7 @@
   private String lastCause = "";
   private int lastAttemptNumber;
   private int sentAttempts;
+  private int brokenAttempts;
   private int hedges;
   private boolean finished;
   private Timers.Timer slotTimer = () -> {};
@@ -187,6 +191,8 @@
       return;
     }
     lastCause = end.cause();
+    boolean harmful = end.kind() == AttemptEnd.Kind.BROKEN && !attempt.hasDelivered();
+    brokenAttempts += harmful ? 1 : 0;
     switch (end.kind()) {
       case COMPLETE -> {
         dependencies
@@ -223,9 +229,13 @@
     acquireSlot(false);
   }
 
-  /** Takes one retry from the retry budget if a retry is allowed. */
+  /**
+   * Takes one retry from the retry budget if a retry is allowed. A request under which upstreams
+   * broke off may be the cause, so it is not sent to many of them.
+   */
   private boolean tryTakeRetry() {
     return task.idempotent()
+        && brokenAttempts < MAX_BROKEN_ATTEMPTS
         && sentAttempts < dependencies.settings().maxAttempts()
         && dependencies.clock().millis() < budgetEndsAtMs
         && dependencies.policies().retryBudget().tryTake();
--- a/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
+++ b/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.grpc.Server;
+import io.grpc.Status;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
 import java.net.InetSocketAddress;
@@ -145,7 +146,19 @@
     assertEquals(slow.submits.get(), 1);
   }
 
+  @Test
+  public void workUnderWhichCollectorsFailIsGivenUp() throws Exception {
+    List<Collector> collectors = new ArrayList<>();
+    for (int i = 0; i < 7; i++) {
+      collectors.add(collector(Mode.FAILS));
+    }
+    SubmissionEnd end = submit("service");
+    assertEquals(end, new SubmissionEnd.Failed(SubmissionEnd.Cause.FAILED, 0));
+    assertEquals(collectors.stream().mapToInt(c -> c.submits.get()).sum(), 4);
+  }
+
   private enum Mode {
+    FAILS,
     REPLIES,
     SLOW,
     TERMINATED,
@@ -166,6 +179,7 @@
     public void submit(SubmitPiecesRequest request, StreamObserver<SubmitPiecesReply> observer) {
       submits.incrementAndGet();
       switch (mode) {
+        case FAILS -> observer.onError(Status.UNAVAILABLE.asRuntimeException());
         case REPLIES ->
             reply(observer, SubmitPiecesReply.newBuilder().addHandles("handle").build());
         case SLOW ->
--- a/src/test/java/org/ragwortpick/entry/pipeline/StageRunTest.java
+++ b/src/test/java/org/ragwortpick/entry/pipeline/StageRunTest.java
@@ -103,6 +103,21 @@
     assertTrue(upstreams.workRequests().get(0).request().freshConnection());
   }
 
+  @Test
+  public void requestUnderWhichTwoUpstreamsBrokeOffIsNotSentToAThird() {
+    HostPort third = new HostPort("10.0.0.3", 80);
+    entry.fakes().announce(EntryFakes.upstream("e3", third, "engine", "dc-1"));
+    start(false, true);
+    for (int i = 0; i < 2; i++) {
+      upstreams
+          .workRequests()
+          .get(i)
+          .end(new CallFailure.Broken(CallFailure.Broken.Sign.CONNECTION, "reset"));
+    }
+    assertEquals(upstreams.workRequests().size(), 2);
+    assertTrue(error() instanceof RequestError.StageFailed, error().toString());
+  }
+
   @Test
   public void dataCentreTakenOutDuringConnectReceivesNothing() {
     start(false, true);
