--- a/src/standin/java/org/ragwortpick/standin/TokenStream.java
+++ b/src/standin/java/org/ragwortpick/standin/TokenStream.java
@@ -15,6 +15,7 @@
   private final ScheduledExecutorService executor;
   private final String marker;
   private final int maxTokens;
+  private final boolean cut;
   private final Runnable onEnd;
   private final AtomicBoolean ended = new AtomicBoolean();
   private int nextOffset;
@@ -27,6 +28,7 @@
    * @param executor executor of the token timer
    * @param marker marker of the request, contained in each token
    * @param maxTokens number of tokens of the complete response
+   * @param cut whether the stream ends before half of its tokens are sent
    * @param resumeOffset offset of the first token to send
    * @param onEnd called once when the stream has ended
    */
@@ -36,6 +38,7 @@
       ScheduledExecutorService executor,
       String marker,
       int maxTokens,
+      boolean cut,
       int resumeOffset,
       Runnable onEnd) {
     this.connection = connection;
@@ -43,6 +46,7 @@
     this.executor = executor;
     this.marker = marker;
     this.maxTokens = maxTokens;
+    this.cut = cut;
     this.nextOffset = resumeOffset;
     this.onEnd = onEnd;
   }
@@ -79,6 +83,10 @@
     if (ended.get() || upstream.isSilent()) {
       return;
     }
+    if (cut && nextOffset >= maxTokens / 2) {
+      cancel();
+      return;
+    }
     if (nextOffset >= maxTokens) {
       ObjectNode data = Json.MESSAGES.createObjectNode();
       data.put("tokens", maxTokens);
--- a/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
@@ -3,11 +3,14 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.sse.ServerSentEventHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.io.IOException;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
@@ -82,7 +85,9 @@
             executor.schedule(
                 () -> {
                   upstream.coldStart().releaseSlot();
-                  if (!upstream.isSilent()) {
+                  if (!upstream.isSilent() && upstream.nextIsCut()) {
+                    sendHalf(exchange, response);
+                  } else if (!upstream.isSilent()) {
                     send(exchange, OK, response);
                   }
                 },
@@ -96,9 +101,14 @@
     }
     upstream.recordExecution(RequestMarker.find(body), callerOf(exchange));
     String streamId = streamId(exchange);
+    boolean cut = upstream.nextIsCut();
+    if (cut) {
+      // Without chunks, the end of the connection ends the response.
+      exchange.setPersistent(false);
+    }
     try {
       new ServerSentEventHandler(
-              (connection, lastEventId) -> upstream.generate(connection, streamId, body))
+              (connection, lastEventId) -> upstream.generate(connection, streamId, body, cut))
           .handleRequest(exchange);
     } catch (Exception e) {
       LOG.warnf(e, "request %s: cannot start the token stream; closing the exchange", streamId);
@@ -195,6 +205,29 @@
     exchange.getResponseSender().send(body.toString());
   }
 
+  /** Sends the first half of a body whose end is that of the connection. */
+  private static void sendHalf(HttpServerExchange exchange, JsonNode body) {
+    String text = body.toString();
+    exchange.setPersistent(false);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange
+        .getResponseSender()
+        .send(
+            text.substring(0, text.length() / 2),
+            new IoCallback() {
+              @Override
+              public void onComplete(HttpServerExchange sent, Sender sender) {
+                sender.close();
+              }
+
+              @Override
+              public void onException(
+                  HttpServerExchange failed, Sender sender, IOException exception) {
+                sender.close();
+              }
+            });
+  }
+
   /** Handles a request whose body has been received and parsed. */
   private interface BodyHandler {
     void handle(HttpServerExchange exchange, JsonNode body);
--- a/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
@@ -33,6 +33,7 @@
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicLong incarnation;
   private final AtomicLong lastWorkAtMs = new AtomicLong();
+  private final ResponseCuts cuts = new ResponseCuts();
   private final Deque<Integer> loadSamples = new ArrayDeque<>();
 
   private volatile boolean leaving;
@@ -129,8 +130,9 @@
    * @param connection connection to the caller
    * @param streamId identifier with which the stream can be cancelled
    * @param body request body
+   * @param cut whether the stream ends early
    */
-  void generate(ServerSentEventConnection connection, String streamId, JsonNode body) {
+  void generate(ServerSentEventConnection connection, String streamId, JsonNode body, boolean cut) {
     String marker = RequestMarker.find(body);
     JsonNode prompt = body.get("prompt");
     boolean hit = prompt != null && prefixCache.lookUpAndStore(prompt.asText().hashCode());
@@ -141,6 +143,7 @@
             executor,
             marker,
             body.path("maxTokens").asInt(DEFAULT_MAX_TOKENS),
+            cut,
             body.path("resumeOffset").asInt(0),
             () -> {
               streams.remove(streamId);
@@ -167,7 +170,8 @@
    *
    * @param name {@code cold}, {@code leave}, {@code rejoin}, {@code silent}, {@code resume} or
    *     {@code slow}
-   * @param value additional delay in milliseconds for {@code slow}
+   * @param value additional delay in milliseconds for {@code slow}; percentage of the responses
+   *     that end early for {@code cut}
    * @return false if the name is unknown
    */
   boolean applyFault(String name, long value) {
@@ -182,6 +186,7 @@
       case "silent" -> silent = true;
       case "resume" -> silent = false;
       case "slow" -> extraDelayMs = value;
+      case "cut" -> cuts.setPercent((int) value);
       default -> {
         return false;
       }
@@ -189,6 +194,15 @@
     return true;
   }
 
+  /**
+   * Decides whether the next response ends early.
+   *
+   * @return whether it is cut
+   */
+  boolean nextIsCut() {
+    return cuts.nextIsCut();
+  }
+
   /**
    * Tells whether the upstream sends neither responses nor announcements.
    *
