--- a/src/main/java/org/ragwortpick/cli/DemonstrateCommand.java
+++ b/src/main/java/org/ragwortpick/cli/DemonstrateCommand.java
@@ -134,7 +134,8 @@
             splitNames(services),
             splitNames(workspaces),
             REQUESTS_PER_CALL,
-            MAX_TOKENS));
+            MAX_TOKENS,
+            0));
   }
 
   private static List<String> splitNames(String list) {
--- a/src/main/java/org/ragwortpick/cli/LoadCommand.java
+++ b/src/main/java/org/ragwortpick/cli/LoadCommand.java
@@ -68,6 +68,12 @@
   @Option(name = "--tokens", metaVar = "N", usage = "tokens of each response; 24 if absent")
   private int maxTokens = 24;
 
+  @Option(
+      name = "--harmful-every",
+      metaVar = "N",
+      usage = "one of N requests ends stand-ins with the fault \"harmful\"; none if absent")
+  private int harmfulEvery;
+
   /** Creates the command. */
   public LoadCommand() {
     super("send requests to a running deployment on a fixed schedule");
@@ -110,7 +116,8 @@
         splitNames(services),
         splitNames(workspaces),
         callEvery,
-        maxTokens);
+        maxTokens,
+        harmfulEvery);
   }
 
   private List<Caller> callers(Clock clock) {
--- a/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.Json;
+import org.xnio.IoUtils;
 
 /** HTTP interface of one simulated upstream. */
 final class UpstreamHandler implements HttpHandler {
@@ -100,6 +101,11 @@
       return;
     }
     upstream.recordExecution(RequestMarker.find(body), callerOf(exchange));
+    if (upstream.endsUnder(body)) {
+      upstream.coldStart().releaseSlot();
+      IoUtils.safeClose(exchange.getConnection());
+      return;
+    }
     String streamId = streamId(exchange);
     boolean cut = upstream.nextIsCut();
     if (cut) {
--- a/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
@@ -6,22 +6,27 @@
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.config.ServiceKind;
 
 /** State of one simulated upstream. */
-final class UpstreamStandIn {
+public final class UpstreamStandIn {
 
   /** A hit in the prefix cache divides the time until the first token by this. */
   private static final int CACHE_HIT_DIVISOR = 4;
 
   private static final int DEFAULT_MAX_TOKENS = 16;
 
+  /** Text that makes a prompt harmful to upstreams with the fault {@code harmful}. */
+  public static final String HARMFUL_PROMPT = "harmful";
+
   private final UpstreamSpec spec;
   private final Clock clock;
   private final ScheduledExecutorService executor;
@@ -39,6 +44,7 @@
   private volatile boolean leaving;
   private volatile boolean silent;
   private volatile long extraDelayMs;
+  private volatile long harmfulDownMs;
 
   /**
    * Creates an upstream that has just started, in cold start.
@@ -171,7 +177,8 @@
    * @param name {@code cold}, {@code leave}, {@code rejoin}, {@code silent}, {@code resume} or
    *     {@code slow}
    * @param value additional delay in milliseconds for {@code slow}; percentage of the responses
-   *     that end early for {@code cut}
+   *     that end early for {@code cut}; time in milliseconds until the upstream starts again after
+   *     a harmful prompt for {@code harmful}, 0 if it bears them
    * @return false if the name is unknown
    */
   boolean applyFault(String name, long value) {
@@ -187,6 +194,7 @@
       case "resume" -> silent = false;
       case "slow" -> extraDelayMs = value;
       case "cut" -> cuts.setPercent((int) value);
+      case "harmful" -> harmfulDownMs = value;
       default -> {
         return false;
       }
@@ -203,6 +211,30 @@
     return cuts.nextIsCut();
   }
 
+  /**
+   * Ends the upstream if a prompt is harmful to it. It starts again as a new incarnation.
+   *
+   * @param body request body
+   * @return whether the upstream has ended
+   */
+  boolean endsUnder(JsonNode body) {
+    long downMs = harmfulDownMs;
+    if (downMs == 0 || !body.path("prompt").asText().contains(HARMFUL_PROMPT)) {
+      return false;
+    }
+    silent = true;
+    List.copyOf(streams.values()).forEach(TokenStream::cancel);
+    executor.schedule(
+        () -> {
+          incarnation.incrementAndGet();
+          coldStart.restartColdStart();
+          silent = false;
+        },
+        downMs,
+        TimeUnit.MILLISECONDS);
+    return true;
+  }
+
   /**
    * Tells whether the upstream sends neither responses nor announcements.
    *
--- a/src/standin/java/org/ragwortpick/standin/load/LoadPlan.java
+++ b/src/standin/java/org/ragwortpick/standin/load/LoadPlan.java
@@ -13,6 +13,8 @@
  * @param workspaces names of the workspaces
  * @param requestsPerCall one of this many requests is a non-idempotent call
  * @param maxTokens number of tokens of each generated response
+ * @param requestsPerHarmful one of this many requests has a prompt that ends stand-ins with the
+ *     fault {@code harmful}; 0 for none
  */
 public record LoadPlan(
     int requestsPerSecond,
@@ -22,7 +24,8 @@
     List<String> services,
     List<String> workspaces,
     int requestsPerCall,
-    int maxTokens) {
+    int maxTokens,
+    int requestsPerHarmful) {
 
   /** Copies the lists. */
   public LoadPlan {
@@ -31,6 +34,16 @@
     workspaces = List.copyOf(workspaces);
   }
 
+  /**
+   * Returns whether a request has a harmful prompt.
+   *
+   * @param index index of the request
+   * @return whether its prompt ends upstreams
+   */
+  boolean isHarmful(int index) {
+    return requestsPerHarmful > 0 && index % requestsPerHarmful == requestsPerHarmful - 1;
+  }
+
   /**
    * Returns the number of requests of the whole run.
    *
--- a/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
+++ b/src/standin/java/org/ragwortpick/standin/load/LoadRun.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.standin.RequestMarker;
+import org.ragwortpick.standin.UpstreamStandIn;
 
 /**
  * Sends the requests of a plan on a fixed schedule that does not depend on the responses (open
@@ -91,7 +92,8 @@
     String name = plan.pipelines().get(number % plan.pipelines().size());
     ObjectNode body = Json.MESSAGES.createObjectNode();
     body.putObject("input").put("marker", marker);
-    body.put("prompt", "prompt of " + workspace);
+    String harmful = plan.isHarmful(number) ? UpstreamStandIn.HARMFUL_PROMPT + " " : "";
+    body.put("prompt", harmful + "prompt of " + workspace);
     body.put("maxTokens", plan.maxTokens());
     return caller
         .send(
--- a/src/test/java/org/ragwortpick/entry/http/StandInFaultsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/StandInFaultsTest.java
@@ -25,7 +25,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Guards against stand-ins whose cut responses get past the product. */
+/** Guards against stand-ins whose cut responses or harmful prompts get past the product. */
 public final class StandInFaultsTest {
 
   private static final int ENGINES = 4;
@@ -96,6 +96,18 @@
         entry.post("/v1/pipelines/answer", "{\"input\":{},\"prompt\":\"" + prompt + "\"}"));
   }
 
+  private long executed() throws Exception {
+    long sum = 0;
+    for (HostPort engine : engines) {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + engine + "/stand-in/report")).build();
+      String body =
+          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+      sum += Json.MESSAGES.readTree(body).path("executed").asLong();
+    }
+    return sum;
+  }
+
   @Test
   public void cutStreamsNeverReachCallerAsWhole() throws Exception {
     HttpResponse<String> whole = run("p");
@@ -112,4 +124,12 @@
     }
     assertTrue(answered > 0, "no request was answered");
   }
+
+  @Test
+  public void harmfulPromptReachesTwoUpstreamsAtMost() throws Exception {
+    applyFault("harmful", 60_000);
+    assertTrue(run("harmful p").statusCode() >= 500);
+    assertEquals(executed(), 2);
+    assertEquals(run("p").statusCode(), 200);
+  }
 }
