--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -302,8 +302,8 @@
     boolean responseStarted = attempt.filter(UpstreamAttempt::responseStarted).isPresent();
     attempt.ifPresent(UpstreamAttempt::abort);
     if (responseStarted) {
-      relay.abort();
       finish("deadline_in_answer");
+      relay.abort();
     } else {
       refuse(attempt.isPresent() ? Refusal.TIMED_OUT : Refusal.DEADLINE_PASSED, "deadline");
     }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -182,14 +182,16 @@
   }
 
   private void endRelay(boolean complete, HttpEnd end) {
-    dependencies.metrics().attemptEnded(upstream.service(), complete ? "answered" : "broken_off");
     if (complete) {
+      dependencies.metrics().attemptEnded(upstream.service(), "answered");
       relay.finish();
+      listener.onResponseEnded(end);
     } else {
       recordFailure(AttemptOutcome.LOST, end);
+      // Closing the caller's connection would otherwise end the run as left by its caller.
+      listener.onResponseEnded(end);
       relay.abort();
     }
-    listener.onResponseEnded(end);
   }
 
   private void onCompleteResponse(HttpEnd end) {
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HttpString;
 import java.net.URI;
@@ -77,6 +78,7 @@
   private final HttpCallClient callClient;
   private final EntryServer server;
   private final HttpClient client = HttpClient.newHttpClient();
+  private final PrometheusRegistry registry = new PrometheusRegistry();
   private volatile boolean accepting = true;
   private volatile Configuration configuration = configuration();
 
@@ -127,7 +129,7 @@
                     () -> accepting,
                     () -> true,
                     work,
-                    new ForwardMetrics(new PrometheusRegistry())),
+                    new ForwardMetrics(registry)),
                 random),
             work);
     server.start();
@@ -164,6 +166,19 @@
         false);
   }
 
+  /** Returns the sum of a counter over all labels, and over those with one label value. */
+  double count(String counter, String labelValue) {
+    return registry.scrape(name -> name.equals(counter)).stream()
+        .flatMap(snapshot -> snapshot.getDataPoints().stream())
+        .filter(
+            point ->
+                labelValue.isEmpty()
+                    || point.getLabels().stream()
+                        .anyMatch(label -> label.getValue().equals(labelValue)))
+        .mapToDouble(point -> ((CounterSnapshot.CounterDataPointSnapshot) point).getValue())
+        .sum();
+  }
+
   HostPort address() {
     return server.address();
   }
--- a/src/test/java/org/ragwortpick/forward/UnframedResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/UnframedResponseTest.java
@@ -295,6 +295,15 @@
     }
   }
 
+  @Test
+  public void brokenStreamIsCountedOnceAndBySignOfItsBreak() throws Exception {
+    respond("/stream/x", EVENTS, EVENT + CUT_EVENT, "");
+    assertEquals(server.count("ragwortpick_forward_bodies", "broken_inside_event"), 1.0);
+    assertEquals(server.count("ragwortpick_forward_sends", ""), 1.0);
+    assertEquals(server.count("ragwortpick_forward_sends", "LOST"), 1.0);
+    assertEquals(server.count("ragwortpick_forward_requests", "broken_off"), 1.0);
+  }
+
   @Test
   public void upstreamOfBrokenStreamIsAvoidedAfterwards() throws Exception {
     AtomicInteger broken = new AtomicInteger();
