--- a/src/main/java/org/ragwortpick/forward/PromptPrefix.java
+++ b/src/main/java/org/ragwortpick/forward/PromptPrefix.java
@@ -25,7 +25,7 @@
    *
    * @param header comma-separated parts, each as id and number of tokens separated by a colon, the
    *     request's own part last; null if the request has no such header
-   * @return prefix of all parts but the last
+   * @return prefix of all parts but the last; a part without an id is not among its parts
    */
   static PromptPrefix parse(String header) {
     int lastComma = header == null ? -1 : header.lastIndexOf(',');
@@ -39,7 +39,9 @@
       ids.add(colon < 0 ? part.trim() : part.substring(0, colon).trim());
       tokens += colon < 0 ? 0 : parseTokens(part.substring(colon + 1).trim());
     }
-    return new PromptPrefix(ids, PrefixHash.of("/" + String.join("/", ids)), tokens);
+    long hash = PrefixHash.of("/" + String.join("/", ids));
+    ids.removeIf(String::isEmpty);
+    return new PromptPrefix(ids, hash, tokens);
   }
 
   private static long parseTokens(String text) {
--- a/src/main/java/org/ragwortpick/policy/quarantine/PartQuarantine.java
+++ b/src/main/java/org/ragwortpick/policy/quarantine/PartQuarantine.java
@@ -92,7 +92,7 @@
   /** One VM sends the trials, one after the other, so that they cannot end many upstreams. */
   private boolean mayTry(HeldPart part) {
     long nowMs = clock.millis();
-    String key = part.service() + "/" + part.part();
+    String key = keyOf(part);
     boolean due =
         nowMs >= part.trialAtMs() && nowMs >= nextTrialAtMs.getOrDefault(key, Long.MIN_VALUE);
     if (!due || !isTrialVm(key)) {
@@ -235,7 +235,7 @@
                 Collectors.groupingBy(
                     CrashEvidence::service,
                     Collectors.collectingAndThen(Collectors.toList(), CrashAssessment::new)));
-    logChanges(before);
+    onAssessed(before);
     clearKnownSoundParts();
   }
 
@@ -251,11 +251,12 @@
     }
   }
 
-  private void logChanges(List<HeldPart> before) {
+  private void onAssessed(List<HeldPart> before) {
     List<HeldPart> after =
         assessments.values().stream().flatMap(known -> known.held().stream()).toList();
     Set<String> heldBefore = keysOf(before);
     Set<String> heldAfter = keysOf(after);
+    nextTrialAtMs.keySet().retainAll(heldAfter);
     after.stream()
         .filter(part -> !heldBefore.contains(keyOf(part)))
         .forEach(part -> logChange("prompt part held back", part));
