--- a/src/main/java/org/ragwortpick/entry/pipeline/AttemptEnd.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/AttemptEnd.java
@@ -22,8 +22,10 @@
     REJECTED(AttemptResult.SUCCESS),
     /** The upstream responded with a server error. */
     ERROR(AttemptResult.FAILED),
-    /** The response was incomplete, not valid, or belongs to another attempt. */
+    /** The response was not valid, or belongs to another attempt. */
     BROKEN(AttemptResult.FAILED),
+    /** The connection or the stream ended before the response was complete. */
+    BROKEN_OFF(AttemptResult.FAILED),
     /** No byte arrived within the progress timeout. */
     TIMED_OUT(AttemptResult.TIMED_OUT),
     /** No connection could be opened. */
@@ -61,7 +63,7 @@
      * @return true if the work should be cancelled there
      */
     boolean mayStillRun() {
-      return this == BROKEN || this == TIMED_OUT;
+      return this == BROKEN || this == BROKEN_OFF || this == TIMED_OUT;
     }
   }
 }
--- a/src/main/java/org/ragwortpick/entry/pipeline/ResponseParser.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/ResponseParser.java
@@ -36,7 +36,8 @@
       return failed(AttemptEnd.Kind.TIMED_OUT, 0, "no byte arrived within the progress timeout");
     }
     if (end instanceof CallFailure.Broken e) {
-      return failed(AttemptEnd.Kind.BROKEN, 0, e.cause());
+      boolean unusable = e.sign() == CallFailure.Broken.Sign.UNUSABLE;
+      return failed(unusable ? AttemptEnd.Kind.BROKEN : AttemptEnd.Kind.BROKEN_OFF, 0, e.cause());
     }
     if (end instanceof UpstreamEnd.Answered e) {
       return classifyResponse(task, e);
@@ -59,7 +60,8 @@
       return failed(AttemptEnd.Kind.REJECTED, status, "the upstream responded with " + status);
     }
     if (task.stream()) {
-      return failed(AttemptEnd.Kind.BROKEN, status, "the stream ended before its \"done\" event");
+      return failed(
+          AttemptEnd.Kind.BROKEN_OFF, status, "the stream ended before its \"done\" event");
     }
     try {
       JsonNode output = Json.MESSAGES.readTree(call.body()).get("output");
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageRun.java
@@ -191,7 +191,7 @@
       return;
     }
     lastCause = end.cause();
-    boolean harmful = end.kind() == AttemptEnd.Kind.BROKEN && !attempt.hasDelivered();
+    boolean harmful = end.kind() == AttemptEnd.Kind.BROKEN_OFF && !attempt.hasDelivered();
     brokenAttempts += harmful ? 1 : 0;
     switch (end.kind()) {
       case COMPLETE -> {
--- a/src/main/java/org/ragwortpick/entry/upstream/CallFailure.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/CallFailure.java
@@ -25,6 +25,7 @@
     public enum Sign {
       /**
        * The connection was reset, or ended before the head, the stated length or the last chunk.
+       * The HTTP client reports bytes that are no HTTP in the same way.
        */
       CONNECTION,
       /** The event stream ended inside an event. */
@@ -33,7 +34,7 @@
       EMPTY_BODY,
       /** A body that ends with its connection is not one whole JSON value. */
       PARTIAL_JSON,
-      /** The response is not valid HTTP, is too large, or was rejected by its receiver. */
+      /** The response is too large, has an unknown coding, or was rejected by its receiver. */
       UNUSABLE
     }
   }
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.entry.upstream;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
@@ -110,6 +111,14 @@
     }
   }
 
+  @Test
+  public void truncatedHeadIsASignOfALostConnection() throws Exception {
+    try (RawUpstream upstream = new RawUpstream((c, r, headers) -> CLOSING)) {
+      HttpEnd end = call(upstream.address()).end.get(5, TimeUnit.SECONDS);
+      assertEquals(((CallFailure.Broken) end).sign(), CallFailure.Broken.Sign.CONNECTION);
+    }
+  }
+
   @Test(dataProvider = "endlessBodies")
   public void endlessBodyEndsCallAtLimit(String beginning, String repeated) throws Exception {
     try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, 0)) {
