Exclude upstreams that state in a response that they are leaving

What callers saw: an upstream that leaves says so in all its responses (Server-Leaving: 1 on the users' platform), but a VM went on sending to it until an announcement said so, and lost what it sent after the upstream had gone.

Cause: only announcements and leave notices changed the state of an upstream; the heads of responses were read for the load and for "not run" alone.

Change: UpstreamNotices reads the head of each response that belongs to the request, on all ways by which requests and pieces reach an upstream; LeavingUpstreams excludes that start of the upstream from the choice of forwarded requests, repeats and batch calls.

Ruled out: marking it in the shared table, since one false or stale response would take it from all VMs.

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -20,6 +20,7 @@
  * @param viewIsCurrent whether the view of the upstreams was confirmed since the process last
  *     resumed from a suspension
  * @param loads load of upstreams
+ * @param notices reads what upstreams state about themselves
  * @param quarantine holds back prompt parts that end upstreams
  * @param stages runs stages
  * @param responseTimes average response times by route
@@ -39,6 +40,7 @@
     UpstreamChooser chooser,
     BooleanSupplier viewIsCurrent,
     UpstreamLoads loads,
+    UpstreamNotices notices,
     PartQuarantine quarantine,
     StageRunner stages,
     ResponseTimes responseTimes,
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -37,6 +37,7 @@
   private final HttpCallClient callClient;
   private final BatchProtocol protocol;
   private final RoutingHeaders names;
+  private final UpstreamNotices notices;
 
   /**
    * Creates the transport.
@@ -44,12 +45,17 @@
    * @param callClient sends calls to upstreams
    * @param protocol encoding of the calls
    * @param names names of headers
+   * @param notices reads what upstreams state about themselves
    */
   public HttpBatchTransport(
-      HttpCallClient callClient, BatchProtocol protocol, RoutingHeaders names) {
+      HttpCallClient callClient,
+      BatchProtocol protocol,
+      RoutingHeaders names,
+      UpstreamNotices notices) {
     this.callClient = callClient;
     this.protocol = protocol;
     this.names = names;
+    this.notices = notices;
   }
 
   @Override
@@ -130,18 +136,20 @@
             false,
             new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
             () -> true),
-        new Response(whenDone));
+        new Response(upstream, whenDone));
   }
 
   /** Collects one response. */
   private final class Response implements HttpListener {
 
+    private final Upstream upstream;
     private final BiConsumer<Response, HttpEnd> whenDone;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private boolean notExecuted;
 
-    private Response(BiConsumer<Response, HttpEnd> whenDone) {
+    private Response(Upstream upstream, BiConsumer<Response, HttpEnd> whenDone) {
+      this.upstream = upstream;
       this.whenDone = whenDone;
     }
 
@@ -149,6 +157,7 @@
     public void onHead(HttpHead head) {
       status = head.status();
       notExecuted = head.headers().contains(names.notExecuted());
+      notices.onHead(upstream, head);
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -14,6 +14,7 @@
  * @param expectedUpstream id of the upstream that may run the request
  * @param notExecuted present in a response if the upstream did not run the request
  * @param load running requests, waiting requests and slots of the responding upstream
+ * @param leaving 1 in all responses of an upstream that is leaving
  * @param prefixes parts of the prompt as id and number of tokens, the request's own part last
  * @param pieceCount number of pieces of each stage
  * @param pieceKey key of the pieces of stages without inputs, passed to their upstreams unchanged
@@ -28,6 +29,7 @@
     HttpString expectedUpstream,
     HttpString notExecuted,
     HttpString load,
+    HttpString leaving,
     HttpString prefixes,
     HttpString pieceCount,
     HttpString pieceKey,
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -118,6 +118,7 @@
       call.abort();
       return;
     }
+    dependencies.notices().onHead(upstream, head);
     LoadReport.parse(head.headers().getFirst(names.load()))
         .ifPresent(load -> dependencies.loads().recordReport(upstream.id(), load.totalRequests()));
     if (!notRun) {
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -10,6 +10,7 @@
 import org.ragwortpick.policy.SelectionRequest;
 import org.ragwortpick.policy.UpstreamSelector;
 import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
@@ -25,6 +26,7 @@
   private final Function<String, List<Upstream>> upstreamsOf;
   private final UpstreamSelector selector;
   private final UpstreamLoads loads;
+  private final LeavingUpstreams leaving;
   private final ColdRateShare coldShare;
   private final Supplier<List<String>> entryVms;
 
@@ -35,6 +37,7 @@
    * @param upstreamsOf returns the announced upstreams of a service
    * @param selector selects among candidates
    * @param loads load of upstreams
+   * @param leaving upstreams that stated that they are leaving
    * @param coldShare the local VM's share of the request rate of cold upstreams
    * @param entryVms names of the VMs that serve callers
    */
@@ -43,12 +46,14 @@
       Function<String, List<Upstream>> upstreamsOf,
       UpstreamSelector selector,
       UpstreamLoads loads,
+      LeavingUpstreams leaving,
       ColdRateShare coldShare,
       Supplier<List<String>> entryVms) {
     this.configuration = configuration;
     this.upstreamsOf = upstreamsOf;
     this.selector = selector;
     this.loads = loads;
+    this.leaving = leaving;
     this.coldShare = coldShare;
     this.entryVms = entryVms;
   }
@@ -57,13 +62,15 @@
    * Lists the upstreams of a service that may take work.
    *
    * @param service name of the service
-   * @return announced upstreams, cold or ready, in data centres that are in service
+   * @return announced upstreams, cold or ready, in data centres that are in service, without those
+   *     that stated in a response that they are leaving
    */
   public List<Upstream> available(String service) {
     Configuration current = configuration.get();
-    return upstreamsOf.apply(service).stream()
-        .filter(upstream -> current.takesWork(upstream.dataCentre()))
-        .toList();
+    return leaving.exclude(
+        upstreamsOf.apply(service).stream()
+            .filter(upstream -> current.takesWork(upstream.dataCentre()))
+            .toList());
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -35,10 +35,12 @@
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
 import org.ragwortpick.forward.UpstreamChooser;
+import org.ragwortpick.forward.UpstreamNotices;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -86,6 +88,8 @@
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
+  private final LeavingUpstreams leaving;
+  private final UpstreamNotices notices;
   private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
   private final EntryServer server;
@@ -122,6 +126,8 @@
     this.httpCallClient =
         new HttpCallClient(worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS);
     this.loads = new UpstreamLoads(clock);
+    this.leaving = new LeavingUpstreams(clock);
+    this.notices = new UpstreamNotices(protocol.headers(), leaving);
     this.freshness =
         new ViewFreshness(
             sync.configurationView(), new SuspensionDetector(clock, Clock.systemUTC()), clock);
@@ -138,7 +144,7 @@
         new PartQuarantine(
             sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
     HttpBatchTransport transport =
-        new HttpBatchTransport(httpCallClient, protocol.batches(), protocol.headers());
+        new HttpBatchTransport(httpCallClient, protocol.batches(), protocol.headers(), notices);
     this.stages =
         new RemoteStageRunner(
             settings.peerAddress(),
@@ -167,6 +173,7 @@
         new RendezvousAffinitySelector(
             new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
         loads,
+        leaving,
         new ColdRateShare(settings.peerAddress().toString(), clock),
         this::entryVmNames);
   }
@@ -178,6 +185,11 @@
         .help("Prompt parts that are held back because upstreams ended under them")
         .callback(callback -> callback.call(quarantine.held().size()))
         .register(registry);
+    GaugeWithCallback.builder()
+        .name("ragwortpick_leaving_upstreams")
+        .help("Upstreams excluded because they stated in a response that they are leaving")
+        .callback(callback -> callback.call(leaving.count()))
+        .register(registry);
     HttpHandler handler =
         new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
     return Undertow.builder()
@@ -228,6 +240,7 @@
         chooser,
         freshness::isConfirmedSinceResume,
         loads,
+        notices,
         quarantine,
         stages,
         new ResponseTimes(),
@@ -291,7 +304,12 @@
   void start() {
     server.start();
     readiness.start();
-    ioThread.executeAtInterval(loads::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    ioThread.executeAtInterval(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void expire() {
+    loads.expire();
+    leaving.expire();
   }
 
   @Override
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -29,6 +29,7 @@
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -62,6 +63,7 @@
           HttpString.tryFromString("Expected-Upstream"),
           HttpString.tryFromString("Untouched"),
           HttpString.tryFromString("Work-Load"),
+          HttpString.tryFromString("Going-Away"),
           HttpString.tryFromString("Prefixes"),
           HttpString.tryFromString("Parts"),
           HttpString.tryFromString("Part-Seed"),
@@ -89,6 +91,7 @@
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000);
     UpstreamLoads loads = new UpstreamLoads(clock);
+    LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
     UpstreamChooser chooser =
         new UpstreamChooser(
@@ -97,6 +100,7 @@
                 upstreams.values().stream().filter(u -> u.service().equals(service)).toList(),
             new LeastLoadedSelector("dc", random),
             loads,
+            leaving,
             new ColdRateShare("vm", clock),
             () -> List.of("vm"));
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
@@ -114,6 +118,7 @@
                     chooser,
                     () -> true,
                     loads,
+                    new UpstreamNotices(HEADERS, leaving),
                     new PartQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
@@ -187,6 +192,28 @@
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
+  /** Announces a later start of an upstream under the id that it had. */
+  void announceAgain(String id, long incarnation, HostPort address) {
+    Upstream first = TestUpstreams.ready(id, "s1", address, "dc");
+    upstreams.put(
+        id,
+        new Upstream(
+            id,
+            incarnation,
+            1,
+            address,
+            first.dataCentre(),
+            first.service(),
+            first.model(),
+            first.version(),
+            first.adapters(),
+            first.state(),
+            first.slots(),
+            first.coldLimit(),
+            first.load(),
+            first.checksFencing()));
+  }
+
   void withdraw(String id) {
     upstreams.remove(id);
   }
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.forward;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
@@ -17,7 +18,9 @@
 import org.ragwortpick.entry.http.EndlessUpstream;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -36,12 +39,14 @@
 
   private XnioWorker worker;
   private HttpCallClient callClient;
+  private LeavingUpstreams leaving;
 
   @BeforeMethod
   public void start() throws Exception {
     worker =
         Xnio.getInstance()
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    leaving = new LeavingUpstreams(new MonotonicClock());
     callClient =
         new HttpCallClient(
             worker, new DefaultByteBufferPool(true, 16 * 1024), new MonotonicClock(), 300, 5_000);
@@ -53,6 +58,14 @@
     worker.shutdownNow();
   }
 
+  private HttpBatchTransport transport(BatchProtocol protocol) {
+    return new HttpBatchTransport(
+        callClient,
+        protocol,
+        ForwardTestServer.HEADERS,
+        new UpstreamNotices(ForwardTestServer.HEADERS, leaving));
+  }
+
   @DataProvider
   public static Object[][] endlessResponses() {
     return new Object[][] {
@@ -65,7 +78,7 @@
       throws Exception {
     try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, pauseNanos)) {
       CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
-      new HttpBatchTransport(callClient, new EmptyBatches(), ForwardTestServer.HEADERS)
+      transport(new EmptyBatches())
           .run(
               TestUpstreams.ready("u1", "s1", upstream.address(), "dc"),
               List.of(),
@@ -82,7 +95,7 @@
             (connection, request, headers) ->
                 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"Items\":[{\"Hand")) {
       CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
-      new HttpBatchTransport(callClient, new JsonBatches(), ForwardTestServer.HEADERS)
+      transport(new JsonBatches())
           .run(
               TestUpstreams.ready("u1", "s1", upstream.address(), "dc"),
               List.of(),
@@ -92,6 +105,24 @@
     }
   }
 
+  @DataProvider
+  public static Object[][] leavingStatusLines() {
+    return new Object[][] {{"200 OK", true}, {"503 Busy", true}, {"421 Misdirected", false}};
+  }
+
+  @Test(dataProvider = "leavingStatusLines")
+  public void batchesAndReleasesShowThatAnUpstreamLeaves(String statusLine, boolean excluded)
+      throws Exception {
+    String response = "HTTP/1.1 " + statusLine + "\r\nGoing-Away: 1\r\nContent-Length: 2\r\n\r\n{}";
+    try (RawUpstream upstream = new RawUpstream((connection, request, headers) -> response)) {
+      Upstream first = TestUpstreams.ready("u1", "s1", upstream.address(), "dc");
+      CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
+      transport(new JsonBatches()).run(first, List.of(), TIMEOUT_MS, outcome::complete);
+      outcome.get(4 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      assertEquals(leaving.isLeaving(first), excluded);
+    }
+  }
+
   /** Protocol of calls without pieces whose response is any JSON value. */
   private static final class JsonBatches extends EmptyBatches {
 
