Send nothing to an upstream in the retry time of its refusal

Cause: the retry time went to the caller of that one request and nowhere else; the next request, repeat or batch chose the upstream again.

Change: UpstreamNotices passes the retry time of a 503 to RequestedPauses, per start of an upstream, which the choice of forwarded requests and repeats, the calls of stage collectors and the release of results respect. The refusal of a service whose upstreams all pause states the time left. A pause is no failure: neither load nor backoff nor slowdown grow. A 503 to a batch counts as a refusal with or without the mark "not run", as pieces may be produced again.

--- a/src/main/java/org/ragwortpick/batch/CallTracker.java
+++ b/src/main/java/org/ragwortpick/batch/CallTracker.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.batch;
 
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
@@ -33,6 +34,7 @@
   /** Maximum of the measured slowdown, as a multiple of the stated duration. */
   private static final double MAX_SLOWDOWN = 8.0;
 
+  private final RequestedPauses requestedPauses;
   private final ResultCapacity resultCapacity = new ResultCapacity();
   private Upstream upstream;
   private int callsInProgress;
@@ -47,9 +49,11 @@
    * Creates the tracker of an upstream.
    *
    * @param upstream the upstream
+   * @param requestedPauses pauses that upstreams requested
    */
-  CallTracker(Upstream upstream) {
+  CallTracker(Upstream upstream, RequestedPauses requestedPauses) {
     this.upstream = upstream;
+    this.requestedPauses = requestedPauses;
   }
 
   /**
@@ -87,7 +91,7 @@
    * @return whether the upstream has a free slot and is not paused
    */
   boolean isFree(BatchProfile profile, long nowMs) {
-    return callsInProgress < Math.max(1, profile.runningCalls()) && nowMs >= pausedUntilMs;
+    return callsInProgress < Math.max(1, profile.runningCalls()) && nowMs >= pausedUntilMs();
   }
 
   /**
@@ -96,7 +100,17 @@
    * @return monotonic time in milliseconds
    */
   long pausedUntilMs() {
-    return pausedUntilMs;
+    return Math.max(pausedUntilMs, requestedPauses.untilMs(upstream));
+  }
+
+  /**
+   * Returns whether the upstream has requested a pause that has not ended.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return whether it must get no calls now
+   */
+  boolean hasRequestedPause(long nowMs) {
+    return nowMs < requestedPauses.untilMs(upstream);
   }
 
   /**
@@ -126,7 +140,7 @@
    * @return monotonic time in milliseconds
    */
   long busyUntilMs() {
-    return callsInProgress == 0 ? pausedUntilMs : Math.max(pausedUntilMs, busyUntilMs);
+    return callsInProgress == 0 ? pausedUntilMs() : Math.max(pausedUntilMs(), busyUntilMs);
   }
 
   /**
@@ -194,6 +208,11 @@
     pausedUntilMs = nowMs + CAPACITY_PAUSE_MS;
   }
 
+  /** Records a call that the upstream refused with a request for a pause, which is no failure. */
+  void onPauseRequested() {
+    callsInProgress--;
+  }
+
   /**
    * Records a call without results and pauses the upstream with exponential backoff.
    *
--- a/src/main/java/org/ragwortpick/batch/CallTrackers.java
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -5,14 +5,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
 /** Trackers of all upstreams of one stage service. Confined to the thread of the collector. */
 final class CallTrackers {
 
+  private final RequestedPauses requestedPauses;
   private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
 
+  /**
+   * Creates an instance without trackers.
+   *
+   * @param requestedPauses pauses that upstreams requested
+   */
+  CallTrackers(RequestedPauses requestedPauses) {
+    this.requestedPauses = requestedPauses;
+  }
+
   /**
    * Adds trackers of new upstreams and removes those of upstreams that are gone. A restarted
    * upstream gets a new tracker.
@@ -25,7 +36,9 @@
     byUpstream.keySet().retainAll(current.keySet());
     current.forEach(
         (key, upstream) ->
-            byUpstream.computeIfAbsent(key, id -> new CallTracker(upstream)).update(upstream));
+            byUpstream
+                .computeIfAbsent(key, id -> new CallTracker(upstream, requestedPauses))
+                .update(upstream));
   }
 
   private static String keyOf(Upstream upstream) {
@@ -107,10 +120,13 @@
     if (byUpstream.isEmpty()) {
       return 0;
     }
+    boolean allPaused =
+        byUpstream.values().stream().allMatch(tracker -> tracker.hasRequestedPause(nowMs));
     double piecesPerMs = 0;
     long freeAtMs = Long.MAX_VALUE;
     for (CallTracker tracker : byUpstream.values()) {
-      piecesPerMs += tracker.piecesPerMs(limits);
+      boolean counts = allPaused || !tracker.hasRequestedPause(nowMs);
+      piecesPerMs += counts ? tracker.piecesPerMs(limits) : 0;
       freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
     }
     return Math.max(0, freeAtMs - nowMs) + (long) (piecesAhead / piecesPerMs);
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -14,6 +14,7 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.logging.DecisionLine;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
@@ -56,7 +57,7 @@
   private final Timers timers;
   private final Clock clock;
   private final PieceQueue queue = new PieceQueue();
-  private final CallTrackers trackers = new CallTrackers();
+  private final CallTrackers trackers;
   private Timers.Timer redispatch = () -> {};
   private long redispatchAtMs = Long.MAX_VALUE;
   private long dispatchedAtMs = Long.MIN_VALUE / 2;
@@ -69,6 +70,7 @@
    * @param upstreams upstreams of the service that may take work
    * @param role decides for which VMs the local VM may collect pieces
    * @param transport sends calls to upstreams
+   * @param requestedPauses pauses that upstreams requested
    * @param inputReleaser releases results of other services
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
@@ -79,6 +81,7 @@
       Supplier<List<Upstream>> upstreams,
       CollectorRole role,
       BatchTransport transport,
+      RequestedPauses requestedPauses,
       ResultReleaser inputReleaser,
       Timers timers,
       Clock clock) {
@@ -86,7 +89,8 @@
     this.profile = profile;
     this.upstreams = upstreams;
     this.role = role;
-    this.transport = transport;
+    this.transport = new PausingTransport(transport, requestedPauses, timers);
+    this.trackers = new CallTrackers(requestedPauses);
     this.inputReleaser = inputReleaser;
     this.timers = timers;
     this.clock = clock;
@@ -357,7 +361,11 @@
       return;
     }
     boolean lost = outcome instanceof BatchOutcome.Lost;
-    tracker.onCallFailed(nowMs, lost);
+    if (tracker.hasRequestedPause(nowMs)) {
+      tracker.onPauseRequested();
+    } else {
+      tracker.onCallFailed(nowMs, lost);
+    }
     DecisionLine.of("batch not answered")
         .with("service", service)
         .with("upstream", tracker.upstream().id())
--- a/src/main/java/org/ragwortpick/forward/AttemptListener.java
+++ b/src/main/java/org/ragwortpick/forward/AttemptListener.java
@@ -39,7 +39,6 @@
    * Called when the attempt has ended without a response for the caller and is not repeated.
    *
    * @param outcome outcome of the attempt
-   * @param retryAfterMs retry time that the upstream stated in milliseconds; 0 if it stated none
    */
-  void onFailed(AttemptOutcome outcome, long retryAfterMs);
+  void onFailed(AttemptOutcome outcome);
 }
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -194,7 +194,7 @@
                 triedUpstreams);
     if (chosen.isEmpty()) {
       refuse(
-          Refusal.unavailable("service " + service + " has no free upstream", RETRY_AFTER_MS),
+          Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
           "no_upstream");
       return;
     }
@@ -217,6 +217,10 @@
     nextAttempt.start(httpRequest(upstream));
   }
 
+  private long retryAfterPauseMs() {
+    return Math.max(RETRY_AFTER_MS, dependencies.chooser().pauseRemainingMs(service));
+  }
+
   private HttpRequest httpRequest(Upstream upstream) {
     RoutingHeaders names = dependencies.headers();
     HeaderMap headers = new HeaderMap();
@@ -283,13 +287,13 @@
   }
 
   @Override
-  public void onFailed(AttemptOutcome outcome, long retryAfterMs) {
+  public void onFailed(AttemptOutcome outcome) {
     switch (outcome) {
       case NOT_RUN, NOT_REACHED ->
           refuse(
               Refusal.unavailable(
                   "the upstreams of service " + service + " did not run the request",
-                  Math.max(retryAfterMs, RETRY_AFTER_MS)),
+                  retryAfterPauseMs()),
               "not_run");
       default -> refuse(Refusal.OUTCOME_UNKNOWN, "lost");
     }
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -73,7 +73,7 @@
     if (end.nothingSent() || response.status == MISDIRECTED_REQUEST) {
       return new BatchOutcome.NotReached();
     }
-    if (response.notExecuted) {
+    if (response.notExecuted || response.status == StatusCodes.SERVICE_UNAVAILABLE) {
       return new BatchOutcome.Refused();
     }
     if (!(end instanceof HttpEnd.Completed) || response.status != StatusCodes.OK) {
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package org.ragwortpick.forward;
 
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -33,7 +32,6 @@
   private static final int MAX_REFUSAL_BYTES = 64 * 1024;
 
   private static final int MISDIRECTED_REQUEST = 421;
-  private static final double MS_PER_SECOND = 1_000;
 
   private final ForwardDependencies dependencies;
   private final CallerRequest request;
@@ -199,7 +197,9 @@
     boolean failed = head.status() >= StatusCodes.INTERNAL_SERVER_ERROR;
     dependencies.metrics().attemptEnded(upstream.service(), failed ? "failed" : "answered");
     if (failed) {
-      dependencies.loads().recordFailure(upstream.id());
+      if (!UpstreamNotices.requestsPause(head)) {
+        dependencies.loads().recordFailure(upstream.id());
+      }
       if (repeatable && listener.mayRepeat(AttemptOutcome.FAILED)) {
         listener.onRepeat(AttemptOutcome.FAILED);
         return;
@@ -222,7 +222,7 @@
     dependencies.metrics().attemptEnded(upstream.service(), outcome.name());
     if (outcome == AttemptOutcome.NOT_REACHED) {
       dependencies.loads().recordUnreached(upstream.id());
-    } else {
+    } else if (outcome != AttemptOutcome.NOT_RUN || !UpstreamNotices.requestsPause(head)) {
       dependencies.loads().recordFailure(upstream.id());
     }
     LOG.infof(
@@ -234,22 +234,7 @@
     if (listener.mayRepeat(outcome)) {
       listener.onRepeat(outcome);
     } else {
-      listener.onFailed(outcome, retryAfterMs());
-    }
-  }
-
-  private long retryAfterMs() {
-    String value = head.headers().getFirst(Headers.RETRY_AFTER);
-    if (value == null) {
-      return 0;
-    }
-    try {
-      return (long) (Double.parseDouble(value.trim()) * MS_PER_SECOND);
-    } catch (NumberFormatException e) {
-      LOG.debugf(
-          "upstream %s sent the retry time %s, which is not a number; it is ignored",
-          upstream.id(), value);
-      return 0;
+      listener.onFailed(outcome);
     }
   }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.policy.UpstreamSelector;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
@@ -27,6 +28,7 @@
   private final UpstreamSelector selector;
   private final UpstreamLoads loads;
   private final LeavingUpstreams leaving;
+  private final RequestedPauses pauses;
   private final ColdRateShare coldShare;
   private final Supplier<List<String>> entryVms;
 
@@ -38,6 +40,7 @@
    * @param selector selects among candidates
    * @param loads load of upstreams
    * @param leaving upstreams that stated that they are leaving
+   * @param pauses pauses that upstreams requested
    * @param coldShare the local VM's share of the request rate of cold upstreams
    * @param entryVms names of the VMs that serve callers
    */
@@ -47,6 +50,7 @@
       UpstreamSelector selector,
       UpstreamLoads loads,
       LeavingUpstreams leaving,
+      RequestedPauses pauses,
       ColdRateShare coldShare,
       Supplier<List<String>> entryVms) {
     this.configuration = configuration;
@@ -54,6 +58,7 @@
     this.selector = selector;
     this.loads = loads;
     this.leaving = leaving;
+    this.pauses = pauses;
     this.coldShare = coldShare;
     this.entryVms = entryVms;
   }
@@ -63,7 +68,7 @@
    *
    * @param service name of the service
    * @return announced upstreams, cold or ready, in data centres that are in service, without those
-   *     that stated in a response that they are leaving
+   *     that stated in a response that they are leaving; some may be paused
    */
   public List<Upstream> available(String service) {
     Configuration current = configuration.get();
@@ -73,6 +78,17 @@
             .toList());
   }
 
+  /**
+   * Returns the time until the first upstream of a service may get a request, if all of them have
+   * requested a pause.
+   *
+   * @param service name of the service
+   * @return time in milliseconds; 0 if an upstream is not paused, or there are none
+   */
+  long pauseRemainingMs(String service) {
+    return pauses.remainingMs(available(service));
+  }
+
   /**
    * Returns the data centre of the upstream that would be chosen now, without reserving it.
    *
@@ -104,7 +120,8 @@
    */
   Optional<Upstream> choose(
       String service, PromptPrefix prefix, String dataCentre, Set<String> tried) {
-    List<Upstream> available = available(service);
+    List<Upstream> available =
+        available(service).stream().filter(upstream -> !pauses.isPaused(upstream)).toList();
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate =
--- a/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
@@ -1,7 +1,10 @@
 package org.ragwortpick.forward;
 
+import io.undertow.util.StatusCodes;
 import org.ragwortpick.entry.upstream.HttpHead;
+import org.ragwortpick.entry.upstream.RetryAfterHeader;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.Upstream;
 
 /**
@@ -15,16 +18,19 @@
 
   private final RoutingHeaders names;
   private final LeavingUpstreams leaving;
+  private final RequestedPauses pauses;
 
   /**
    * Creates an instance.
    *
    * @param names names of headers
    * @param leaving receives the upstreams that are leaving
+   * @param pauses receives the pauses that upstreams request
    */
-  public UpstreamNotices(RoutingHeaders names, LeavingUpstreams leaving) {
+  public UpstreamNotices(RoutingHeaders names, LeavingUpstreams leaving, RequestedPauses pauses) {
     this.names = names;
     this.leaving = leaving;
+    this.pauses = pauses;
   }
 
   /**
@@ -41,5 +47,19 @@
     if (IS_LEAVING.equals(head.headers().getFirst(names.leaving()))) {
       leaving.record(upstream);
     }
+    if (requestsPause(head)) {
+      pauses.record(upstream, RetryAfterHeader.delayMs(head.headers()));
+    }
+  }
+
+  /**
+   * Returns whether a response requests a pause, which is no failure of its upstream.
+   *
+   * @param head head of the response
+   * @return whether it is a refusal with a retry time
+   */
+  static boolean requestsPause(HttpHead head) {
+    return head.status() == StatusCodes.SERVICE_UNAVAILABLE
+        && RetryAfterHeader.delayMs(head.headers()) > 0;
   }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -41,6 +41,7 @@
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -89,6 +90,7 @@
   private final Timers timers;
   private final UpstreamLoads loads;
   private final LeavingUpstreams leaving;
+  private final RequestedPauses pauses;
   private final UpstreamNotices notices;
   private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
@@ -127,11 +129,12 @@
         new HttpCallClient(worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS);
     this.loads = new UpstreamLoads(clock);
     this.leaving = new LeavingUpstreams(clock);
-    this.notices = new UpstreamNotices(protocol.headers(), leaving);
+    RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
+    this.pauses = new RequestedPauses(clock, random);
+    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses);
     this.freshness =
         new ViewFreshness(
             sync.configurationView(), new SuspensionDetector(clock, Clock.systemUTC()), clock);
-    RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.collectorRole =
         new CollectorRole(
             settings.peerAddress().toString(),
@@ -174,6 +177,7 @@
             new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
         loads,
         leaving,
+        pauses,
         new ColdRateShare(settings.peerAddress().toString(), clock),
         this::entryVmNames);
   }
@@ -190,6 +194,11 @@
         .help("Upstreams excluded because they stated in a response that they are leaving")
         .callback(callback -> callback.call(leaving.count()))
         .register(registry);
+    GaugeWithCallback.builder()
+        .name("ragwortpick_paused_upstreams")
+        .help("Upstreams that get no requests because they requested a pause in a response")
+        .callback(callback -> callback.call(pauses.count()))
+        .register(registry);
     HttpHandler handler =
         new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
     return Undertow.builder()
@@ -224,6 +233,7 @@
         () -> chooser.available(service),
         collectorRole,
         transport,
+        pauses,
         this::release,
         timers,
         clock);
@@ -310,6 +320,7 @@
   private void expire() {
     loads.expire();
     leaving.expire();
+    pauses.expire();
   }
 
   @Override
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -10,6 +10,7 @@
 import java.util.function.ToDoubleFunction;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
@@ -147,6 +148,7 @@
             () -> upstreams,
             new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
             service,
+            new RequestedPauses(time.clock(), new Random(1)),
             (other, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/entry/VirtualTime.java
+++ b/src/test/java/org/ragwortpick/entry/VirtualTime.java
@@ -35,5 +35,15 @@
     }
   }
 
+  /** Runs the tasks that are due up to a moment and advances the clock to it. */
+  public void runUntil(long untilMs) {
+    while (!tasks.isEmpty() && tasks.peek().atMs() <= untilMs) {
+      Task next = tasks.remove();
+      clock.advanceMs(next.atMs() - clock.millis());
+      next.action().run();
+    }
+    clock.advanceMs(untilMs - clock.millis());
+  }
+
   private record Task(long atMs, long order, Runnable action) {}
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -30,6 +30,7 @@
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -93,6 +94,7 @@
     UpstreamLoads loads = new UpstreamLoads(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
+    RequestedPauses pauses = new RequestedPauses(clock, random);
     UpstreamChooser chooser =
         new UpstreamChooser(
             () -> configuration,
@@ -101,6 +103,7 @@
             new LeastLoadedSelector("dc", random),
             loads,
             leaving,
+            pauses,
             new ColdRateShare("vm", clock),
             () -> List.of("vm"));
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
@@ -118,7 +121,7 @@
                     chooser,
                     () -> true,
                     loads,
-                    new UpstreamNotices(HEADERS, leaving),
+                    new UpstreamNotices(HEADERS, leaving, pauses),
                     new PartQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpick.batch.BatchOutcome;
@@ -19,6 +20,7 @@
 import org.ragwortpick.entry.http.RawUpstream;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -40,6 +42,7 @@
   private XnioWorker worker;
   private HttpCallClient callClient;
   private LeavingUpstreams leaving;
+  private RequestedPauses pauses;
 
   @BeforeMethod
   public void start() throws Exception {
@@ -47,6 +50,7 @@
         Xnio.getInstance()
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     leaving = new LeavingUpstreams(new MonotonicClock());
+    pauses = new RequestedPauses(new MonotonicClock(), new Random(1));
     callClient =
         new HttpCallClient(
             worker, new DefaultByteBufferPool(true, 16 * 1024), new MonotonicClock(), 300, 5_000);
@@ -63,7 +67,7 @@
         callClient,
         protocol,
         ForwardTestServer.HEADERS,
-        new UpstreamNotices(ForwardTestServer.HEADERS, leaving));
+        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses));
   }
 
   @DataProvider
@@ -123,6 +127,32 @@
     }
   }
 
+  @DataProvider
+  public static Object[][] refusalsWithRetryTime() {
+    return new Object[][] {
+      {"503 Busy", "Untouched: 1\r\nRetry-After: 2", true},
+      {"503 Busy", "Retry-After: 0.5", true},
+      {"503 Busy", "Untouched: 1", false},
+      {"503 Busy", "Retry-After: -2", false},
+      {"200 OK", "Retry-After: 2", false},
+    };
+  }
+
+  @Test(dataProvider = "refusalsWithRetryTime")
+  public void refusedBatchPausesItsUpstream(String statusLine, String headers, boolean paused)
+      throws Exception {
+    String response =
+        "HTTP/1.1 " + statusLine + "\r\n" + headers + "\r\nContent-Length: 2\r\n\r\n{}";
+    try (RawUpstream upstream = new RawUpstream((connection, request, received) -> response)) {
+      Upstream called = TestUpstreams.ready("u1", "s1", upstream.address(), "dc");
+      CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
+      transport(new JsonBatches()).run(called, List.of(), TIMEOUT_MS, outcome::complete);
+      BatchOutcome ended = outcome.get(4 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      assertEquals(ended instanceof BatchOutcome.Refused, statusLine.startsWith("503"));
+      assertEquals(pauses.isPaused(called), paused);
+    }
+  }
+
   /** Protocol of calls without pieces whose response is any JSON value. */
   private static final class JsonBatches extends EmptyBatches {
 
