Begin no stages for a request whose service pauses beyond their end

Cause: a request was admitted by its stages alone; the model service was looked at when its stages were done, so that they had been run in vain if all upstreams of the service had asked for a pause.

Change: a request with stages is refused at once, with the time left, if the pause of its service outlasts the shortest duration of its longest chain of stages. A shorter pause ends while they run.

Before: stagesAreNotBegunIfPauseOutlastsThem failed, one stage was submitted beside a pause of 5 s. After: it passes.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -113,6 +113,10 @@
       startAttempt();
       return;
     }
+    if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()) {
+      refuseWithoutUpstream();
+      return;
+    }
     String key = headers.getFirst(dependencies.headers().pieceKey());
     StageGraphRun run =
         new StageGraphRun(
@@ -193,9 +197,7 @@
                 stages.map(StageGraphRun::dataCentreOfResults).orElse(""),
                 triedUpstreams);
     if (chosen.isEmpty()) {
-      refuse(
-          Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
-          "no_upstream");
+      refuseWithoutUpstream();
       return;
     }
     Upstream upstream = chosen.get();
@@ -217,6 +219,12 @@
     nextAttempt.start(httpRequest(upstream));
   }
 
+  private void refuseWithoutUpstream() {
+    refuse(
+        Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
+        "no_upstream");
+  }
+
   private long retryAfterPauseMs() {
     return Math.max(RETRY_AFTER_MS, dependencies.chooser().pauseRemainingMs(service));
   }
--- a/src/main/java/org/ragwortpick/forward/StageGraph.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraph.java
@@ -63,6 +63,19 @@
     return pieceCounts.stream().anyMatch(count -> count > 0);
   }
 
+  /**
+   * Returns the minimum duration of all stages.
+   *
+   * @return duration of the longest chain of stages in milliseconds
+   */
+  long minTotalMs() {
+    long longestMs = 0;
+    for (int first = 0; first < stages.size(); first++) {
+      longestMs = Math.max(longestMs, minDurationsMs.get(first) + followingMs(first, wait -> 0));
+    }
+    return longestMs;
+  }
+
   /**
    * Returns the number of stages that need the results of a stage.
    *
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.batch.StageTicket;
@@ -36,8 +37,10 @@
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RouteStage;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingFixture;
+import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.routing.WeightedService;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
@@ -75,6 +78,9 @@
               HttpString.tryFromString("Time-Left-Ms"),
               HttpString.tryFromString("Internal")));
 
+  /** Duration of a call for the stage of the staged route. */
+  static final double STAGE_MS = 100;
+
   private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
   private final XnioWorker worker;
@@ -82,6 +88,7 @@
   private final EntryServer server;
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final AtomicInteger submissions = new AtomicInteger();
   private volatile boolean accepting = true;
   private volatile Configuration configuration = configuration();
 
@@ -127,7 +134,7 @@
                         "vm",
                         () -> List.of("vm"),
                         clock),
-                    new NoStages(),
+                    new CountedStages(),
                     new ResponseTimes(),
                     new ResultLocator(service -> List.of()),
                     callClient,
@@ -150,15 +157,19 @@
             List.of(
                 route("safe", RequestKind.IDEMPOTENT, 2),
                 route("once", RequestKind.NON_IDEMPOTENT, 2),
-                route("stream", RequestKind.STREAMING, 1)),
-            List.of(RoutingFixture.service("s1")),
+                route("stream", RequestKind.STREAMING, 1),
+                route(
+                    "staged", RequestKind.IDEMPOTENT, 1, new RouteStage("pieces", List.of(), 10))),
+            List.of(
+                RoutingFixture.service("s1"),
+                new ServiceProfile("pieces", 0, RoutingFixture.batch(4, STAGE_MS, 0, 1_000))),
             List.of(RoutingFixture.workspace("w1", "k1")),
             null,
             "");
     return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Optional.of(routing));
   }
 
-  private static Route route(String name, RequestKind kind, int attempts) {
+  private static Route route(String name, RequestKind kind, int attempts, RouteStage... stages) {
     return new Route(
         name,
         "127.0.0.1",
@@ -169,7 +180,7 @@
         0,
         List.of(new WeightedService("s1", 1)),
         attempts,
-        List.of(),
+        List.of(stages),
         false,
         false);
   }
@@ -187,6 +198,11 @@
         .sum();
   }
 
+  /** Returns the number of stages that were submitted; they never end. */
+  int submittedStages() {
+    return submissions.get();
+  }
+
   HostPort address() {
     return server.address();
   }
@@ -264,10 +280,11 @@
     }
   }
 
-  private static final class NoStages implements StageRunner {
+  private final class CountedStages implements StageRunner {
     @Override
     public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
-      throw new AssertionError("the routes have no stages");
+      submissions.incrementAndGet();
+      return () -> {};
     }
 
     @Override
--- a/src/test/java/org/ragwortpick/forward/PausedUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/PausedUpstreamTest.java
@@ -95,6 +95,26 @@
     }
   }
 
+  @DataProvider
+  public static Object[][] pausesAndStages() {
+    return new Object[][] {{"5", 0}, {"0.06", 1}};
+  }
+
+  /** Guards against stage work for a request that will be refused when its stages are done. */
+  @Test(dataProvider = "pausesAndStages")
+  public void stagesAreNotBegunIfPauseOutlastsThem(String retryAfter, int submittedStages)
+      throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (c, r, request) ->
+                refusal(request, "Untouched: 1\r\nRetry-After: " + retryAfter + "\r\n"))) {
+      server.announce("u1", upstream.address());
+      server.post("/once/x", "first");
+      server.send(server.request("/staged/x", "second").header("Parts", "1").build());
+      assertEquals(server.submittedStages(), submittedStages);
+    }
+  }
+
   @DataProvider
   public static Object[][] valuesWithoutMeaning() {
     return new Object[][] {
