Heed leaving and Retry-After on the product's own upstream interface

Cause: the two statements were read where requests are forwarded; stages and calls of the product's own interface read the heads of responses for "Cold" alone, and took a 503 with Retry-After for the sign of a cold start.

Change: the upstream API has the header Leaving; DispatchGate records both statements and is asked before each selection and each first byte. A requested pause is no evidence of overload or cold start. The stand-ins learn both (faults say-leaving and pause, and a stand-in that leaves says so), so that load runs can play them.

After: one at most, and all requests are answered (StandInFaultsTest).

--- a/src/main/java/org/ragwortpick/entry/RequestPolicies.java
+++ b/src/main/java/org/ragwortpick/entry/RequestPolicies.java
@@ -7,6 +7,8 @@
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.UpstreamLimiter;
 import org.ragwortpick.policy.UpstreamSelector;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.ColdAllowances;
 
 /**
@@ -17,6 +19,8 @@
  * @param deadlineBudget division of deadlines over stages
  * @param selector selection of upstreams
  * @param limiter slots of each upstream
+ * @param leaving upstreams that stated in a response that they are leaving
+ * @param pauses pauses that upstreams requested
  * @param coldAllowances leased shares of upstreams in cold start
  * @param retryBudget budget of retries and hedges
  * @param hedgePolicy delays after which a hedge is sent
@@ -28,6 +32,8 @@
     DeadlineBudget deadlineBudget,
     UpstreamSelector selector,
     UpstreamLimiter limiter,
+    LeavingUpstreams leaving,
+    RequestedPauses pauses,
     ColdAllowances coldAllowances,
     RetryBudget retryBudget,
     HedgePolicy hedgePolicy,
--- a/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
+++ b/src/main/java/org/ragwortpick/entry/call/CallDispatch.java
@@ -223,6 +223,9 @@
     @Override
     public void onHead(UpstreamHead head) {
       firstByteMs = dependencies.clock().millis() - sentAtMs;
+      if (head.belongsTo(id)) {
+        gate.recordHead(slot.upstream(), head);
+      }
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/entry/pipeline/DispatchGate.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/DispatchGate.java
@@ -1,10 +1,14 @@
 package org.ragwortpick.entry.pipeline;
 
 import org.ragwortpick.entry.EntryDependencies;
+import org.ragwortpick.entry.upstream.UpstreamHead;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
 
-/** Checks immediately before sending whether an upstream may receive new work. */
+/**
+ * Checks immediately before sending whether an upstream may receive new work, and takes in what
+ * upstreams state about that in their responses.
+ */
 public final class DispatchGate {
 
   private final EntryDependencies dependencies;
@@ -23,7 +27,7 @@
    *
    * @param upstream record from which the upstream was selected
    * @return false if the configuration is not in force, the data centre is out, or the upstream is
-   *     leaving, lost, or has started again since its record was read
+   *     leaving, paused, lost, or has started again since its record was read
    */
   public boolean maySend(Upstream upstream) {
     return dependencies.configurationView().isInForce()
@@ -32,7 +36,24 @@
             .directory()
             .find(upstream.id())
             .filter(current -> isSlotStillValid(upstream, current))
-            .isPresent();
+            .isPresent()
+        && !dependencies.policies().leaving().isLeaving(upstream)
+        && !dependencies.policies().pauses().isPaused(upstream);
+  }
+
+  /**
+   * Records what an upstream states about itself in a response that belongs to its attempt.
+   *
+   * @param upstream record of the upstream to which the request was sent
+   * @param head head of the response
+   */
+  public void recordHead(Upstream upstream, UpstreamHead head) {
+    if (head.leaving()) {
+      dependencies.policies().leaving().record(upstream);
+    }
+    if (head.requestsPause()) {
+      dependencies.policies().pauses().record(upstream, head.retryAfterMs());
+    }
   }
 
   /** A slot acquired from a warm upstream is not valid once the upstream is cold again. */
--- a/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/StageAttempt.java
@@ -178,6 +178,7 @@
     }
     idChecked = true;
     firstByteMs = dependencies.clock().millis() - sentAtMs;
+    gate.recordHead(slot.upstream(), head);
     if (head.cold() && slot.upstream().state() != UpstreamState.COLD) {
       dependencies.policies().coldAllowances().reportCold(slot.upstream());
     }
--- a/src/main/java/org/ragwortpick/entry/pipeline/UpstreamSlot.java
+++ b/src/main/java/org/ragwortpick/entry/pipeline/UpstreamSlot.java
@@ -44,9 +44,13 @@
       Invariants.check(!released, "a slot of an upstream was released twice");
       released = true;
     }
-    policies.limiter().release(upstream, result, firstByteMs);
+    boolean pauseRequested =
+        result == AttemptResult.REFUSED && policies.pauses().isPaused(upstream);
+    // A requested pause is no evidence of overload or of a cold start.
+    AttemptResult evidence = pauseRequested ? AttemptResult.CANCELLED : result;
+    policies.limiter().release(upstream, evidence, firstByteMs);
     policies.coldAllowances().release(upstream);
-    if (result == AttemptResult.REFUSED || policies.limiter().looksCold(upstream)) {
+    if (evidence == AttemptResult.REFUSED || policies.limiter().looksCold(upstream)) {
       policies.coldAllowances().reportCold(upstream);
     }
   }
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamHeaders.java
@@ -25,6 +25,9 @@
   /** Set to {@code true} by an upstream in cold start. */
   public static final HttpString COLD = HttpString.tryFromString("Cold");
 
+  /** Set to {@code true} by an upstream that is leaving. */
+  public static final HttpString LEAVING = HttpString.tryFromString("Leaving");
+
   private UpstreamHeaders() {}
 
   /**
@@ -36,7 +39,11 @@
    */
   static UpstreamHead parse(int status, HeaderMap headers) {
     return new UpstreamHead(
-        status, parseAttemptId(headers), "true".equalsIgnoreCase(headers.getFirst(COLD)));
+        status,
+        parseAttemptId(headers),
+        "true".equalsIgnoreCase(headers.getFirst(COLD)),
+        "true".equalsIgnoreCase(headers.getFirst(LEAVING)),
+        RetryAfterHeader.delayMs(headers));
   }
 
   private static Optional<AttemptId> parseAttemptId(HeaderMap headers) {
--- a/src/main/java/org/ragwortpick/policy/PolicySet.java
+++ b/src/main/java/org/ragwortpick/policy/PolicySet.java
@@ -11,6 +11,8 @@
 import org.ragwortpick.policy.budget.PercentileHedgePolicy;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.AdaptiveUpstreamLimiter;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.select.BoundedPrefixIndex;
 import org.ragwortpick.policy.select.CandidateList;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -35,6 +37,8 @@
   private final RetryBudget retryBudget;
   private final PercentileHedgePolicy hedgePolicy;
   private final AdaptiveUpstreamLimiter limiter;
+  private final LeavingUpstreams leaving;
+  private final RequestedPauses pauses;
 
   /**
    * Creates the policies of one VM.
@@ -65,6 +69,8 @@
     retryBudget = new RatioRetryBudget(clock, settings.retryPercent(), settings.retryConstant());
     hedgePolicy = new PercentileHedgePolicy(clock, configuration);
     limiter = new AdaptiveUpstreamLimiter(clock, 1);
+    leaving = new LeavingUpstreams(clock);
+    pauses = new RequestedPauses(clock, random);
   }
 
   /**
@@ -106,6 +112,8 @@
     admission.expire();
     callAdmission.expire();
     limiter.expire();
+    leaving.expire();
+    pauses.expire();
   }
 
   /**
@@ -209,6 +217,24 @@
     return hedgePolicy;
   }
 
+  /**
+   * Returns the upstreams that stated in a response that they are leaving.
+   *
+   * @return the upstreams
+   */
+  public LeavingUpstreams leaving() {
+    return leaving;
+  }
+
+  /**
+   * Returns the pauses that upstreams requested.
+   *
+   * @return the pauses
+   */
+  public RequestedPauses pauses() {
+    return pauses;
+  }
+
   /**
    * Returns the limiter of requests per upstream.
    *
--- a/src/main/java/org/ragwortpick/policy/limit/LeavingUpstreams.java
+++ b/src/main/java/org/ragwortpick/policy/limit/LeavingUpstreams.java
@@ -9,8 +9,7 @@
 import org.ragwortpick.sync.Upstream;
 
 /**
- * Upstreams that stated in a response to the local VM that they are leaving. Confined to one
- * thread.
+ * Upstreams that stated in a response to the local VM that they are leaving. Thread-safe.
  *
  * <p>An upstream may state this before its announcements do, or while they do not arrive. The
  * statement holds for one incarnation and expires, so that a false one does not exclude a sound
@@ -46,7 +45,7 @@
    *
    * @param upstream record of the upstream to which the request was sent
    */
-  public void record(Upstream upstream) {
+  public synchronized void record(Upstream upstream) {
     Statement known = statements.get(upstream.id());
     if (known != null && known.incarnation > upstream.incarnation()) {
       return;
@@ -70,7 +69,7 @@
    * @param upstream the upstream
    * @return whether this incarnation, or a later one under the same id, stated so
    */
-  public boolean isLeaving(Upstream upstream) {
+  public synchronized boolean isLeaving(Upstream upstream) {
     Statement statement = statements.get(upstream.id());
     return statement != null
         && upstream.incarnation() <= statement.incarnation
@@ -83,7 +82,7 @@
    * @param upstreams upstreams of one service
    * @return the upstreams that may receive requests
    */
-  public List<Upstream> exclude(List<Upstream> upstreams) {
+  public synchronized List<Upstream> exclude(List<Upstream> upstreams) {
     if (statements.isEmpty()) {
       return upstreams;
     }
@@ -101,13 +100,13 @@
    *
    * @return number of upstreams
    */
-  public int count() {
+  public synchronized int count() {
     long nowMs = clock.millis();
     return (int) statements.values().stream().filter(known -> isCurrent(known, nowMs)).count();
   }
 
   /** Drops the statements that no longer hold. */
-  public void expire() {
+  public synchronized void expire() {
     long nowMs = clock.millis();
     statements.values().removeIf(statement -> !isCurrent(statement, nowMs));
   }
--- a/src/main/java/org/ragwortpick/policy/limit/RequestedPauses.java
+++ b/src/main/java/org/ragwortpick/policy/limit/RequestedPauses.java
@@ -10,8 +10,7 @@
 import org.ragwortpick.sync.Upstream;
 
 /**
- * Pauses that upstreams requested from the local VM when they refused a request. Confined to one
- * thread.
+ * Pauses that upstreams requested from the local VM when they refused a request. Thread-safe.
  *
  * <p>A pause holds for one incarnation and for all ways by which the VM reaches the upstream. It is
  * no failure of the upstream.
@@ -50,7 +49,7 @@
    * @param upstream record of the upstream to which the refused request was sent
    * @param requestedMs duration of the pause in milliseconds
    */
-  public void record(Upstream upstream, long requestedMs) {
+  public synchronized void record(Upstream upstream, long requestedMs) {
     long nowMs = clock.millis();
     long durationMs = Math.min(requestedMs, MAX_PAUSE_MS);
     if (nowMs + durationMs <= untilMs(upstream)) {
@@ -81,7 +80,7 @@
    * @param upstream the upstream
    * @return monotonic time in milliseconds; {@link Long#MIN_VALUE} if it requested none
    */
-  public long untilMs(Upstream upstream) {
+  public synchronized long untilMs(Upstream upstream) {
     Pause pause = pauses.get(upstream.id());
     return pause != null && pause.incarnation() == upstream.incarnation()
         ? pause.untilMs()
@@ -94,7 +93,7 @@
    * @param upstream the upstream
    * @return whether it must get no requests now
    */
-  public boolean isPaused(Upstream upstream) {
+  public synchronized boolean isPaused(Upstream upstream) {
     return clock.millis() < untilMs(upstream);
   }
 
@@ -104,7 +103,7 @@
    * @param upstreams upstreams of one service
    * @return time in milliseconds; 0 if one of them is not paused, or there are none
    */
-  public long remainingMs(List<Upstream> upstreams) {
+  public synchronized long remainingMs(List<Upstream> upstreams) {
     long firstUntilMs = upstreams.stream().mapToLong(this::untilMs).min().orElse(Long.MIN_VALUE);
     return firstUntilMs == Long.MIN_VALUE ? 0 : Math.max(0, firstUntilMs - clock.millis());
   }
@@ -114,13 +113,13 @@
    *
    * @return number of upstreams
    */
-  public int count() {
+  public synchronized int count() {
     long nowMs = clock.millis();
     return (int) pauses.values().stream().filter(pause -> nowMs < pause.untilMs()).count();
   }
 
   /** Drops the pauses that have ended. */
-  public void expire() {
+  public synchronized void expire() {
     long nowMs = clock.millis();
     pauses.values().removeIf(pause -> nowMs >= pause.untilMs());
   }
--- a/src/main/java/org/ragwortpick/vm/EntryComponents.java
+++ b/src/main/java/org/ragwortpick/vm/EntryComponents.java
@@ -136,6 +136,8 @@
         policies.deadlineBudget(),
         policies.selector(),
         policies.limiter(),
+        policies.leaving(),
+        policies.pauses(),
         sync.coldAllowances(),
         policies.retryBudget(),
         policies.hedgePolicy(),
--- a/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamHandler.java
@@ -24,6 +24,8 @@
 
   private static final Logger LOG = Logger.getLogger(UpstreamHandler.class);
   private static final HttpString COLD = new HttpString("Cold");
+  private static final HttpString LEAVING = new HttpString("Leaving");
+  private static final double MS_PER_SECOND = 1_000;
   private static final List<HttpString> ECHOED_HEADERS =
       List.of(new HttpString("Request-Id"), new HttpString("Stage"), new HttpString("Attempt"));
   private static final int OK = 200;
@@ -169,6 +171,17 @@
       exchange.dispatch(executor, () -> {});
       return false;
     }
+    if (upstream.saysLeaving()) {
+      exchange.getResponseHeaders().put(LEAVING, "true");
+    }
+    long pauseMs = upstream.refuseInPauseMs();
+    if (pauseMs > 0) {
+      exchange
+          .getResponseHeaders()
+          .put(Headers.RETRY_AFTER, String.valueOf(pauseMs / MS_PER_SECOND));
+      send(exchange, UNAVAILABLE, Json.MESSAGES.createObjectNode().put("error", "paused"));
+      return false;
+    }
     if (upstream.coldStart().isCold()) {
       exchange.getResponseHeaders().put(COLD, "true");
     }
--- a/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
+++ b/src/standin/java/org/ragwortpick/standin/UpstreamStandIn.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.config.ServiceKind;
@@ -42,6 +43,9 @@
   private final Deque<Integer> loadSamples = new ArrayDeque<>();
 
   private volatile boolean leaving;
+  private volatile boolean saysLeaving;
+  private volatile long pausedUntilMs = Long.MIN_VALUE;
+  private final AtomicInteger refusalsInPause = new AtomicInteger();
   private volatile boolean silent;
   private volatile long extraDelayMs;
   private volatile long harmfulDownMs;
@@ -174,20 +178,27 @@
   /**
    * Injects a fault requested by a test or a demonstration.
    *
-   * @param name {@code cold}, {@code leave}, {@code rejoin}, {@code silent}, {@code resume} or
-   *     {@code slow}
+   * @param name {@code cold}, {@code leave}, {@code say-leaving}, {@code rejoin}, {@code silent},
+   *     {@code resume}, {@code slow}, {@code cut}, {@code harmful} or {@code pause}
    * @param value additional delay in milliseconds for {@code slow}; percentage of the responses
    *     that end early for {@code cut}; time in milliseconds until the upstream starts again after
-   *     a harmful prompt for {@code harmful}, 0 if it bears them
+   *     a harmful prompt for {@code harmful}, 0 if it bears them; time in milliseconds for which it
+   *     refuses requests and states so for {@code pause}
    * @return false if the name is unknown
    */
   boolean applyFault(String name, long value) {
     switch (name.toLowerCase(Locale.ROOT)) {
       case "cold" -> coldStart.restartColdStart();
-      case "leave" -> leaving = true;
+      case "leave" -> {
+        leaving = true;
+        saysLeaving = true;
+      }
+      case "say-leaving" -> saysLeaving = true;
+      case "pause" -> pausedUntilMs = clock.millis() + value;
       case "rejoin" -> {
         incarnation.incrementAndGet();
         leaving = false;
+        saysLeaving = false;
         coldStart.restartColdStart();
       }
       case "silent" -> silent = true;
@@ -202,6 +213,29 @@
     return true;
   }
 
+  /**
+   * Tells whether the responses of the upstream state that it is leaving.
+   *
+   * @return whether they do
+   */
+  boolean saysLeaving() {
+    return saysLeaving;
+  }
+
+  /**
+   * Decides about a request by the current pause, and counts it if it is refused.
+   *
+   * @return remaining time of the pause in milliseconds; 0 if the request is not refused
+   */
+  long refuseInPauseMs() {
+    long nowMs = clock.millis();
+    if (nowMs >= pausedUntilMs) {
+      return 0;
+    }
+    refusalsInPause.incrementAndGet();
+    return pausedUntilMs - nowMs;
+  }
+
   /**
    * Decides whether the next response ends early.
    *
@@ -285,6 +319,7 @@
     body.put("peakColdInFlight", coldStart.peakColdInFlight());
     body.put("overloads", coldStart.overloads());
     body.put("refusals", coldStart.refusals());
+    body.put("refusalsInPause", refusalsInPause.get());
     body.put("lastWorkAgeMs", lastWorkAtMs.get() == 0 ? -1 : clock.millis() - lastWorkAtMs.get());
     if (spec.kind() == ServiceKind.PLAIN) {
       body.set("byMarker", Json.MESSAGES.valueToTree(executionCounts.byMarker()));
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.DataCentreState;
 import org.ragwortpick.config.Inventory;
@@ -29,6 +31,8 @@
 import org.ragwortpick.policy.HedgePolicy;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.UpstreamLimiter;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.select.BoundedPrefixIndex;
 import org.ragwortpick.sync.ColdAllowances;
 import org.ragwortpick.sync.ConfigurationView;
@@ -66,6 +70,9 @@
   private volatile long hedgeDelayMs = -1;
   private volatile int slotsPerUpstream = 1_000;
   private volatile Configuration configuration = configuration(Set.of());
+  private final MonotonicClock clock = new MonotonicClock();
+  private final LeavingUpstreams leaving = new LeavingUpstreams(clock);
+  private final RequestedPauses pauses = new RequestedPauses(clock, new SplittableRandom(1));
   private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
 
   public static Upstream upstream(String id, HostPort address, String service, String dataCentre) {
@@ -129,6 +136,8 @@
                 .filter(candidate -> !request.excludedIds().contains(candidate.upstream().id()))
                 .min(Comparator.comparingInt(Candidate::inFlight)),
         this,
+        leaving,
+        pauses,
         this,
         this,
         this,
--- a/src/test/java/org/ragwortpick/entry/FaultyUpstreams.java
+++ b/src/test/java/org/ragwortpick/entry/FaultyUpstreams.java
@@ -166,7 +166,7 @@
   }
 
   private static UpstreamHead head(AttemptId id, int status) {
-    return new UpstreamHead(status, Optional.of(id), false);
+    return new UpstreamHead(status, Optional.of(id), false, false, 0);
   }
 
   private static JsonNode json(UpstreamRequest request) {
--- a/src/test/java/org/ragwortpick/entry/ScriptedUpstreams.java
+++ b/src/test/java/org/ragwortpick/entry/ScriptedUpstreams.java
@@ -56,13 +56,13 @@
     }
 
     public void respond(int status, String body) {
-      UpstreamHead head = new UpstreamHead(status, Optional.of(request.id()), false);
+      UpstreamHead head = new UpstreamHead(status, Optional.of(request.id()), false, false, 0);
       listener.onHead(head);
       listener.onEnd(new UpstreamEnd.Answered(head, body.getBytes(StandardCharsets.UTF_8)));
     }
 
     public void token(int offset) {
-      listener.onHead(new UpstreamHead(200, Optional.of(request.id()), false));
+      listener.onHead(new UpstreamHead(200, Optional.of(request.id()), false, false, 0));
       String data = "{\"offset\":" + offset + ",\"text\":\"t" + offset + "\"}";
       listener.onEvent(new ServerSentEvent("token", data));
     }
--- a/src/test/java/org/ragwortpick/entry/http/StandInFaultsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/StandInFaultsTest.java
@@ -29,6 +29,7 @@
 public final class StandInFaultsTest {
 
   private static final int ENGINES = 4;
+  private static final int REQUESTS = 40;
 
   private final List<HostPort> engines = new ArrayList<>();
   private EntryTestServer entry;
@@ -83,11 +84,7 @@
 
   private void applyFault(String name, long value) throws Exception {
     for (HostPort engine : engines) {
-      HttpRequest request =
-          HttpRequest.newBuilder(URI.create("http://" + engine + "/stand-in/faults/" + name))
-              .POST(HttpRequest.BodyPublishers.ofString("{\"value\":" + value + "}"))
-              .build();
-      HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+      applyFault(engine, name, value);
     }
   }
 
@@ -99,15 +96,18 @@
   private long executed() throws Exception {
     long sum = 0;
     for (HostPort engine : engines) {
-      HttpRequest request =
-          HttpRequest.newBuilder(URI.create("http://" + engine + "/stand-in/report")).build();
-      String body =
-          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
-      sum += Json.MESSAGES.readTree(body).path("executed").asLong();
+      sum += report(engine).path("executed").asLong();
     }
     return sum;
   }
 
+  private static JsonNode report(HostPort engine) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + engine + "/stand-in/report")).build();
+    return Json.MESSAGES.readTree(
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body());
+  }
+
   @Test
   public void cutStreamsNeverReachCallerAsWhole() throws Exception {
     HttpResponse<String> whole = run("p");
@@ -132,4 +132,35 @@
     assertEquals(executed(), 2);
     assertEquals(run("p").statusCode(), 200);
   }
+
+  private void applyFault(HostPort engine, String name, long value) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + engine + "/stand-in/faults/" + name))
+            .POST(HttpRequest.BodyPublishers.ofString("{\"value\":" + value + "}"))
+            .build();
+    HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+  }
+
+  @Test
+  public void upstreamThatStatesItIsLeavingGetsOneRequestAtMost() throws Exception {
+    applyFault(engines.get(0), "say-leaving", 0);
+    for (int i = 0; i < REQUESTS; i++) {
+      assertEquals(run("p").statusCode(), 200);
+    }
+    assertTrue(
+        report(engines.get(0)).path("executed").asLong() <= 1,
+        report(engines.get(0)).path("executed").asLong() + " requests");
+    assertEquals(executed(), REQUESTS);
+  }
+
+  @Test
+  public void pausedUpstreamGetsOneRequestAtMostInItsRetryTime() throws Exception {
+    applyFault(engines.get(0), "pause", 60_000);
+    for (int i = 0; i < REQUESTS; i++) {
+      assertEquals(run("p").statusCode(), 200);
+    }
+    assertTrue(
+        report(engines.get(0)).path("refusalsInPause").asLong() <= 1,
+        report(engines.get(0)).path("refusalsInPause").asLong() + " requests");
+  }
 }
