Count requests that an upstream leaves unanswered against it

Cause: only failures that were answered or broken off counted against an upstream.

Change: UpstreamLoads knows the requests whose responses have not begun. One that takes 8 times the usual time of its route, or twice that while three later requests were answered, counts as a failure as long as it lasts, and once more when it ends unanswered. Refusals overtake nothing, and a slow request that gets its response leaves nothing behind. No request is ended for it.

--- a/src/main/java/org/ragwortpick/forward/ResponseTimes.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseTimes.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.ragwortpick.routing.Route;
 
 /**
  * Moving average by route of the time from an attempt to the head of its response. Confined to one
@@ -37,4 +38,14 @@
   long averageMs(String route) {
     return meansMs.getOrDefault(route, 0.0).longValue();
   }
+
+  /**
+   * Returns the time in which a request usually gets the head of its response.
+   *
+   * @param route route of the request
+   * @return time in milliseconds; the target latency without measurements
+   */
+  long usualMs(Route route) {
+    return meansMs.getOrDefault(route.name(), (double) route.targetLatencyMs()).longValue();
+  }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
+import org.ragwortpick.policy.limit.PendingResponse;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.sync.Upstream;
 
@@ -41,6 +42,7 @@
   private final boolean repeatable;
   private final AttemptEvidence evidence;
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private PendingResponse pending;
   private HttpCall call;
   private HttpHead head = new HttpHead(0, new HeaderMap(), BodyFraming.NONE);
   private int refusalBytes;
@@ -83,7 +85,8 @@
    * @param httpRequest the request to the upstream
    */
   void start(HttpRequest httpRequest) {
-    dependencies.loads().recordStart(upstream.id());
+    long usualMs = dependencies.responseTimes().usualMs(request.route());
+    pending = dependencies.loads().recordStart(upstream.id(), usualMs);
     call = dependencies.callClient().send(httpRequest, this);
   }
 
@@ -109,6 +112,7 @@
     String echoed = head.headers().getFirst(names.requestId());
     notRun = head.status() == MISDIRECTED_REQUEST || head.headers().contains(names.notExecuted());
     mismatched = echoed == null ? head.isSuccess() : !echoed.equals(request.id());
+    dependencies.loads().recordHead(pending, head.isSuccess() && !notRun && !mismatched);
     if (mismatched) {
       LOG.warnf(
           "request %s: upstream %s responded with request id %s; the response is discarded",
@@ -162,8 +166,12 @@
 
   @Override
   public void onEnd(HttpEnd end) {
-    dependencies.loads().recordEnd(upstream.id());
+    boolean unanswered = dependencies.loads().recordEnd(pending);
     if (aborted) {
+      if (unanswered) {
+        dependencies.loads().recordFailure(upstream.id());
+        LOG.infof("request %s: upstream %s left it unanswered", request.id(), upstream.id());
+      }
       dependencies.metrics().attemptEnded(upstream.service(), "aborted");
       return;
     }
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamLoads.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamLoads.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.policy.limit;
 
 import java.time.Clock;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,8 @@
  *
  * <p>Guards against upstreams that fail some requests or become unreachable while they are still
  * announced as healthy. Failures count as additional load, so that traffic shifts away from the
- * upstream and returns as the failures decay.
+ * upstream and returns as the failures decay. A request that probably stays unanswered counts as a
+ * failure as long as it lasts.
  */
 public final class UpstreamLoads {
 
@@ -68,7 +70,7 @@
         isReportCurrent
             ? Math.max(entry.reportedRequests + entry.sentSinceReport, entry.inFlight)
             : entry.inFlight;
-    double failures = entry.failures(nowMs);
+    double failures = entry.failures(nowMs) + entry.silent(nowMs);
     return new Candidate(
         upstream,
         entry.inFlight,
@@ -81,20 +83,44 @@
    * Records that a request was sent.
    *
    * @param upstreamId id of the upstream
+   * @param usualMs usual time until the head of the response in milliseconds
+   * @return the request, for the calls that record its progress
    */
-  public void recordStart(String upstreamId) {
-    Entry entry = entries.computeIfAbsent(upstreamId, id -> new Entry());
+  public PendingResponse recordStart(String upstreamId, long usualMs) {
+    Entry entry = entry(upstreamId);
     entry.inFlight++;
     entry.sentSinceReport++;
+    PendingResponse request = new PendingResponse(upstreamId, clock.millis(), usualMs);
+    entry.pending.add(request);
+    return request;
+  }
+
+  /**
+   * Records that a response has begun.
+   *
+   * @param request the request
+   * @param served whether the upstream has worked on the request; a refusal overtakes others
+   *     although they are not silent
+   */
+  public void recordHead(PendingResponse request, boolean served) {
+    List<PendingResponse> pending = entry(request.upstreamId()).pending;
+    int position = pending.indexOf(request);
+    if (position >= 0 && served) {
+      pending.subList(0, position).forEach(PendingResponse::recordOvertaking);
+    }
+    pending.remove(request);
   }
 
   /**
    * Records that a request ended.
    *
-   * @param upstreamId id of the upstream
+   * @param request the request
+   * @return whether the upstream has left it unanswered
    */
-  public void recordEnd(String upstreamId) {
-    entry(upstreamId).inFlight--;
+  public boolean recordEnd(PendingResponse request) {
+    Entry entry = entry(request.upstreamId());
+    entry.inFlight--;
+    return entry.pending.remove(request) && request.isSilent(clock.millis());
   }
 
   /**
@@ -150,6 +176,7 @@
   }
 
   private static final class Entry {
+    private final List<PendingResponse> pending = new ArrayList<>();
     private int inFlight;
     private int reportedRequests;
     private int sentSinceReport;
@@ -158,6 +185,10 @@
     private long failedAtMs;
     private long cooldownUntilMs;
 
+    private long silent(long nowMs) {
+      return pending.stream().filter(request -> request.isSilent(nowMs)).count();
+    }
+
     private double failures(long nowMs) {
       return failures * Math.pow(0.5, (nowMs - failedAtMs) / FAILURE_HALF_LIFE_MS);
     }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -211,6 +212,11 @@
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
+  /** Announces an upstream that runs many requests at once. */
+  void announceLarge(String id, HostPort address) {
+    upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
+  }
+
   /** Announces a later start of an upstream under the id that it had. */
   void announceAgain(String id, long incarnation, HostPort address) {
     Upstream first = TestUpstreams.ready(id, "s1", address, "dc");
@@ -252,6 +258,10 @@
     return send(request(path, id).POST(HttpRequest.BodyPublishers.ofString("body")).build());
   }
 
+  CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest request) {
+    return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
   HttpResponse<String> send(HttpRequest request) throws Exception {
     return client.send(request, HttpResponse.BodyHandlers.ofString());
   }
