Close connections after responses that may be copies of earlier ones

What operators of similar systems saw: a server sent a second copy of a response, late, on a connection in use again, and the next caller got a response that was not its own.

Cause here: batch calls have no id that upstreams echo. The copy was taken for the response to the next batch, whose pieces got the results of other requests, and every later response on that connection was off by one. A forwarded response without an id, or one for another attempt on the product's own interface, left its connection in the pool in the same way.

Change: the listener of a call says whether the complete response certainly belongs to the request; the connection is closed otherwise. A batch is answered only by handles that were not seen before.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -198,7 +198,8 @@
           // Undertow throws an exception if the body is shorter than its stated length.
           HttpEnd end = body.end();
           boolean complete = end instanceof HttpEnd.Completed;
-          end(end, !(complete && bodyWriteStarted && mayReuseConnection));
+          boolean reusable = complete && bodyWriteStarted && mayReuseConnection;
+          end(end, !(reusable && listener.isIdentified()));
           return;
         }
         if (count == 0) {
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
@@ -20,6 +20,15 @@
    */
   boolean onBytes(ByteBuffer bytes);
 
+  /**
+   * Returns whether a complete response certainly belongs to the request. Its connection is closed
+   * otherwise, since the response to the request may still follow on it. Called before {@link
+   * #onEnd}.
+   *
+   * @return whether the connection may be used for another request
+   */
+  boolean isIdentified();
+
   /**
    * The call ended. Called once.
    *
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
@@ -104,6 +104,11 @@
     return rejectionCause.isEmpty();
   }
 
+  @Override
+  public boolean isIdentified() {
+    return head.belongsTo(request.id());
+  }
+
   @Override
   public void onEnd(HttpEnd end) {
     listener.onEnd(toUpstreamEnd(end));
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -7,7 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.function.BiConsumer;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.BatchOutcome;
@@ -38,6 +38,7 @@
   private final BatchProtocol protocol;
   private final RoutingHeaders names;
   private final UpstreamNotices notices;
+  private final RecentHandles recentHandles = new RecentHandles();
 
   /**
    * Creates the transport.
@@ -66,36 +67,7 @@
         protocol.runPath(),
         protocol.encodeRun(pieces),
         timeoutMs,
-        (response, end) -> whenDone.accept(outcome(upstream, pieces.size(), response, end)));
-  }
-
-  private BatchOutcome outcome(Upstream upstream, int pieces, Response response, HttpEnd end) {
-    if (end.nothingSent() || response.status == MISDIRECTED_REQUEST) {
-      return new BatchOutcome.NotReached();
-    }
-    if (response.notExecuted || response.status == StatusCodes.SERVICE_UNAVAILABLE) {
-      return new BatchOutcome.Refused();
-    }
-    if (!(end instanceof HttpEnd.Completed) || response.status != StatusCodes.OK) {
-      LOG.infof(
-          "call with a batch to upstream %s ended with status %d: %s; its pieces count as lost",
-          upstream.id(), response.status, end);
-      return new BatchOutcome.Lost();
-    }
-    try {
-      List<PieceResult> results = protocol.decodeRun(response.body.toByteArray());
-      if (results.size() == pieces) {
-        return new BatchOutcome.Answered(results);
-      }
-      LOG.warnf(
-          "upstream %s returned %d results for a batch of %d pieces; the pieces count as lost",
-          upstream.id(), results.size(), pieces);
-    } catch (IllegalArgumentException e) {
-      LOG.warnf(
-          "response of upstream %s to a batch cannot be decoded, its pieces count as lost: %s",
-          upstream.id(), e.getMessage());
-    }
-    return new BatchOutcome.Lost();
+        new RunResponse(upstream, pieces.size(), whenDone));
   }
 
   @Override
@@ -105,23 +77,11 @@
         protocol.releasePath(),
         protocol.encodeRelease(handles),
         RELEASE_TIMEOUT_MS,
-        (response, end) -> {
-          if (response.status == StatusCodes.OK) {
-            whenReleased.run();
-          } else {
-            LOG.debugf(
-                "upstream %s did not release %d results, which will expire; status %d: %s",
-                upstream.id(), handles.size(), response.status, end);
-          }
-        });
+        new ReleaseResponse(upstream, handles.size(), whenReleased));
   }
 
   private void send(
-      Upstream upstream,
-      String path,
-      byte[] body,
-      long timeoutMs,
-      BiConsumer<Response, HttpEnd> whenDone) {
+      Upstream upstream, String path, byte[] body, long timeoutMs, HttpListener listener) {
     HeaderMap headers = new HeaderMap();
     headers.put(Headers.HOST, upstream.address().toString());
     headers.put(Headers.CONTENT_TYPE, "application/json");
@@ -136,21 +96,19 @@
             false,
             new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
             () -> true),
-        new Response(upstream, whenDone));
+        listener);
   }
 
   /** Collects one response. */
-  private final class Response implements HttpListener {
+  private abstract class Response implements HttpListener {
 
     private final Upstream upstream;
-    private final BiConsumer<Response, HttpEnd> whenDone;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private boolean notExecuted;
 
-    private Response(Upstream upstream, BiConsumer<Response, HttpEnd> whenDone) {
+    private Response(Upstream upstream) {
       this.upstream = upstream;
-      this.whenDone = whenDone;
     }
 
     @Override
@@ -168,9 +126,134 @@
       return true;
     }
 
+    final String upstreamId() {
+      return upstream.id();
+    }
+
+    final int status() {
+      return status;
+    }
+
+    final boolean isRefusal() {
+      return notExecuted || status == StatusCodes.SERVICE_UNAVAILABLE;
+    }
+
+    /** Decodes the body as the results of a batch. */
+    final List<PieceResult> decodeResults() {
+      return protocol.decodeRun(body.toByteArray());
+    }
+  }
+
+  /**
+   * Response to a batch. It has no id, so only handles that were never seen before show that it is
+   * no second copy of an earlier response.
+   */
+  private final class RunResponse extends Response {
+
+    private final int pieces;
+    private final Consumer<BatchOutcome> whenDone;
+    private Optional<List<PieceResult>> results = Optional.empty();
+    private boolean decoded;
+
+    private RunResponse(Upstream upstream, int pieces, Consumer<BatchOutcome> whenDone) {
+      super(upstream);
+      this.pieces = pieces;
+      this.whenDone = whenDone;
+    }
+
+    @Override
+    public boolean isIdentified() {
+      return results().stream()
+          .flatMap(List::stream)
+          .anyMatch(PieceResult.Produced.class::isInstance);
+    }
+
     @Override
     public void onEnd(HttpEnd end) {
-      whenDone.accept(this, end);
+      whenDone.accept(outcome(end));
+    }
+
+    private BatchOutcome outcome(HttpEnd end) {
+      if (end.nothingSent() || status() == MISDIRECTED_REQUEST) {
+        return new BatchOutcome.NotReached();
+      }
+      if (isRefusal()) {
+        return new BatchOutcome.Refused();
+      }
+      if (end instanceof HttpEnd.Completed && status() == StatusCodes.OK) {
+        return results()
+            .<BatchOutcome>map(BatchOutcome.Answered::new)
+            .orElse(new BatchOutcome.Lost());
+      }
+      LOG.infof(
+          "call with a batch to upstream %s ended with status %d: %s; its pieces count as lost",
+          upstreamId(), status(), end);
+      return new BatchOutcome.Lost();
+    }
+
+    /** Decodes the body once; empty if it is not the response to this batch. */
+    private Optional<List<PieceResult>> results() {
+      if (!decoded && status() == StatusCodes.OK) {
+        decoded = true;
+        results = decode();
+      }
+      return results;
+    }
+
+    private Optional<List<PieceResult>> decode() {
+      try {
+        List<PieceResult> received = decodeResults();
+        if (received.size() == pieces && recentHandles.addNew(received)) {
+          return Optional.of(received);
+        }
+        LOG.warnf(
+            "upstream %s returned %d results for a batch of %d pieces, or results of an earlier"
+                + " batch; the pieces count as lost",
+            upstreamId(), received.size(), pieces);
+      } catch (IllegalArgumentException e) {
+        LOG.warnf(
+            "response of upstream %s to a batch cannot be decoded, its pieces count as lost: %s",
+            upstreamId(), e.getMessage());
+      }
+      return Optional.empty();
+    }
+  }
+
+  /** Response to a release. */
+  private final class ReleaseResponse extends Response {
+
+    private final int handles;
+    private final Runnable whenReleased;
+
+    private ReleaseResponse(Upstream upstream, int handles, Runnable whenReleased) {
+      super(upstream);
+      this.handles = handles;
+      this.whenReleased = whenReleased;
+    }
+
+    @Override
+    public boolean isIdentified() {
+      return status() == StatusCodes.OK && !hasResults();
+    }
+
+    /** The results of a batch show that the response is a second copy of an earlier one. */
+    private boolean hasResults() {
+      try {
+        return !decodeResults().isEmpty();
+      } catch (IllegalArgumentException e) {
+        return false;
+      }
+    }
+
+    @Override
+    public void onEnd(HttpEnd end) {
+      if (isIdentified()) {
+        whenReleased.run();
+      } else {
+        LOG.debugf(
+            "upstream %s did not release %d results, which will expire; status %d: %s",
+            upstreamId(), handles, status(), end);
+      }
     }
   }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -164,6 +164,11 @@
     return true;
   }
 
+  @Override
+  public boolean isIdentified() {
+    return request.id().equals(head.headers().getFirst(dependencies.headers().requestId()));
+  }
+
   @Override
   public void onEnd(HttpEnd end) {
     boolean unanswered = dependencies.loads().recordEnd(pending);
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -145,6 +145,11 @@
       return true;
     }
 
+    @Override
+    public boolean isIdentified() {
+      return true;
+    }
+
     @Override
     public void onEnd(HttpEnd ended) {
       end.complete(ended);
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -199,4 +199,19 @@
       assertEquals(upstream.workRequests(), 3);
     }
   }
+
+  /** Guards against a late second copy of an earlier response that is taken for the next one. */
+  @Test
+  public void connectionOfResponseWithoutIdIsNotUsedAgain() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (connection, r, headers) ->
+                connection == 1
+                    ? "HTTP/1.1 404 Absent\r\nContent-Length: 0\r\n\r\n"
+                    : RawUpstream.response(headers, "", "own"))) {
+      server.announce("u1", upstream.address());
+      assertEquals(server.post("/once/x", "r1").statusCode(), 404);
+      assertEquals(server.post("/once/x", "r2").body(), "own");
+    }
+  }
 }
