Count a forwarded request as in flight from its head to its last byte

What operators of similar systems saw: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause here: a request counted for the graceful stop only from the end of its body to the end of the upstream's response. One whose body was still arriving, and a response that a slow caller was still reading, were cut when the count had reached 0.

Change: the request counts until its exchange is complete. The two ways by which an exchange never completed, a body that timed out and a caller that left while the rest of its response was being written, complete it now.

--- a/src/main/java/org/ragwortpick/entry/http/BodyReader.java
+++ b/src/main/java/org/ragwortpick/entry/http/BodyReader.java
@@ -67,9 +67,14 @@
         });
   }
 
+  private static void close(HttpServerExchange exchange) {
+    IoUtils.safeClose(exchange.getConnection());
+    exchange.endExchange();
+  }
+
   private static void closeUnlessEnded(HttpServerExchange exchange, AtomicBoolean ended) {
     if (ended.compareAndSet(false, true)) {
-      exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
+      exchange.getIoThread().execute(() -> close(exchange));
     }
   }
 }
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -41,6 +41,7 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     long arrivedAtMs = dependencies.clock().millis();
+    countUntilComplete(exchange);
     if (!dependencies.keepsConnections().getAsBoolean()) {
       exchange.setPersistent(false);
     }
@@ -62,6 +63,16 @@
     handle(exchange, table.get(), route.get(), arrivedAtMs);
   }
 
+  /** Counts the request from its head until the last byte of its response is written. */
+  private void countUntilComplete(HttpServerExchange exchange) {
+    dependencies.workCounter().enter();
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          dependencies.workCounter().exit();
+          next.proceed();
+        });
+  }
+
   private static String hostOf(HttpServerExchange exchange) {
     String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
     return host == null ? "" : host;
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -95,7 +95,6 @@
    * @param table routing table that was matched
    */
   void start(RoutingTable table) {
-    dependencies.workCounter().enter();
     dependencies.retryBudgets().of(service).recordFirstAttempt();
     if (refuseIfHeld()) {
       return;
@@ -326,8 +325,8 @@
     if (!ended) {
       attempt.ifPresent(UpstreamAttempt::abort);
       finish("caller_left");
-      exchange.endExchange();
     }
+    exchange.endExchange();
   }
 
   private void refuse(Refusal refusal, String reason) {
@@ -344,6 +343,5 @@
     deadline.cancel();
     stages.ifPresent(StageGraphRun::abandon);
     log.ended(end, repeatPolicy.attempts());
-    dependencies.workCounter().exit();
   }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -204,6 +204,11 @@
     return submissions.get();
   }
 
+  /** Returns the number of requests for which a graceful stop would wait. */
+  int inFlight() {
+    return server.inFlight();
+  }
+
   HostPort address() {
     return server.address();
   }
