Pass an upstream's error on when no other upstream serves the request

What callers saw: 502 "the response was lost" for an idempotent request that an upstream had answered with an error, when no other upstream could take the repeat. The upstream's own status and message were thrown away.

Change: the error is kept while the request is repeated and is the response if the repeat yields none.

Before: failureOfUpstreamIsPassedOnIfNoOtherServes failed with 502 in place of the upstream's 500. After: it passes.

--- a/src/main/java/org/ragwortpick/forward/AttemptListener.java
+++ b/src/main/java/org/ragwortpick/forward/AttemptListener.java
@@ -21,6 +21,14 @@
    */
   void onRepeat(AttemptOutcome outcome);
 
+  /**
+   * Called before {@link #onRepeat} if the upstream has responded with an error, which is the best
+   * response for the caller if the repeat yields none.
+   *
+   * @param send passes the error to the caller
+   */
+  void onErrorResponse(Runnable send);
+
   /**
    * Called when the response is about to be passed to the caller.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -56,6 +56,7 @@
   private final Timers.Timer deadline;
   private Optional<StageGraphRun> stages = Optional.empty();
   private Optional<UpstreamAttempt> attempt = Optional.empty();
+  private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
   private long sentAtMs;
   private long firstByteMs;
@@ -274,6 +275,11 @@
     startAttempt();
   }
 
+  @Override
+  public void onErrorResponse(Runnable send) {
+    errorResponse = Optional.of(send);
+  }
+
   @Override
   public void onResponseStarted(int status) {
     log.responseStarted(status);
@@ -329,7 +335,12 @@
     exchange.endExchange();
   }
 
+  /** Refuses the request, unless an upstream has responded to it with an error. */
   private void refuse(Refusal refusal, String reason) {
+    if (errorResponse.isPresent()) {
+      errorResponse.get().run();
+      return;
+    }
     finish(reason);
     boolean wouldDenyRun = repeatPolicy.mayHaveRun() && refusal.guaranteesNotRun();
     RefusalWriter.write(exchange, wouldDenyRun ? Refusal.OUTCOME_UNKNOWN : refusal);
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -214,10 +214,15 @@
         dependencies.loads().recordFailure(upstream.id());
       }
       if (repeatable && listener.mayRepeat(AttemptOutcome.FAILED)) {
+        listener.onErrorResponse(() -> sendComplete(end));
         listener.onRepeat(AttemptOutcome.FAILED);
         return;
       }
     }
+    sendComplete(end);
+  }
+
+  private void sendComplete(HttpEnd end) {
     listener.onResponseStarted(head.status());
     relay.sendComplete(head, buffered);
     listener.onResponseEnded(end);
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -214,4 +214,28 @@
       assertEquals(server.post("/once/x", "r2").body(), "own");
     }
   }
+
+  /** Guards against an error of this system in place of the upstream's own response. */
+  @Test
+  public void failureOfUpstreamIsPassedOnIfNoOtherServes() throws Exception {
+    try (RawUpstream failing =
+            new RawUpstream(
+                (c, r, headers) ->
+                    "HTTP/1.1 500 Failed\r\nRequest-Id: "
+                        + headers.get("request-id")
+                        + "\r\nContent-Length: 5\r\n\r\nfault");
+        RawUpstream busy = new RawUpstream((c, r, headers) -> notExecutedResponse(headers))) {
+      server.announce("failing", failing.address());
+      HttpResponse<String> alone = server.post("/safe/x", "alone");
+      assertEquals(alone.statusCode() + alone.body(), "500fault");
+      server.announce("busy", busy.address());
+      for (int i = 0; i < 12; i++) {
+        int before = failing.workRequests();
+        HttpResponse<String> response = server.post("/safe/x", "r" + i);
+        if (failing.workRequests() > before) {
+          assertEquals(response.statusCode() + response.body(), "500fault");
+        }
+      }
+    }
+  }
 }
