Keep polling the settings file after an error

What operators of similar systems saw: one unexpected error took a part of a process down for good.

Cause here: an exception in the scheduled check of the settings file ended the schedule. It was thrown when the file could not be read at the start (its time is compared with null) and when new settings could not be applied; later changes were ignored until a SIGHUP.

--- a/src/main/java/org/ragwortpick/cli/SettingsReload.java
+++ b/src/main/java/org/ragwortpick/cli/SettingsReload.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -70,8 +71,13 @@
   }
 
   private void reloadIfChanged() {
-    if (!readLastModified().equals(lastModified)) {
-      reload();
+    try {
+      if (!Objects.equals(readLastModified(), lastModified)) {
+        reload();
+      }
+    } catch (RuntimeException e) {
+      // An uncaught exception would cancel the schedule, and later changes would not be applied.
+      LOG.errorf(e, "settings not reloaded; the file is checked again in %d ms", POLL_INTERVAL_MS);
     }
   }
 
