Match hosts of routes whatever their case, and add up weights without overflow

A route whose host an operator wrote with capitals was never matched, its callers got 404; two routes whose hosts differed by case only were accepted. Two large weights overflowed, so that a proper configuration was refused.

Before: three new cases of RoutingTableTest and RoutingValidatorTest failed. After: they pass.

--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -151,8 +151,8 @@
   }
 
   private String drawService(Route route) {
-    int total = route.services().stream().mapToInt(WeightedService::weight).sum();
-    int drawn = random.nextInt(total);
+    long total = route.services().stream().mapToLong(WeightedService::weight).sum();
+    long drawn = random.nextLong(total);
     for (WeightedService weighted : route.services()) {
       drawn -= weighted.weight();
       if (drawn < 0) {
--- a/src/main/java/org/ragwortpick/routing/RoutingTable.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingTable.java
@@ -24,7 +24,8 @@
   public RoutingTable(RoutingConfiguration configuration) {
     this.configuration = configuration;
     for (Route route : configuration.routes()) {
-      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      String host = route.host().toLowerCase(Locale.ROOT);
+      routesByHost.computeIfAbsent(host, name -> new ArrayList<>()).add(route);
     }
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
--- a/src/main/java/org/ragwortpick/routing/RoutingValidator.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingValidator.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -27,7 +28,8 @@
       checkServices(route, services, problems);
       checkValues(route, problems);
       String firstRoute =
-          routesByHostAndPrefix.putIfAbsent(route.host() + route.pathPrefix(), route.name());
+          routesByHostAndPrefix.putIfAbsent(
+              route.host().toLowerCase(Locale.ROOT) + route.pathPrefix(), route.name());
       if (firstRoute != null) {
         problems.add(new RoutingProblem.DuplicateRoute(route.name(), firstRoute));
       }
@@ -45,7 +47,7 @@
         .filter(service -> !services.contains(service))
         .forEach(service -> problems.add(new RoutingProblem.UnknownService(route.name(), service)));
     boolean negative = route.services().stream().anyMatch(weighted -> weighted.weight() < 0);
-    if (negative || route.services().stream().mapToInt(WeightedService::weight).sum() <= 0) {
+    if (negative || route.services().stream().mapToLong(WeightedService::weight).sum() <= 0) {
       problems.add(new RoutingProblem.InvalidWeights(route.name()));
     }
   }
--- a/src/test/java/org/ragwortpick/routing/RoutingTableTest.java
+++ b/src/test/java/org/ragwortpick/routing/RoutingTableTest.java
@@ -37,6 +37,15 @@
     assertEquals(match("A.Example:8080", "/x/1"), Optional.of("short"));
   }
 
+  @Test
+  public void routeWithCapitalsInItsHostIsMatched() {
+    RoutingTable capitals =
+        new RoutingTable(
+            RoutingFixture.configuration(
+                1, RoutingFixture.route("r", "Desk.Example", "/x/", "s1")));
+    assertEquals(capitals.match("desk.example", "/x/1").map(Route::name), Optional.of("r"));
+  }
+
   @Test
   public void findsWorkspaceOnlyByExactKey() {
     assertTrue(table.needsKeys());
--- a/src/test/java/org/ragwortpick/routing/RoutingValidatorTest.java
+++ b/src/test/java/org/ragwortpick/routing/RoutingValidatorTest.java
@@ -40,6 +40,27 @@
         RoutingProblem.DuplicateRoute.class);
   }
 
+  @Test
+  public void rejectsRoutesWhoseHostsDifferByCaseOnly() {
+    assertRejected(
+        RoutingFixture.configuration(
+            1,
+            RoutingFixture.route("r", "a.example", "/x/", "s1"),
+            RoutingFixture.route("q", "A.example", "/x/", "s2")),
+        RoutingProblem.DuplicateRoute.class);
+  }
+
+  @Test
+  public void acceptsWeightsWhoseSumExceedsAnInteger() {
+    Route valid = RoutingFixture.route("r", "a.example", "/x/", "s1");
+    List<WeightedService> large =
+        List.of(
+            new WeightedService("s1", Integer.MAX_VALUE),
+            new WeightedService("s2", Integer.MAX_VALUE));
+    Route route = withServices(valid, 1_000, large);
+    assertEquals(RoutingValidator.validate(RoutingFixture.configuration(1, route)), List.of());
+  }
+
   @Test
   public void rejectsWeightsThatAddUpToZero() {
     Route valid = RoutingFixture.route("r", "a.example", "/x/", "s1");
