--- a/src/test/java/org/ragwortpick/forward/EndlessResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/EndlessResponseTest.java
@@ -7,30 +7,17 @@
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.entry.http.EndlessUpstream;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against responses without an end that fill the memory or hold a request. */
-public final class EndlessResponseTest {
+public final class EndlessResponseTest extends ForwardServerFixture {
 
   private static final long BYTE_PAUSE_NANOS = 50_000_000L;
   private static final long SLOW_START_NANOS = 550_000_000L;
   private static final long DEADLINE_MS = 700;
 
   private final MonotonicClock clock = new MonotonicClock();
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
 
   @DataProvider
   public static Object[][] endlessHeads() {
@@ -45,8 +32,8 @@
   @Test(dataProvider = "endlessHeads", timeOut = 20_000)
   public void endlessHeadIsLostAndNotATimeout(String beginning, String repeated) throws Exception {
     try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, 0)) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "r1").statusCode(), 502);
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "r1").statusCode(), 502);
     }
   }
 
@@ -55,10 +42,10 @@
     try (EndlessUpstream endless = new EndlessUpstream("HTTP/1.1 200 OK\r\nMark: ", "a", 0);
         RawUpstream sound =
             new RawUpstream((c, r, headers) -> RawUpstream.response(headers, "", "done"))) {
-      server.announce("endless", endless.address());
-      server.announce("sound", sound.address());
+      server().announce("endless", endless.address());
+      server().announce("sound", sound.address());
       for (int i = 0; i < 6; i++) {
-        assertEquals(server.post("/safe/x", "r" + i).body(), "done");
+        assertEquals(server().post("/safe/x", "r" + i).body(), "done");
       }
     }
   }
@@ -68,8 +55,8 @@
     String head = "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nRequest-Id: {id}\r\n";
     try (EndlessUpstream upstream =
         new EndlessUpstream(head + "Content-Length: 99999999999\r\n\r\n", "a", 0)) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "r1").statusCode(), 503);
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "r1").statusCode(), 503);
     }
   }
 
@@ -89,9 +76,9 @@
   @Test(dataProvider = "stalledStreams", timeOut = 20_000)
   public void stalledStreamEndsAtDeadline(String beginning, String repeated) throws Exception {
     try (EndlessUpstream upstream = new EndlessUpstream(beginning, repeated, BYTE_PAUSE_NANOS)) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       long startedAtMs = clock.millis();
-      RawCaller.Response response = RawCaller.send(server.address(), "HTTP/1.1", "/stream/x", "");
+      RawCaller.Response response = RawCaller.send(server().address(), "HTTP/1.1", "/stream/x", "");
       long tookMs = clock.millis() - startedAtMs;
       assertTrue(tookMs >= DEADLINE_MS && tookMs < 2 * DEADLINE_MS, "ended after " + tookMs);
       assertTrue(!response.head().contains(" 200 ") || !response.framedAsComplete());
@@ -107,8 +94,8 @@
               return RawUpstream.response(
                   headers, "Content-Type: text/event-stream\r\n", "id: 1\ndata: a\n\n");
             })) {
-      server.announce("u1", slow.address());
-      assertEquals(server.post("/stream/x", "r1").body(), "id: 1\ndata: a\n\n");
+      server().announce("u1", slow.address());
+      assertEquals(server().post("/stream/x", "r1").body(), "id: 1\ndata: a\n\n");
     }
   }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -13,30 +13,16 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
  * Guards against responses of other requests, incomplete responses that look complete, refusals
  * that wrongly state that a request has not run, and forwarded reserved headers.
  */
-public final class ForwardFaultsTest {
+public final class ForwardFaultsTest extends ForwardServerFixture {
 
   private static final HostPort UNREACHABLE = new HostPort("127.0.0.1", 1);
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
   private static String notExecutedResponse(Map<String, String> request) {
     return "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nRequest-Id: "
         + request.get("request-id")
@@ -52,16 +38,17 @@
               seen.set(headers);
               return RawUpstream.response(headers, "Mark: m1\r\n", "answer");
             })) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       HttpResponse<String> response =
-          server.send(
-              server
-                  .request("/safe/a%20b?x=1&y=%2F", "r1")
-                  .header("Workspace", "forged")
-                  .header("Internal", "forged")
-                  .header("Other", "kept")
-                  .POST(HttpRequest.BodyPublishers.ofString("body"))
-                  .build());
+          server()
+              .send(
+                  server()
+                      .request("/safe/a%20b?x=1&y=%2F", "r1")
+                      .header("Workspace", "forged")
+                      .header("Internal", "forged")
+                      .header("Other", "kept")
+                      .POST(HttpRequest.BodyPublishers.ofString("body"))
+                      .build());
       assertEquals(response.statusCode(), 200);
       assertEquals(response.body(), "answer");
       assertEquals(response.headers().firstValue("Mark"), Optional.of("m1"));
@@ -78,18 +65,18 @@
 
   @Test
   public void refusalStatusNamesCause() throws Exception {
-    assertEquals(server.post("/absent/x", "r1").statusCode(), 404);
+    assertEquals(server().post("/absent/x", "r1").statusCode(), 404);
     HttpRequest wrongKey =
-        HttpRequest.newBuilder(server.request("/safe/x", "r2").build().uri())
+        HttpRequest.newBuilder(server().request("/safe/x", "r2").build().uri())
             .header("Request-Id", "r2")
             .header("Access-Code", "unknown")
             .build();
-    assertEquals(server.send(wrongKey).statusCode(), 401);
-    HttpResponse<String> noUpstream = server.post("/safe/x", "r3");
+    assertEquals(server().send(wrongKey).statusCode(), 401);
+    HttpResponse<String> noUpstream = server().post("/safe/x", "r3");
     assertEquals(noUpstream.statusCode(), 503);
     assertTrue(noUpstream.headers().firstValue("Retry-After").isPresent());
-    server.removeConfiguration();
-    assertEquals(server.post("/absent/x", "r4").statusCode(), 503);
+    server().removeConfiguration();
+    assertEquals(server().post("/absent/x", "r4").statusCode(), 503);
   }
 
   @Test
@@ -97,11 +84,11 @@
     try (RawUpstream busy = new RawUpstream((c, r, headers) -> notExecutedResponse(headers));
         RawUpstream free =
             new RawUpstream((c, r, headers) -> RawUpstream.response(headers, "", "done"))) {
-      server.announce("busy", busy.address());
-      server.announce("free", free.address());
-      server.announce("gone", UNREACHABLE);
+      server().announce("busy", busy.address());
+      server().announce("free", free.address());
+      server().announce("gone", UNREACHABLE);
       for (int i = 0; i < 5; i++) {
-        assertEquals(server.post("/once/x", "r" + i).body(), "done");
+        assertEquals(server().post("/once/x", "r" + i).body(), "done");
       }
     }
   }
@@ -109,11 +96,11 @@
   @Test
   public void lostResponseIsNotReportedAsNotRun() throws Exception {
     try (RawUpstream upstream = new RawUpstream((c, r, headers) -> "no answer")) {
-      server.announce("u1", upstream.address());
-      server.announce("u2", upstream.address());
-      assertEquals(server.post("/once/x", "r1").statusCode(), 502);
+      server().announce("u1", upstream.address());
+      server().announce("u2", upstream.address());
+      assertEquals(server().post("/once/x", "r1").statusCode(), 502);
       assertEquals(upstream.workRequests(), 1);
-      assertEquals(server.post("/safe/x", "r2").statusCode(), 502);
+      assertEquals(server().post("/safe/x", "r2").statusCode(), 502);
       assertEquals(upstream.workRequests(), 3);
     }
   }
@@ -128,11 +115,11 @@
                         + headers.get("request-id")
                         + "\r\nContent-Length: 0\r\n\r\n");
         RawUpstream busy = new RawUpstream((c, r, headers) -> notExecutedResponse(headers))) {
-      server.announce("failing", failing.address());
-      server.announce("busy", busy.address());
+      server().announce("failing", failing.address());
+      server().announce("busy", busy.address());
       for (int i = 0; i < 12; i++) {
         int before = failing.workRequests();
-        int status = server.post("/safe/x", "r" + i).statusCode();
+        int status = server().post("/safe/x", "r" + i).statusCode();
         boolean ran = failing.workRequests() > before;
         assertTrue(!ran || status != 503, "status 503 after a run");
       }
@@ -143,8 +130,8 @@
   @Test
   public void unresponsiveUpstreamCausesTimeout() throws Exception {
     try (RawUpstream upstream = new RawUpstream((c, r, headers) -> "")) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "r1").statusCode(), 504);
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "r1").statusCode(), 504);
     }
   }
 
@@ -157,9 +144,9 @@
               String answer = RawUpstream.response(headers, "", headers.get("request-id"));
               return answer + answer;
             })) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       for (int i = 0; i < 6; i++) {
-        HttpResponse<String> response = server.post("/once/x", "r" + i);
+        HttpResponse<String> response = server().post("/once/x", "r" + i);
         assertTrue(
             response.statusCode() == 502 || response.body().equals("r" + i), response.body());
       }
@@ -175,9 +162,9 @@
                         headers, "Content-Type: text/event-stream\r\nContent-Length: 500\r\n")
                     + "Connection: close"
                     + "id: 1\n\n")) {
-      server.announce("u1", upstream.address());
-      assertThrows(IOException.class, () -> server.post("/stream/x", "r1"));
-      assertEquals(server.post("/once/x", "r2").statusCode(), 502);
+      server().announce("u1", upstream.address());
+      assertThrows(IOException.class, () -> server().post("/stream/x", "r1"));
+      assertEquals(server().post("/once/x", "r2").statusCode(), 502);
     }
   }
 
@@ -189,13 +176,13 @@
                 "HTTP/1.1 500 Failed\r\nMark: m\r\nRequest-Id: "
                     + headers.get("request-id")
                     + "\r\nContent-Length: 3\r\n\r\nbad")) {
-      server.announce("u1", upstream.address());
-      server.announce("u2", upstream.address());
-      HttpResponse<String> once = server.post("/once/x", "r1");
+      server().announce("u1", upstream.address());
+      server().announce("u2", upstream.address());
+      HttpResponse<String> once = server().post("/once/x", "r1");
       assertEquals(once.statusCode(), 500);
       assertEquals(once.headers().firstValue("Mark"), Optional.of("m"));
       assertEquals(upstream.workRequests(), 1);
-      assertEquals(server.post("/safe/x", "r2").statusCode(), 500);
+      assertEquals(server().post("/safe/x", "r2").statusCode(), 500);
       assertEquals(upstream.workRequests(), 3);
     }
   }
@@ -209,9 +196,9 @@
                 connection == 1
                     ? "HTTP/1.1 404 Absent\r\nContent-Length: 0\r\n\r\n"
                     : RawUpstream.response(headers, "", "own"))) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "r1").statusCode(), 404);
-      assertEquals(server.post("/once/x", "r2").body(), "own");
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "r1").statusCode(), 404);
+      assertEquals(server().post("/once/x", "r2").body(), "own");
     }
   }
 
@@ -225,13 +212,13 @@
                         + headers.get("request-id")
                         + "\r\nContent-Length: 5\r\n\r\nfault");
         RawUpstream busy = new RawUpstream((c, r, headers) -> notExecutedResponse(headers))) {
-      server.announce("failing", failing.address());
-      HttpResponse<String> alone = server.post("/safe/x", "alone");
+      server().announce("failing", failing.address());
+      HttpResponse<String> alone = server().post("/safe/x", "alone");
       assertEquals(alone.statusCode() + alone.body(), "500fault");
-      server.announce("busy", busy.address());
+      server().announce("busy", busy.address());
       for (int i = 0; i < 12; i++) {
         int before = failing.workRequests();
-        HttpResponse<String> response = server.post("/safe/x", "r" + i);
+        HttpResponse<String> response = server().post("/safe/x", "r" + i);
         if (failing.workRequests() > before) {
           assertEquals(response.statusCode() + response.body(), "500fault");
         }
--- a/src/test/java/org/ragwortpick/forward/LeavingUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/LeavingUpstreamTest.java
@@ -5,34 +5,18 @@
 
 import java.net.http.HttpResponse;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against requests sent to an upstream whose responses state that it is leaving. */
-public final class LeavingUpstreamTest {
+public final class LeavingUpstreamTest extends ForwardServerFixture {
 
   private static final String LEAVING = "Going-Away: 1\r\n";
   private static final String STREAM = "Content-Type: text/event-stream\r\n";
   private static final int REQUESTS = 20;
   private static final long LONGER_THAN_LAST_RESORT_MS = 1_300;
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
   private static String withStatus(String statusLine, Map<String, String> request, String headers) {
     return "HTTP/1.1 "
         + statusLine
@@ -62,13 +46,13 @@
             new RawUpstream((c, r, request) -> withStatus(status, request, extra));
         RawUpstream staying =
             new RawUpstream((c, r, request) -> RawUpstream.response(request, STREAM, ""))) {
-      server.announce("leaving", leaving.address());
-      server.post("/" + route + "/x", "first");
+      server().announce("leaving", leaving.address());
+      server().post("/" + route + "/x", "first");
       assertTrue(leaving.workRequests() > 0);
-      server.announce("staying", staying.address());
+      server().announce("staying", staying.address());
       int before = leaving.workRequests();
       for (int i = 0; i < REQUESTS; i++) {
-        assertEquals(server.post("/" + route + "/x", "r" + i).statusCode(), 200);
+        assertEquals(server().post("/" + route + "/x", "r" + i).statusCode(), 200);
       }
       assertEquals(leaving.workRequests(), before);
       assertEquals(staying.workRequests(), REQUESTS);
@@ -88,12 +72,12 @@
                   case "r2" -> withStatus("200 OK", request, "Going-Away: 0\r\n");
                   default -> RawUpstream.response(request, "", "whole");
                 })) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       for (int i = 0; i < 3; i++) {
-        server.post("/safe/x", "r" + i);
+        server().post("/safe/x", "r" + i);
       }
       pause(LONGER_THAN_LAST_RESORT_MS);
-      assertEquals(server.post("/safe/x", "last").body(), "whole");
+      assertEquals(server().post("/safe/x", "last").body(), "whole");
     }
   }
 
@@ -101,21 +85,17 @@
   public void requestsAreRefusedAtOnceWhenAllUpstreamsLeave() throws Exception {
     try (RawUpstream upstream =
         new RawUpstream((c, r, request) -> RawUpstream.response(request, LEAVING, "whole"))) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "first").statusCode(), 200);
-      assertEquals(server.post("/once/x", "second").statusCode(), 200, "it still serves");
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "first").statusCode(), 200);
+      assertEquals(server().post("/once/x", "second").statusCode(), 200, "it still serves");
       pause(LONGER_THAN_LAST_RESORT_MS);
       int before = upstream.workRequests();
-      HttpResponse<String> refused = server.post("/once/x", "third");
+      HttpResponse<String> refused = server().post("/once/x", "third");
       assertEquals(refused.statusCode(), 503);
       assertTrue(refused.headers().firstValue("Retry-After").isPresent());
       assertEquals(upstream.workRequests(), before);
-      server.announceAgain("u1", 2, upstream.address());
-      assertEquals(server.post("/once/x", "fourth").statusCode(), 200, "a later start is new");
+      server().announceAgain("u1", 2, upstream.address());
+      assertEquals(server().post("/once/x", "fourth").statusCode(), 200, "a later start is new");
     }
   }
-
-  private static void pause(long durationMs) throws InterruptedException {
-    new CountDownLatch(1).await(durationMs, TimeUnit.MILLISECONDS);
-  }
 }
--- a/src/test/java/org/ragwortpick/forward/PausedUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/PausedUpstreamTest.java
@@ -5,33 +5,17 @@
 
 import java.net.http.HttpResponse;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against requests sent to an upstream in the retry time of its refusal. */
-public final class PausedUpstreamTest {
+public final class PausedUpstreamTest extends ForwardServerFixture {
 
   private static final int REQUESTS = 20;
   private static final long LONGER_THAN_PAUSE_MS = 1_300;
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
   private static String refusal(Map<String, String> request, String headers) {
     return "HTTP/1.1 503 Busy\r\nRequest-Id: "
         + request.get("request-id")
@@ -61,11 +45,11 @@
                 refuses.get()
                     ? refusal(request, headers)
                     : RawUpstream.response(request, "Content-Type: text/event-stream\r\n", ""))) {
-      server.announce("u1", upstream.address());
-      server.post("/" + route + "/x", "first");
+      server().announce("u1", upstream.address());
+      server().post("/" + route + "/x", "first");
       int before = upstream.workRequests();
       for (int i = 0; i < REQUESTS; i++) {
-        HttpResponse<String> refused = server.post("/" + route + "/x", "r" + i);
+        HttpResponse<String> refused = server().post("/" + route + "/x", "r" + i);
         assertEquals(refused.statusCode(), 503);
         double seconds =
             Double.parseDouble(refused.headers().firstValue("Retry-After").orElse("0"));
@@ -73,8 +57,8 @@
       }
       assertEquals(upstream.workRequests(), before);
       refuses.set(false);
-      new CountDownLatch(1).await(LONGER_THAN_PAUSE_MS, TimeUnit.MILLISECONDS);
-      assertEquals(server.post("/" + route + "/x", "last").statusCode(), 200);
+      pause(LONGER_THAN_PAUSE_MS);
+      assertEquals(server().post("/" + route + "/x", "last").statusCode(), 200);
     }
   }
 
@@ -85,11 +69,11 @@
                 (c, r, request) -> refusal(request, "Untouched: 1\r\nRetry-After: 30\r\n"));
         RawUpstream free =
             new RawUpstream((c, r, request) -> RawUpstream.response(request, "", "done"))) {
-      server.announce("paused", paused.address());
-      server.post("/once/x", "first");
-      server.announce("free", free.address());
+      server().announce("paused", paused.address());
+      server().post("/once/x", "first");
+      server().announce("free", free.address());
       for (int i = 0; i < REQUESTS; i++) {
-        assertEquals(server.post("/once/x", "r" + i).body(), "done");
+        assertEquals(server().post("/once/x", "r" + i).body(), "done");
       }
       assertEquals(paused.workRequests(), 1);
     }
@@ -108,10 +92,10 @@
         new RawUpstream(
             (c, r, request) ->
                 refusal(request, "Untouched: 1\r\nRetry-After: " + retryAfter + "\r\n"))) {
-      server.announce("u1", upstream.address());
-      server.post("/once/x", "first");
-      server.send(server.request("/staged/x", "second").header("Parts", "1").build());
-      assertEquals(server.submittedStages(), submittedStages);
+      server().announce("u1", upstream.address());
+      server().post("/once/x", "first");
+      server().send(server().request("/staged/x", "second").header("Parts", "1").build());
+      assertEquals(server().submittedStages(), submittedStages);
     }
   }
 
@@ -143,9 +127,9 @@
                 request.get("request-id").equals("first")
                     ? refusal(request, "Untouched: 1\r\nRetry-After: " + value + "\r\n")
                     : RawUpstream.response(request, "", "done"))) {
-      server.announce("u1", upstream.address());
-      assertEquals(server.post("/once/x", "first").statusCode(), 503);
-      assertEquals(server.post("/once/x", "second").body(), "done");
+      server().announce("u1", upstream.address());
+      assertEquals(server().post("/once/x", "first").statusCode(), 503);
+      assertEquals(server().post("/once/x", "second").body(), "done");
     }
   }
 }
--- a/src/test/java/org/ragwortpick/forward/RequestsInFlightTest.java
+++ b/src/test/java/org/ragwortpick/forward/RequestsInFlightTest.java
@@ -5,48 +5,28 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
  * Guards against a graceful stop that cuts off a request that it has accepted, and against one that
  * waits for a request that has ended.
  */
-public final class RequestsInFlightTest {
+public final class RequestsInFlightTest extends ForwardServerFixture {
 
   private static final long POLL_MS = 10;
   private static final int MAX_POLLS = 300;
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
-  private static void pause() throws InterruptedException {
-    new CountDownLatch(1).await(POLL_MS, TimeUnit.MILLISECONDS);
-  }
-
   private void awaitInFlight(int expected) throws InterruptedException {
-    for (int i = 0; i < MAX_POLLS && server.inFlight() != expected; i++) {
-      pause();
+    for (int i = 0; i < MAX_POLLS && server().inFlight() != expected; i++) {
+      pause(POLL_MS);
     }
-    assertEquals(server.inFlight(), expected);
+    assertEquals(server().inFlight(), expected);
   }
 
   private Socket sendHalfOfBody() throws IOException {
-    HostPort address = server.address();
+    HostPort address = server().address();
     Socket socket = new Socket(address.host(), address.port());
     String half =
         "POST /once/x HTTP/1.1\r\nHost: "
@@ -62,7 +42,7 @@
     try (RawUpstream upstream =
             new RawUpstream((c, r, request) -> RawUpstream.response(request, "", "whole"));
         Socket socket = sendHalfOfBody()) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       awaitInFlight(1);
       socket.getOutputStream().write("rest".getBytes(StandardCharsets.US_ASCII));
       awaitInFlight(0);
@@ -90,7 +70,7 @@
   @Test
   public void callerThatLeavesBeforeItsResponseStopsCounting() throws Exception {
     try (RawUpstream upstream = new RawUpstream((c, r, request) -> "")) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       try (Socket socket = sendHalfOfBody()) {
         socket.getOutputStream().write("rest".getBytes(StandardCharsets.US_ASCII));
         awaitInFlight(1);
@@ -101,7 +81,7 @@
 
   @Test
   public void refusedRequestStopsCounting() throws Exception {
-    assertEquals(server.post("/absent/x", "r1").statusCode(), 404);
+    assertEquals(server().post("/absent/x", "r1").statusCode(), 404);
     awaitInFlight(0);
   }
 }
--- a/src/test/java/org/ragwortpick/forward/SilentUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/SilentUpstreamTest.java
@@ -8,13 +8,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against requests sent to an upstream that leaves part of its requests unanswered. */
-public final class SilentUpstreamTest {
+public final class SilentUpstreamTest extends ForwardServerFixture {
 
   private static final String LOAD = "Work-Load: 20,0,64\r\n";
   private static final int OVERTAKING = 3;
@@ -22,18 +20,6 @@
   private static final long SILENT_FOR_MS = 600;
   private static final long LONGER_THAN_TIMEOUT_MS = 1_200;
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
   @DataProvider
   public static Object[][] waitsMs() {
     return new Object[][] {{SILENT_FOR_MS}, {LONGER_THAN_TIMEOUT_MS}};
@@ -53,18 +39,22 @@
                 });
         RawUpstream sound =
             new RawUpstream((c, r, request) -> RawUpstream.response(request, LOAD, "answer"))) {
-      server.announceLarge("silent", silent.address());
+      server().announceLarge("silent", silent.address());
       CompletableFuture<HttpResponse<String>> unanswered =
-          server.sendAsync(
-              server.request("/once/x", "unanswered").setHeader("Time-Left-Ms", "900").build());
+          server()
+              .sendAsync(
+                  server()
+                      .request("/once/x", "unanswered")
+                      .setHeader("Time-Left-Ms", "900")
+                      .build());
       assertTrue(arrived.await(1, TimeUnit.SECONDS));
       for (int i = 0; i < OVERTAKING; i++) {
-        assertEquals(server.post("/once/x", "o" + i).body(), "answer");
+        assertEquals(server().post("/once/x", "o" + i).body(), "answer");
       }
-      new CountDownLatch(1).await(waitMs, TimeUnit.MILLISECONDS);
-      server.announceLarge("sound", sound.address());
+      pause(waitMs);
+      server().announceLarge("sound", sound.address());
       for (int i = 0; i < REQUESTS; i++) {
-        assertEquals(server.post("/once/x", "r" + i).body(), "answer");
+        assertEquals(server().post("/once/x", "r" + i).body(), "answer");
       }
       assertEquals(sound.workRequests(), REQUESTS);
       assertEquals(unanswered.get().statusCode(), 504);
--- a/src/test/java/org/ragwortpick/forward/UnframedResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/UnframedResponseTest.java
@@ -18,13 +18,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortpick.entry.http.EndlessUpstream;
 import org.ragwortpick.entry.http.RawUpstream;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against a response that was cut off and reaches its caller as complete. */
-public final class UnframedResponseTest {
+public final class UnframedResponseTest extends ForwardServerFixture {
 
   private static final String EVENT = "id: 1\ndata: a\n\n";
   private static final String CUT_EVENT = "id: 2\nda";
@@ -32,18 +30,6 @@
   private static final String LAST_CHUNK = "0\r\n\r\n";
   private static final String CLOSE = "Connection: close\r\n";
 
-  private ForwardTestServer server;
-
-  @BeforeMethod
-  public void start() throws Exception {
-    server = new ForwardTestServer();
-  }
-
-  @AfterMethod
-  public void stop() {
-    server.close();
-  }
-
   private static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
@@ -58,8 +44,8 @@
       throws IOException {
     try (RawUpstream upstream =
         new RawUpstream((c, r, request) -> RawUpstream.head(request, headers + CLOSE) + body)) {
-      server.announce("u1", upstream.address());
-      return RawCaller.send(server.address(), version, path, connection);
+      server().announce("u1", upstream.address());
+      return RawCaller.send(server().address(), version, path, connection);
     }
   }
 
@@ -245,8 +231,8 @@
       throws Exception {
     try (RawUpstream upstream =
         new RawUpstream((c, r, request) -> ending.response(framing, request))) {
-      server.announce("u1", upstream.address());
-      RawCaller.Response response = RawCaller.send(server.address(), "HTTP/1.1", path, "");
+      server().announce("u1", upstream.address());
+      RawCaller.Response response = RawCaller.send(server().address(), "HTTP/1.1", path, "");
       assertEquals(
           Seen.of(response), ending.seen(framing, path.equals("/stream/x")), response.text());
       if (ending == Ending.WHOLE) {
@@ -270,9 +256,9 @@
               // No header of the response announces that the connection ends.
               return RawUpstream.head(request, "X-Note: Connection: close\r\n") + "answer";
             })) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       for (int i = 0; i < 3; i++) {
-        RawCaller.Response response = RawCaller.send(server.address(), "HTTP/1.1", path, "");
+        RawCaller.Response response = RawCaller.send(server().address(), "HTTP/1.1", path, "");
         assertEquals(response.body(), "answer", response.text());
       }
       assertEquals(connections.size(), 3);
@@ -283,11 +269,11 @@
   public void eventsOfUnframedStreamArriveBeforeItsEnd() throws Exception {
     String head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" + EVENTS + "\r\n";
     try (EndlessUpstream upstream = new EndlessUpstream(head, EVENT, 50_000_000L)) {
-      server.announce("u1", upstream.address());
+      server().announce("u1", upstream.address());
       HttpResponse<InputStream> response =
           HttpClient.newHttpClient()
               .send(
-                  server.request("/stream/x", "r1").build(),
+                  server().request("/stream/x", "r1").build(),
                   HttpResponse.BodyHandlers.ofInputStream());
       try (InputStream body = response.body()) {
         assertEquals(new String(body.readNBytes(EVENT.length()), US_ASCII), EVENT);
@@ -298,10 +284,10 @@
   @Test
   public void brokenStreamIsCountedOnceAndBySignOfItsBreak() throws Exception {
     respond("/stream/x", EVENTS, EVENT + CUT_EVENT, "");
-    assertEquals(server.count("ragwortpick_forward_bodies", "broken_inside_event"), 1.0);
-    assertEquals(server.count("ragwortpick_forward_sends", ""), 1.0);
-    assertEquals(server.count("ragwortpick_forward_sends", "LOST"), 1.0);
-    assertEquals(server.count("ragwortpick_forward_requests", "broken_off"), 1.0);
+    assertEquals(server().count("ragwortpick_forward_bodies", "broken_inside_event"), 1.0);
+    assertEquals(server().count("ragwortpick_forward_sends", ""), 1.0);
+    assertEquals(server().count("ragwortpick_forward_sends", "LOST"), 1.0);
+    assertEquals(server().count("ragwortpick_forward_requests", "broken_off"), 1.0);
   }
 
   @Test
@@ -315,13 +301,13 @@
                 });
         RawUpstream sound =
             new RawUpstream((c, r, request) -> RawUpstream.response(request, EVENTS, EVENT))) {
-      server.announce("breaking", breaking.address());
-      server.announce("sound", sound.address());
+      server().announce("breaking", breaking.address());
+      server().announce("sound", sound.address());
       while (broken.get() == 0) {
-        RawCaller.send(server.address(), "HTTP/1.1", "/stream/x", "");
+        RawCaller.send(server().address(), "HTTP/1.1", "/stream/x", "");
       }
       for (int i = 0; i < 3; i++) {
-        assertEquals(RawCaller.send(server.address(), "HTTP/1.1", "/stream/x", "").body(), EVENT);
+        assertEquals(RawCaller.send(server().address(), "HTTP/1.1", "/stream/x", "").body(), EVENT);
       }
       assertEquals(broken.get(), 1);
     }
