--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
@@ -118,23 +117,13 @@
       refuseWithoutUpstream();
       return;
     }
-    long responseMs = dependencies.responseTimes().averageMs(request.route().name());
-    OptionalLong waitMs =
-        StageAdmission.refusedForWaitMs(
-            graph,
-            request.targetAtMs() - dependencies.clock().millis() - responseMs,
-            stage -> dependencies.stages().expectedWaitMs(stage, request.priority()));
-    if (waitMs.isPresent()) {
-      onStagesEnded(new SubmissionEnd.Failed(SubmissionEnd.Cause.OVERLOADED, waitMs.getAsLong()));
-      return;
-    }
     String key = headers.getFirst(dependencies.headers().pieceKey());
     StageGraphRun run =
         new StageGraphRun(
             request,
             key == null ? "" : key,
             graph,
-            responseMs,
+            dependencies.responseTimes().averageMs(request.route().name()),
             dependencies.chooser().likelyDataCentre(service, prefix),
             dependencies.resultLocator(),
             dependencies.stages(),
--- a/src/main/java/org/ragwortpick/forward/StageGraph.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraph.java
@@ -69,30 +69,13 @@
    * @return duration of the longest chain of stages in milliseconds
    */
   long minTotalMs() {
-    return totalMs(service -> 0);
-  }
-
-  /**
-   * Returns the expected duration of all stages.
-   *
-   * @param waitMsOf returns the expected wait in the queue of a service in milliseconds
-   * @return duration of the longest chain of stages in milliseconds
-   */
-  long totalMs(ToLongFunction<String> waitMsOf) {
     long longestMs = 0;
     for (int first = 0; first < stages.size(); first++) {
-      longestMs = Math.max(longestMs, durationMs(first, waitMsOf) + followingMs(first, waitMsOf));
+      longestMs = Math.max(longestMs, minDurationsMs.get(first) + followingMs(first, wait -> 0));
     }
     return longestMs;
   }
 
-  /** Returns the expected duration of a stage with its wait; 0 if it is skipped. */
-  private long durationMs(int stage, ToLongFunction<String> waitMsOf) {
-    return pieceCounts.get(stage) == 0
-        ? 0
-        : minDurationsMs.get(stage) + waitMsOf.applyAsLong(stages.get(stage).service());
-  }
-
   /**
    * Returns the number of stages that need the results of a stage.
    *
@@ -116,7 +99,8 @@
     long longestMs = 0;
     for (int next = stage + 1; next < stages.size(); next++) {
       if (stages.get(next).after().contains(stage)) {
-        longestMs = Math.max(longestMs, durationMs(next, waitMsOf) + followingMs(next, waitMsOf));
+        long nextMs = minDurationsMs.get(next) + waitMsOf.applyAsLong(stages.get(next).service());
+        longestMs = Math.max(longestMs, nextMs + followingMs(next, waitMsOf));
       }
     }
     return longestMs;
