--- a/review/standins/StaleOrder.java
+++ b/review/standins/StaleOrder.java
@@ -41,9 +41,10 @@
     pause(3_000);
     if (trouble) {
       deployment.signal("STOP", "control", frozen);
+      deployment.signal("STOP", "entry", frozen);
     }
     long frozenAtMs = record.ms();
-    // The operator picks the control process that has just been frozen, and moves on.
+    // The operator picks the machine that has just been frozen, and moves on.
     if (!operator.order(stop, "", frozen, 6_000)) {
       throw new CouldNotRun("the zone was not taken back");
     }
@@ -55,6 +56,7 @@
     pause(frozenAtMs + FREEZE_MS - record.ms());
     if (trouble) {
       deployment.signal("CONT", "control", frozen);
+      deployment.signal("CONT", "entry", frozen);
     }
     long thawedAtMs = record.ms();
     long judgeFromMs = Math.max(evacuatedAtMs + EVACUATE_MS, thawedAtMs + CONTACT_MS + 500);
