Repeat a refused write in place of stopping the replica

Cause: Replica.onWritten answered any refused write with the role FAILED, which has no way back; the replica stayed a voter and its process ran on.

Until that is synced nothing new counts as durable, no vote is given and no election started. A leader goes on and commits with the disks of the others; if they do not suffice, further orders are refused at once. A process that starts on a full disk waits in the same way.

--- a/src/main/java/org/ragwortpick/admin/MetricsEndpoint.java
+++ b/src/main/java/org/ragwortpick/admin/MetricsEndpoint.java
@@ -9,7 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.ragwortpick.consensus.GroupStatus;
+import org.ragwortpick.consensus.ConsensusMetrics;
 
 /** Serves the metrics of the process in the Prometheus text format. */
 final class MetricsEndpoint implements HttpHandler {
@@ -36,17 +36,7 @@
         .help("Time since the configuration was last confirmed in milliseconds")
         .callback(callback -> callback.call(status.confirmedAgeMs()))
         .register(registry);
-    GaugeWithCallback.builder()
-        .name("ragwortpick_consensus_commit_index")
-        .help("Index of the last committed entry")
-        .labelNames("group", "role")
-        .callback(
-            callback -> {
-              for (GroupStatus group : status.groups()) {
-                callback.call(group.commitIndex(), group.group(), group.role());
-              }
-            })
-        .register(registry);
+    ConsensusMetrics.register(registry, status::groups);
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -90,9 +90,7 @@
             discardingAfterShutdown(loop),
             discardingAfterShutdown(diskExecutor),
             this::send,
-            error ->
-                LOG.errorf(
-                    error, "replica of group %s failed; it stops until the VM is restarted", group),
+            new LoggingListener(group),
             clock,
             options.snapshotLogBytes());
   }
@@ -166,6 +164,32 @@
         });
   }
 
+  /**
+   * Logs the failures of a replica.
+   *
+   * @param group name of the group
+   */
+  private record LoggingListener(String group) implements ReplicaListener {
+
+    @Override
+    public void onStopped(Throwable cause) {
+      LOG.errorf(cause, "replica of group %s failed; it stops until the VM is restarted", group);
+    }
+
+    @Override
+    public void onStorageLost(IOException cause) {
+      LOG.errorf(
+          "storage lost: the disk of group %s refused a write (%s); free space or replace the disk,"
+              + " the replica tries again by itself",
+          group, cause);
+    }
+
+    @Override
+    public void onStorageRegained(long lostMs) {
+      LOG.infof("storage regained: the disk of group %s was lost for %d ms", group, lostMs);
+    }
+  }
+
   private static Thread newDaemonThread(Runnable task, String name) {
     Thread thread = new Thread(task, "consensus-" + name);
     thread.setDaemon(true);
--- a/src/main/java/org/ragwortpick/consensus/GroupStatus.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupStatus.java
@@ -21,7 +21,8 @@
  * @param snapshotBytes size in bytes of the last snapshot
  * @param voters identities of the voters
  * @param learners leader only: identities of the learners
- * @param failure cause if the replica failed: a disk error or a violated invariant
+ * @param failure cause while the disk refuses writes, or of the stop of the replica, such as a
+ *     violated invariant
  */
 public record GroupStatus(
     String group,
--- a/src/main/java/org/ragwortpick/consensus/raft/Elections.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Elections.java
@@ -24,7 +24,7 @@
   void tick() {
     if (state.isElectionDue()) {
       state.resetElectionDeadline();
-      if (state.isVoter()) {
+      if (state.isVoter() && state.isStorageAvailable()) {
         startPreVote();
       }
     }
@@ -45,6 +45,11 @@
       // for the minimum election timeout.
       return;
     }
+    if (!state.isStorageAvailable()) {
+      // The vote could not be recorded. Following the term of the candidate without a vote would
+      // only make this replica deaf to a leader of the current term.
+      return;
+    }
     boolean upToDate = state.log().isUpToDate(request.lastIndex(), request.lastTerm());
     if (request.preVote()) {
       boolean granted = upToDate && request.term() > state.term();
@@ -75,7 +80,7 @@
         response.preVote()
             ? state.role() == Role.PRE_CANDIDATE && response.term() == state.term() + 1
             : state.role() == Role.CANDIDATE && response.term() == state.term();
-    if (response.granted() && counts) {
+    if (response.granted() && counts && state.isStorageAvailable()) {
       ballot.grant(from);
       countVotes();
     }
--- a/src/main/java/org/ragwortpick/consensus/raft/Outbox.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Outbox.java
@@ -12,6 +12,9 @@
  */
 final class Outbox {
 
+  /** Limit of the held messages; the oldest are dropped, as on a link that loses messages. */
+  private static final int MAX_HELD_MESSAGES = 1_024;
+
   private final String identity;
   private final List<LogRecord> records = new ArrayList<>();
   private final Deque<HeldMessage> heldMessages = new ArrayDeque<>();
@@ -39,6 +42,15 @@
     return ++createdSequence;
   }
 
+  /**
+   * Returns the sequence number of the last record.
+   *
+   * @return sequence number; 0 if there is none
+   */
+  long createdSequence() {
+    return createdSequence;
+  }
+
   /**
    * Returns whether a record is durable.
    *
@@ -71,6 +83,9 @@
       send(to, message);
     } else {
       heldMessages.add(new HeldMessage(sequence, new Envelope(identity, to, message)));
+      if (heldMessages.size() > MAX_HELD_MESSAGES) {
+        heldMessages.removeFirst();
+      }
     }
   }
 
@@ -114,6 +129,11 @@
     return batch;
   }
 
+  /** Discards the records that were not taken yet. A checkpoint must follow. */
+  void discardRecords() {
+    records.clear();
+  }
+
   /** Discards all records and messages that were not taken yet. */
   void clear() {
     records.clear();
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftCore.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftCore.java
@@ -132,6 +132,7 @@
       return;
     }
     long previousDurableIndex = state.durability().durableIndex();
+    state.setStorageAvailable(true);
     state.outbox().onSynced(sequence);
     state.durability().onSynced(sequence, state.log());
     elections.onSynced();
@@ -143,6 +144,20 @@
     discardLeaderStateUnlessLeader();
   }
 
+  /**
+   * Handles a failed write. The replica keeps its role: a leader commits with the disks of the
+   * others. It starts no elections and grants no votes until {@link #onSynced}.
+   */
+  public void onStorageFailed() {
+    state.setStorageAvailable(false);
+  }
+
+  /** Handles a start whose recovered state could not be made durable. */
+  public void onRecoveredStateUnsynced() {
+    state.onRecoveredStateUnsynced();
+    onStorageFailed();
+  }
+
   /**
    * Stops the replica until a restart; it sends no more messages.
    *
@@ -216,6 +231,17 @@
     return state.outbox().takeRecords();
   }
 
+  /**
+   * Returns a checkpoint of the complete state to persist in place of all earlier records, of which
+   * some may have failed.
+   *
+   * @return one checkpoint
+   */
+  public RecordBatch takeCheckpoint() {
+    state.replaceRecordsByCheckpoint();
+    return takeRecords();
+  }
+
   /**
    * Returns the status for health, metrics and callers.
    *
--- a/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
@@ -28,6 +28,7 @@
   private long appliedIndex;
   private long leaderContactMs;
   private long electionDeadlineMs;
+  private boolean storageAvailable = true;
 
   /**
    * Creates the state of a follower.
@@ -271,6 +272,38 @@
     return outbox.isSynced(hardStateSequence);
   }
 
+  /**
+   * Returns whether the disk accepted the last write. Without it no vote can be recorded, so the
+   * replica neither votes nor starts an election.
+   *
+   * @return whether records can be persisted
+   */
+  boolean isStorageAvailable() {
+    return storageAvailable;
+  }
+
+  /**
+   * Records whether the disk accepts writes.
+   *
+   * @param available whether the last write succeeded
+   */
+  void setStorageAvailable(boolean available) {
+    storageAvailable = available;
+  }
+
+  /** Records that the recovered state may not be durable, so that nothing relies on it yet. */
+  void onRecoveredStateUnsynced() {
+    durability.onTruncated(1);
+    replaceRecordsByCheckpoint();
+    hardStateSequence = outbox.createdSequence();
+  }
+
+  /** Replaces the records that were not taken yet by one checkpoint of the complete state. */
+  void replaceRecordsByCheckpoint() {
+    outbox.discardRecords();
+    persistCheckpoint();
+  }
+
   /**
    * Sends a message once the current term and vote are durable.
    *
--- a/src/main/java/org/ragwortpick/consensus/storage/LogStore.java
+++ b/src/main/java/org/ragwortpick/consensus/storage/LogStore.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.jboss.logging.Logger;
 import org.ragwortpick.consensus.raft.LogEntry;
 import org.ragwortpick.consensus.raft.LogRecord;
 import org.ragwortpick.consensus.raft.RecoveredState;
@@ -15,9 +17,13 @@
  * it) that was synced before the file was renamed to this name. Records are appended to it. A new
  * checkpoint is written to a new file with the next number, so existing content is never
  * overwritten.
+ *
+ * <p>After a failed write or sync the end of the file is unknown. The store then refuses to append
+ * until a checkpoint, which does not depend on the old file, has been written.
  */
 public final class LogStore implements AutoCloseable {
 
+  private static final Logger LOG = Logger.getLogger(LogStore.class);
   private static final String PREFIX = "log-";
   private static final String TEMPORARY_SUFFIX = ".tmp";
   private static final int WRITE_BUFFER_BYTES = 1024 * 1024;
@@ -29,14 +35,13 @@
   private long fileNumber;
   private long writtenBytes;
   private long durableBytes;
+  private boolean needsCheckpoint = true;
+  private Optional<IOException> openingError = Optional.empty();
 
-  private LogStore(Disk disk, long fileNumber, RecoveredState recovered) throws IOException {
+  private LogStore(Disk disk, long fileNumber, RecoveredState recovered) {
     this.disk = disk;
     this.fileNumber = fileNumber;
     this.recovered = recovered;
-    // After a failed sync the page cache may hold data that is not on the disk. Writing the data
-    // that was read to a new file makes it durable before the replica relies on it.
-    checkpoint(recovered);
   }
 
   /**
@@ -59,11 +64,14 @@
    * @throws IOException if the log cannot be written
    */
   public static LogStore create(Disk disk, RecoveredState initial) throws IOException {
-    return new LogStore(disk, 0, initial);
+    LogStore store = new LogStore(disk, 0, initial);
+    store.checkpoint(initial);
+    return store;
   }
 
   /**
-   * Opens an existing log.
+   * Opens an existing log. If the disk refuses writes the log is opened all the same: {@link
+   * #openingError} is present, and what was read may not be durable until a checkpoint is written.
    *
    * @param disk folder with a log
    * @return the store
@@ -74,7 +82,15 @@
         lastFileNumber(disk)
             .orElseThrow(() -> new CorruptDataFolderException("the log file is missing"));
     String name = PREFIX + number;
-    return new LogStore(disk, number, new LogFileReader(name, disk.read(name)).read());
+    LogStore store = new LogStore(disk, number, new LogFileReader(name, disk.read(name)).read());
+    // After a failed sync the page cache may hold data that is not on the disk. Writing the data
+    // that was read to a new file makes it durable before the replica relies on it.
+    try {
+      store.checkpoint(store.recovered);
+    } catch (IOException e) {
+      store.openingError = Optional.of(e);
+    }
+    return store;
   }
 
   /**
@@ -86,6 +102,15 @@
     return recovered;
   }
 
+  /**
+   * Returns why the state that was read could not be made durable while the log was opened.
+   *
+   * @return the error; empty if the recovered state is durable
+   */
+  public Optional<IOException> openingError() {
+    return openingError;
+  }
+
   /**
    * Returns the size of the durable part of the log file.
    *
@@ -99,10 +124,14 @@
    * Writes records and makes them durable with one sync.
    *
    * @param records records in order
-   * @throws IOException if the records may not be durable; the store must not be used afterwards
+   * @throws IOException if the records may not be durable; the records of the next call must
+   *     include a checkpoint
+   * @throws IllegalStateException if no checkpoint follows a failed write
    */
   public void write(List<LogRecord> records) throws IOException {
     int firstToAppend = 0;
+    boolean afterError = needsCheckpoint;
+    needsCheckpoint = true;
     for (int i = records.size() - 1; i >= 0; i--) {
       if (records.get(i) instanceof LogRecord.Checkpoint next) {
         // A checkpoint includes the effect of all records before it.
@@ -111,6 +140,9 @@
         break;
       }
     }
+    if (afterError && firstToAppend == 0) {
+      throw new IllegalStateException("only a checkpoint can follow a failed write");
+    }
     for (LogRecord next : records.subList(firstToAppend, records.size())) {
       if (next instanceof LogRecord.State state) {
         append(RecordCodec.encodeRecord(state.state()));
@@ -121,11 +153,14 @@
     if (firstToAppend < records.size()) {
       sync();
     }
+    needsCheckpoint = false;
   }
 
   @Override
   public void close() throws IOException {
-    file.close();
+    if (file != null) {
+      file.close();
+    }
   }
 
   private void checkpoint(RecoveredState state) throws IOException {
@@ -136,6 +171,7 @@
     for (LogEntry entry : state.entries()) {
       checkpointBytes += RecordFrames.HEADER_BYTES + RecordCodec.encodeRecord(entry).length;
     }
+    buffer.clear();
     DiskFile previousFile = file;
     file = disk.create(name + TEMPORARY_SUFFIX);
     if (previousFile != null) {
@@ -152,6 +188,7 @@
     sync();
     disk.rename(name + TEMPORARY_SUFFIX, name);
     fileNumber++;
+    needsCheckpoint = false;
     deleteOtherLogFiles(name);
   }
 
@@ -186,11 +223,16 @@
     durableBytes = writtenBytes;
   }
 
-  private void deleteOtherLogFiles(String keptName) throws IOException {
-    for (String fileName : disk.list()) {
-      if (fileName.startsWith(PREFIX) && !fileName.equals(keptName)) {
-        disk.delete(fileName);
+  /** Deletes older files. One that cannot be deleted is left to the next checkpoint. */
+  private void deleteOtherLogFiles(String keptName) {
+    try {
+      for (String fileName : disk.list()) {
+        if (fileName.startsWith(PREFIX) && !fileName.equals(keptName)) {
+          disk.delete(fileName);
+        }
       }
+    } catch (IOException e) {
+      LOG.warnf(e, "an old log file could not be deleted; it is deleted with the next checkpoint");
     }
   }
 
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.vm;
 
 import io.grpc.BindableService;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -15,6 +16,7 @@
 import org.ragwortpick.consensus.BootstrapRefusedException;
 import org.ragwortpick.consensus.ConsensusGroup;
 import org.ragwortpick.consensus.ConsensusHost;
+import org.ragwortpick.consensus.ConsensusMetrics;
 import org.ragwortpick.consensus.ConsensusOptions;
 import org.ragwortpick.consensus.DataFolder;
 import org.ragwortpick.consensus.ReplicaProbe;
@@ -143,6 +145,15 @@
     host.addPeers(addresses.stream().map(HostPort::toString).toList());
   }
 
+  /**
+   * Registers the metrics of the replica.
+   *
+   * @param registry metrics of the process
+   */
+  void registerMetrics(PrometheusRegistry registry) {
+    ConsensusMetrics.register(registry, host::statuses);
+  }
+
   /** Starts the replica. */
   void start() {
     host.start();
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -72,6 +72,7 @@
       ScheduledExecutorService scheduler,
       PrometheusRegistry registry) {
     this.replica = replica;
+    replica.ifPresent(local -> local.registerMetrics(registry));
     this.sync = sync;
     this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
     this.server =
--- a/src/test/java/org/ragwortpick/consensus/LogStoreTest.java
+++ b/src/test/java/org/ragwortpick/consensus/LogStoreTest.java
@@ -90,4 +90,47 @@
     assertEquals(recovered.snapshot().data().length, 3_000_000);
     assertEquals(recovered.entries().stream().map(LogEntry::term).toList(), List.of(1L, 2L));
   }
+
+  /** Records behind a torn one would be unreadable, or taken for damage, at the next start. */
+  @Test
+  public void onlyCheckpointFollowsRefusedWrite() throws IOException {
+    disk.setFreeBytes(30);
+    expectThrows(IOException.class, () -> store.write(List.of(entry(4, 1), entry(5, 1))));
+    disk.clearFaults();
+    expectThrows(IllegalStateException.class, () -> store.write(List.of(entry(6, 1))));
+    LogEntry last = new LogEntry(1, 1, LogEntry.Kind.COMMAND, new byte[1]);
+    RecoveredState state =
+        new RecoveredState(
+            new HardState(1, "a/0"), RaftSnapshot.initial(Membership.EMPTY), List.of(last));
+    store.write(List.of(new LogRecord.Checkpoint(state), entry(2, 1)));
+    store.write(List.of(entry(3, 1)));
+    assertEquals(indexes(), List.of(1L, 2L, 3L));
+  }
+
+  /** The end of a file that could not be written must not reach the file after it. */
+  @Test
+  public void refusedCheckpointLeavesNothingBehind() throws IOException {
+    RecoveredState state = LogStore.open(disk).recovered();
+    for (int freeBytes = 0; freeBytes < 200; freeBytes += 7) {
+      createStore();
+      disk.setFreeBytes(freeBytes);
+      expectThrows(IOException.class, () -> store.write(List.of(new LogRecord.Checkpoint(state))));
+      disk.clearFaults();
+      assertEquals(indexes(), List.of(1L, 2L, 3L), "free bytes " + freeBytes);
+      store.write(List.of(new LogRecord.Checkpoint(state), entry(4, 1)));
+      assertEquals(indexes(), List.of(1L, 2L, 3L, 4L), "free bytes " + freeBytes);
+    }
+  }
+
+  /** A disk that is full at the start must not make the log unreadable. */
+  @Test
+  public void fullDiskAtStartIsReported() throws IOException {
+    disk.refuseChanges();
+    LogStore opened = LogStore.open(disk);
+    assertTrue(opened.openingError().isPresent());
+    assertEquals(opened.recovered().entries().size(), 3);
+    disk.clearFaults();
+    opened.write(List.of(new LogRecord.Checkpoint(opened.recovered()), entry(4, 1)));
+    assertEquals(indexes(), List.of(1L, 2L, 3L, 4L));
+  }
 }
