Take only requests that end before a stop aborts them

Cause: a leaving VM took any request for a fixed 4.5 s, and the stop aborted what was left after a fixed 7.4 s; nothing compared the two with the time that a request may last.

Fix: GracefulStop tells the time that is left. A request is refused with 503, not run, if its deadline is later than that, at its head and again after its body. An attempt of a request that was accepted before begins unless the usual time of its route does not fit.

--- a/src/main/java/org/ragwortpick/cli/ForwardCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ForwardCommand.java
@@ -35,7 +35,8 @@
 
   @Override
   public int run(PrintStream out, PrintStream err) {
-    Either<List<SettingsError>, ForwardingSettings> read = ForwardingSettingsReader.read(file);
+    Either<List<SettingsError>, ForwardingSettings> read =
+        ForwardingSettingsReader.read(file, System.getenv());
     if (read.isLeft()) {
       read.getLeft().forEach(error -> err.println(error.message()));
       return ExitCode.INVALID_FILE;
--- a/src/main/java/org/ragwortpick/cli/SettingsReload.java
+++ b/src/main/java/org/ragwortpick/cli/SettingsReload.java
@@ -83,7 +83,8 @@
 
   private void reload() {
     lastModified = readLastModified();
-    Either<List<SettingsError>, ForwardingSettings> result = ForwardingSettingsReader.read(file);
+    Either<List<SettingsError>, ForwardingSettings> result =
+        ForwardingSettingsReader.read(file, System.getenv());
     if (result.isLeft()) {
       result
           .getLeft()
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.WorkCounter;
@@ -31,6 +32,8 @@
  * @param clock monotonic clock
  * @param accepting whether new requests are accepted
  * @param keepsConnections whether connections of callers stay open after a response
+ * @param remainingMs time until a stop aborts requests in flight in milliseconds; {@link
+ *     Long#MAX_VALUE} without a stop
  * @param workCounter counter of the requests in flight
  * @param metrics counters and histograms
  */
@@ -51,9 +54,23 @@
     Clock clock,
     BooleanSupplier accepting,
     BooleanSupplier keepsConnections,
+    LongSupplier remainingMs,
     WorkCounter workCounter,
     ForwardMetrics metrics) {
 
+  /** Time that a stop needs beyond the end of a request, to write the end of its response. */
+  private static final long STOP_MARGIN_MS = 100;
+
+  /**
+   * Returns whether work that begins now ends before a stop aborts it.
+   *
+   * @param durationMs longest duration of the work in milliseconds
+   * @return whether there is no stop, or enough time until its end
+   */
+  boolean endsBeforeStop(long durationMs) {
+    return durationMs <= remainingMs.getAsLong() - STOP_MARGIN_MS;
+  }
+
   /** Retry budget of each service. */
   public interface RetryBudgets {
 
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -96,6 +96,10 @@
       return;
     }
     long timeoutMs = timeoutMs(headers, route);
+    if (!dependencies.endsBeforeStop(timeoutMs)) {
+      refuse(exchange, Refusal.STOPPING);
+      return;
+    }
     Optional<RoutedWorkspace> owner = workspace;
     BodyReader.read(
         exchange,
@@ -144,6 +148,11 @@
   }
 
   private void start(HttpServerExchange exchange, RoutingTable table, CallerRequest request) {
+    // The stop may have begun while the body arrived.
+    if (!dependencies.endsBeforeStop(request.deadlineAtMs() - dependencies.clock().millis())) {
+      refuse(exchange, Refusal.STOPPING);
+      return;
+    }
     String service = drawService(request.route());
     ForwardRun run = new ForwardRun(dependencies, exchange, request, service);
     CallerConnection.watch(exchange, run::onCallerDisconnected);
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -181,6 +181,10 @@
     if (refuseIfHeld()) {
       return;
     }
+    if (!endsBeforeStop()) {
+      refuse(Refusal.STOPPING, "stopping");
+      return;
+    }
     if (!dependencies.viewIsCurrent().getAsBoolean()) {
       refuse(
           Refusal.unavailable(
@@ -219,6 +223,18 @@
     nextAttempt.start(httpRequest(upstream));
   }
 
+  /**
+   * Returns whether an attempt that begins now is expected to end before a stop aborts it. The
+   * request was accepted before and a refusal would waste its stages, so the usual time of its
+   * route decides; without one it is begun.
+   */
+  private boolean endsBeforeStop() {
+    long untilDeadlineMs = request.deadlineAtMs() - dependencies.clock().millis();
+    return dependencies.endsBeforeStop(
+        Math.min(
+            untilDeadlineMs, dependencies.responseTimes().longTotalMs(request.route().name())));
+  }
+
   private void refuseWithoutUpstream() {
     refuse(
         Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
@@ -290,7 +306,8 @@
   @Override
   public void onResponseEnded(HttpEnd end) {
     if (end instanceof HttpEnd.Completed completed) {
-      dependencies.responseTimes().observe(request.route().name(), firstByteMs);
+      long totalMs = dependencies.clock().millis() - sentAtMs;
+      dependencies.responseTimes().observe(request.route().name(), firstByteMs, totalMs);
       log.bodyReceived(completed.body());
       finish("answered");
     } else {
--- a/src/main/java/org/ragwortpick/forward/ResponseTimes.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseTimes.java
@@ -5,15 +5,21 @@
 import org.ragwortpick.routing.Route;
 
 /**
- * Moving average by route of the time from an attempt to the head of its response. Confined to one
- * thread.
+ * Moving averages by route of the times from an attempt to the head and to the end of its response.
+ * Confined to one thread.
  */
 public final class ResponseTimes {
 
   /** Weight of a new measurement. */
   private static final double MEASUREMENT_WEIGHT = 0.1;
 
-  private final Map<String, Double> meansMs = new HashMap<>();
+  /** Number of mean deviations above the mean below which most times are. */
+  private static final int DEVIATIONS = 2;
+
+  /** Number of responses from which a total time is known well enough. */
+  private static final int MIN_RESPONSES = 5;
+
+  private final Map<String, RouteTimes> routes = new HashMap<>();
 
   /** Creates times without measurements. */
   public ResponseTimes() {}
@@ -22,11 +28,11 @@
    * Records a response.
    *
    * @param route name of the route
-   * @param elapsedMs time from the attempt to the head of the response in milliseconds
+   * @param headMs time from the attempt to the head of the response in milliseconds
+   * @param totalMs time from the attempt to the end of the response in milliseconds
    */
-  void observe(String route, long elapsedMs) {
-    meansMs.merge(
-        route, (double) elapsedMs, (mean, value) -> mean + MEASUREMENT_WEIGHT * (value - mean));
+  void observe(String route, long headMs, long totalMs) {
+    routes.computeIfAbsent(route, name -> new RouteTimes(headMs, totalMs)).add(headMs, totalMs);
   }
 
   /**
@@ -36,7 +42,8 @@
    * @return time in milliseconds; 0 without measurements
    */
   long averageMs(String route) {
-    return meansMs.getOrDefault(route, 0.0).longValue();
+    RouteTimes times = routes.get(route);
+    return times == null ? 0 : (long) times.meanHeadMs;
   }
 
   /**
@@ -46,6 +53,42 @@
    * @return time in milliseconds; the target latency without measurements
    */
   long usualMs(Route route) {
-    return meansMs.getOrDefault(route.name(), (double) route.targetLatencyMs()).longValue();
+    RouteTimes times = routes.get(route.name());
+    return times == null ? route.targetLatencyMs() : (long) times.meanHeadMs;
+  }
+
+  /**
+   * Returns a time in which most responses of a route end.
+   *
+   * @param route name of the route
+   * @return time in milliseconds; 0 with few measurements
+   */
+  long longTotalMs(String route) {
+    RouteTimes times = routes.get(route);
+    return times == null || times.responses < MIN_RESPONSES
+        ? 0
+        : (long) (times.meanTotalMs + DEVIATIONS * times.deviationTotalMs);
+  }
+
+  /** Averages of one route. */
+  private static final class RouteTimes {
+
+    private double meanHeadMs;
+    private double meanTotalMs;
+    private double deviationTotalMs;
+    private int responses;
+
+    RouteTimes(long headMs, long totalMs) {
+      meanHeadMs = headMs;
+      meanTotalMs = totalMs;
+    }
+
+    void add(long headMs, long totalMs) {
+      responses = Math.min(MIN_RESPONSES, responses + 1);
+      double differenceMs = totalMs - meanTotalMs;
+      meanHeadMs += MEASUREMENT_WEIGHT * (headMs - meanHeadMs);
+      meanTotalMs += MEASUREMENT_WEIGHT * differenceMs;
+      deviationTotalMs += MEASUREMENT_WEIGHT * (Math.abs(differenceMs) - deviationTotalMs);
+    }
   }
 }
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.Json;
@@ -14,6 +15,12 @@
 /** Reads and validates the settings of a process in a deployment that forwards requests. */
 public final class ForwardingSettingsReader {
 
+  /**
+   * Environment variable with the time in seconds after which the environment kills a process that
+   * it has asked to stop.
+   */
+  public static final String KILL_AFTER_SECONDS = "KILL_AFTER_SECONDS";
+
   private static final int MAX_PORT = 65_535;
   private static final int MAX_TOLERATED_DISK_LOSSES = 10;
   private static final int MAX_RETRY_RATIO_PERCENT = 1_000;
@@ -23,6 +30,9 @@
   private static final long MIN_STOP_TIMEOUT_MS = 1_000;
   private static final long MAX_STOP_TIMEOUT_MS = 600_000;
 
+  /** Time that a process needs to close after its last request has ended or was aborted. */
+  private static final long CLOSE_TIME_MS = 600;
+
   /** Default retry budget: at most one retry per ten requests. */
   private static final double DEFAULT_RETRY_RATIO = 0.1;
 
@@ -34,9 +44,12 @@
    * Reads a settings file.
    *
    * @param file the file, JSON with comments
+   * @param environment environment variables of the process; {@link #KILL_AFTER_SECONDS} replaces
+   *     the stop timeout of the file
    * @return the settings, or all errors
    */
-  public static Either<List<SettingsError>, ForwardingSettings> read(Path file) {
+  public static Either<List<SettingsError>, ForwardingSettings> read(
+      Path file, Map<String, String> environment) {
     JsonNode root;
     try {
       root = Json.FILES.readTree(Files.readString(file));
@@ -51,7 +64,7 @@
     }
     List<SettingsError> errors = new ArrayList<>();
     ObjectReader reader = new ObjectReader(file, "", root, errors);
-    ForwardingSettings settings = readSettings(file, reader);
+    ForwardingSettings settings = readSettings(file, reader, environment);
     reader.reportUnknownKeys();
     if (errors.isEmpty()) {
       checkAcrossKeys(reader, settings);
@@ -59,7 +72,8 @@
     return errors.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(errors));
   }
 
-  private static ForwardingSettings readSettings(Path file, ObjectReader reader) {
+  private static ForwardingSettings readSettings(
+      Path file, ObjectReader reader, Map<String, String> environment) {
     return new ForwardingSettings(
         reader.requiredAddress("peerAddress"),
         reader.requiredString("dataCentre", "the name of the data centre of this VM"),
@@ -69,7 +83,7 @@
         reader.optionalObject(
             "control", Optional.empty(), nested -> Optional.of(readControlRole(file, nested))),
         reader.optionalObject(
-            "entry", Optional.empty(), nested -> Optional.of(readEntryRole(nested))),
+            "entry", Optional.empty(), nested -> Optional.of(readEntryRole(nested, environment))),
         SettingsReader.readLogLevel(reader));
   }
 
@@ -109,18 +123,44 @@
         reader.requiredAddress("directoryAddress"));
   }
 
-  private static ForwardingSettings.EntryRole readEntryRole(ObjectReader reader) {
+  private static ForwardingSettings.EntryRole readEntryRole(
+      ObjectReader reader, Map<String, String> environment) {
     double ratio = reader.optionalNonNegativeDouble("retryRatio", DEFAULT_RETRY_RATIO);
     return new ForwardingSettings.EntryRole(
         reader.requiredAddress("callerAddress"),
         reader.requiredAddress("readinessAddress"),
-        reader.optionalLong(
-            "stopTimeoutMs", MIN_STOP_TIMEOUT_MS, MIN_STOP_TIMEOUT_MS, MAX_STOP_TIMEOUT_MS),
+        readStopTimeoutMs(reader, environment.getOrDefault(KILL_AFTER_SECONDS, "")),
         (int) Math.min(MAX_RETRY_RATIO_PERCENT, Math.round(ratio * PERCENT)),
         (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
         reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent));
   }
 
+  /**
+   * Reads the stop timeout. Where the environment states the time after which it kills a process
+   * that it has asked to stop, that time decides.
+   */
+  private static long readStopTimeoutMs(ObjectReader reader, String killAfterSeconds) {
+    long stopTimeoutMs =
+        reader.optionalLong(
+            "stopTimeoutMs", MIN_STOP_TIMEOUT_MS, MIN_STOP_TIMEOUT_MS, MAX_STOP_TIMEOUT_MS);
+    if (killAfterSeconds.isBlank()) {
+      return stopTimeoutMs;
+    }
+    try {
+      long killAfterMs = Math.round(Double.parseDouble(killAfterSeconds.trim()) * 1_000);
+      if (killAfterMs > CLOSE_TIME_MS && killAfterMs <= MAX_STOP_TIMEOUT_MS) {
+        return killAfterMs - CLOSE_TIME_MS;
+      }
+    } catch (NumberFormatException e) {
+      // Reported below, like a number out of range.
+    }
+    reader.addInvalidValue(
+        KILL_AFTER_SECONDS,
+        ObjectReader.quoted(killAfterSeconds),
+        "set the environment variable to seconds above 0.6 and up to 600, or unset it");
+    return stopTimeoutMs;
+  }
+
   /** A processor is stated as a share of a core and the speed of that core, 1 for a usual one. */
   private static int readProcessorPercent(ObjectReader reader) {
     double cores =
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -41,7 +41,7 @@
   private static final long CALL_TIMEOUT_MS = 850;
 
   /** Short, so that callers stop using a leaving VM well before its grace time ends. */
-  private static final long ADDRESS_VALIDITY_SECONDS = 1;
+  static final long ADDRESS_VALIDITY_SECONDS = 1;
 
   private final Optional<ControlReplica> replica;
   private final SyncNode sync;
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
@@ -108,6 +109,8 @@
    * @param clock monotonic clock
    * @param registry metrics
    * @param work counter of the requests in flight
+   * @param remainingMs time until a stop aborts requests in flight in milliseconds; {@link
+   *     Long#MAX_VALUE} without a stop
    * @throws IOException if the worker thread cannot be created
    */
   ForwardingEntry(
@@ -117,7 +120,8 @@
       PeerChannels channels,
       Clock clock,
       PrometheusRegistry registry,
-      WorkCounter work)
+      WorkCounter work,
+      LongSupplier remainingMs)
       throws IOException {
     ForwardingSettings.EntryRole role = settings.entry().orElseThrow();
     this.sync = sync;
@@ -164,7 +168,7 @@
             role.callerAddress().port(),
             worker,
             buffers,
-            new ForwardHandler(dependencies(role, protocol, registry, work), random),
+            new ForwardHandler(dependencies(role, protocol, registry, work, remainingMs), random),
             work);
     this.readiness = createReadinessServer(role, protocol, registry);
   }
@@ -243,7 +247,8 @@
       ForwardingSettings.EntryRole role,
       EdgeProtocol protocol,
       PrometheusRegistry registry,
-      WorkCounter work) {
+      WorkCounter work,
+      LongSupplier remainingMs) {
     return new ForwardDependencies(
         protocol.headers(),
         sync.configurationView(),
@@ -261,6 +266,7 @@
         clock,
         this::acceptsRequests,
         () -> sync.lifeCycle().state() == VmState.READY,
+        remainingMs,
         work,
         new ForwardMetrics(registry));
   }
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -33,11 +33,15 @@
   private static final Logger LOG = Logger.getLogger(ForwardingProcess.class);
   private static final int TIMER_THREADS = 1;
 
-  /**
-   * Time for which a leaving VM takes requests. It is longer than the time for which callers use an
-   * address response, which is up to three times its validity.
-   */
-  private static final long LEAVING_MS = 4_500;
+  /** Callers use an address response for up to this multiple of its validity. */
+  private static final long ADDRESS_USE_FACTOR = 3;
+
+  /** Time until all address responses omit a leaving VM. */
+  private static final long ADDRESS_SPREAD_MS = 1_500;
+
+  /** Time for which a leaving VM takes requests, because callers may still have its address. */
+  private static final long LEAVING_MS =
+      ADDRESS_USE_FACTOR * ForwardingControl.ADDRESS_VALIDITY_SECONDS * 1_000 + ADDRESS_SPREAD_MS;
 
   private final ForwardingSettings settings;
   private final AtomicReference<List<HostPort>> seeds;
@@ -74,7 +78,7 @@
             channels,
             work::count,
             LEAVING_MS);
-    this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler);
+    this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler, clock);
     this.control =
         settings
             .control()
@@ -93,7 +97,8 @@
     this.entry =
         settings.entry().isPresent()
             ? Optional.of(
-                new ForwardingEntry(settings, protocol, sync, channels, clock, registry, work))
+                new ForwardingEntry(
+                    settings, protocol, sync, channels, clock, registry, work, stop::remainingMs))
             : Optional.empty();
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -73,7 +73,7 @@
     this.sync =
         new SyncNode(
             identity(settings), clock, leader, channels, work::count, VmLifeCycle.LEAVING_MS);
-    this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler);
+    this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler, clock);
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
     control.ifPresent(components -> services.addAll(components.services(sync.upstreamDirectory())));
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -91,6 +91,8 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
   private volatile boolean accepting = true;
+  private volatile long remainingMs = Long.MAX_VALUE;
+  private volatile Runnable produceStages = () -> {};
   private volatile Configuration configuration = configuration();
 
   ForwardTestServer() throws Exception {
@@ -144,6 +146,7 @@
                     clock,
                     () -> accepting,
                     () -> true,
+                    () -> remainingMs,
                     work,
                     new ForwardMetrics(registry)),
                 random),
@@ -199,7 +202,17 @@
         .sum();
   }
 
-  /** Returns the number of stages that were submitted; they never end. */
+  /** Begins a stop that aborts requests after a time. */
+  void stopAfter(long timeoutMs) {
+    remainingMs = timeoutMs;
+  }
+
+  /** Ends the last submitted stage with a result. */
+  void produceStages() {
+    worker.getIoThread().execute(() -> produceStages.run());
+  }
+
+  /** Returns the number of stages that were submitted; they end by {@link #produceStages}. */
   int submittedStages() {
     return submissions.get();
   }
@@ -299,6 +312,7 @@
     @Override
     public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
       submissions.incrementAndGet();
+      produceStages = () -> whenEnded.accept(new SubmissionEnd.Produced(List.of("h1")));
       return () -> {};
     }
 
--- /dev/null
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -0,0 +1,73 @@
+package org.ragwortpick.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against settings of a forwarding process that are misread or accepted by mistake. */
+public final class ForwardingSettingsReaderTest {
+
+  private Path file;
+
+  @BeforeMethod
+  public void writeSettings() throws IOException {
+    file = Files.createTempFile("settings", ".json");
+    Files.writeString(
+        file,
+        """
+        {
+          "peerAddress": "127.0.0.1:7601", "dataCentre": "a", "clusterId": "c",
+          "protocol": "platform",
+          "seeds": { "hosts": ["127.0.0.1"], "peerPort": 7601 },
+          "entry": {
+            "callerAddress": "127.0.0.1:7602", "readinessAddress": "127.0.0.1:7603",
+            "stopTimeoutMs": 7400
+          }
+        }
+        """);
+  }
+
+  @AfterMethod
+  public void deleteSettings() throws IOException {
+    Files.delete(file);
+  }
+
+  private Either<List<SettingsError>, ForwardingSettings> read(String killAfterSeconds) {
+    return ForwardingSettingsReader.read(
+        file, Map.of(ForwardingSettingsReader.KILL_AFTER_SECONDS, killAfterSeconds));
+  }
+
+  private long stopTimeoutMs(String killAfterSeconds) {
+    return read(killAfterSeconds).get().entry().orElseThrow().stopTimeoutMs();
+  }
+
+  /** A stop that lasts longer than the kill would cut off what it has accepted. */
+  @Test
+  public void stopEndsBeforeTheKill() {
+    assertEquals(stopTimeoutMs("8"), 7_400);
+    assertEquals(stopTimeoutMs("3.5"), 2_900);
+    assertEquals(stopTimeoutMs(" "), 7_400);
+    assertEquals(
+        ForwardingSettingsReader.read(file, Map.of()).get().entry().orElseThrow().stopTimeoutMs(),
+        7_400);
+  }
+
+  @Test
+  public void invalidKillTimeIsReported() {
+    for (String invalid : List.of("soon", "0", "-1", "NaN", "1e9")) {
+      List<SettingsError> errors = read(invalid).getLeft();
+      assertEquals(errors.size(), 1, invalid);
+      String message = errors.get(0).message();
+      assertTrue(message.contains("KILL_AFTER_SECONDS") && message.contains("600"), message);
+    }
+  }
+}
