Bound the memory of configuration changes by bytes

When the heap was full, the error ended the task that writes the log, its flag stayed set, and nobody learnt of it.

Fix: DocumentHistory keeps the revision of the last change of each document in place of the changes; the view of each VM uses it too, in place of its own copy of the logic. Entries and answers are bounded in bytes, the recovered state is handed over once, records are encoded one at a time. An order larger than a 40th of the heap is refused with 413. Errors of scheduled tasks reach the handler of uncaught errors, which ends the process, so that it is restarted.

ConfigurationStateMachineTest.limitsStoredDeltasAndAnswers asserted that a change 4,097 revisions back is unknown, which followed from storing the changes. limitsStoredAnswers keeps its other half; snapshotHoldsEachDocument Once bounds the stored changes in bytes.

--- a/src/main/java/org/ragwortpick/cli/ForwardCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ForwardCommand.java
@@ -52,6 +52,7 @@
       return ExitCode.OK;
     }
     LoggingSetup.configure(settings.logLevel(), settings.peerAddress().toString());
+    UncaughtErrors.install();
     ForwardingProcess process;
     try {
       process = new ForwardingProcess(settings, protocol.get());
--- a/src/main/java/org/ragwortpick/cli/RunCommand.java
+++ b/src/main/java/org/ragwortpick/cli/RunCommand.java
@@ -17,6 +17,7 @@
   @Override
   protected int run(Settings settings, PrintStream out, PrintStream err) {
     LoggingSetup.configure(settings.logLevel(), settings.vm());
+    UncaughtErrors.install();
     VmProcess process;
     try {
       process = new VmProcess(settings);
--- a/src/main/java/org/ragwortpick/cli/SettingsReload.java
+++ b/src/main/java/org/ragwortpick/cli/SettingsReload.java
@@ -7,11 +7,11 @@
 import java.nio.file.attribute.FileTime;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.ragwortpick.common.ReportingScheduler;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.settings.ForwardingSettingsReader;
 import org.ragwortpick.settings.SettingsError;
@@ -32,13 +32,7 @@
 
   private final Path file;
   private final Consumer<ForwardingSettings> settingsConsumer;
-  private final ScheduledExecutorService executor =
-      Executors.newSingleThreadScheduledExecutor(
-          task -> {
-            Thread thread = new Thread(task, "settings");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private final ScheduledExecutorService executor = ReportingScheduler.singleDaemon("settings");
   private FileTime lastModified;
 
   /**
--- a/src/main/java/org/ragwortpick/config/DocumentDelta.java
+++ b/src/main/java/org/ragwortpick/config/DocumentDelta.java
@@ -1,7 +1,6 @@
 package org.ragwortpick.config;
 
 import java.util.Collections;
-import java.util.List;
 import java.util.SortedMap;
 import java.util.SortedSet;
 import java.util.TreeMap;
@@ -59,34 +58,4 @@
     deletes.forEach(documents::remove);
     documents.putAll(puts);
   }
-
-  /**
-   * Combines consecutive deltas into one.
-   *
-   * @param deltas the deltas, oldest first, at least one
-   * @return the combined delta
-   * @throws IllegalArgumentException if a delta does not start at the revision at which the
-   *     previous one ends
-   */
-  public static DocumentDelta join(List<DocumentDelta> deltas) {
-    long fromRevision = deltas.get(0).fromRevision();
-    long revision = fromRevision;
-    SortedMap<String, String> puts = new TreeMap<>();
-    SortedSet<String> deletes = new TreeSet<>();
-    for (DocumentDelta delta : deltas) {
-      if (delta.fromRevision() != revision) {
-        throw new IllegalArgumentException(
-            "cannot append a delta that starts at revision "
-                + delta.fromRevision()
-                + " to one that ends at revision "
-                + revision);
-      }
-      revision = delta.toRevision();
-      delta.deletes().forEach(puts::remove);
-      deletes.addAll(delta.deletes());
-      deletes.removeAll(delta.puts().keySet());
-      puts.putAll(delta.puts());
-    }
-    return new DocumentDelta(fromRevision, revision, puts, deletes);
-  }
 }
--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
+import org.ragwortpick.common.ReportingScheduler;
 import org.ragwortpick.consensus.raft.Envelope;
 import org.ragwortpick.consensus.raft.RaftCore;
 import org.ragwortpick.consensus.raft.RaftSettings;
@@ -66,7 +67,7 @@
       throws IOException {
     this.vm = options.vm();
     this.store = folder.openLog(group);
-    this.loop = Executors.newSingleThreadScheduledExecutor(task -> newDaemonThread(task, group));
+    this.loop = ReportingScheduler.singleDaemon("consensus-" + group);
     this.diskExecutor =
         Executors.newSingleThreadExecutor(task -> newDaemonThread(task, group + "-disk"));
     this.senderFactory =
@@ -84,7 +85,7 @@
     this.replica =
         new Replica(
             group,
-            new RaftCore(settings, store.recovered(), clock, random),
+            new RaftCore(settings, store.takeRecovered(), clock, random),
             store,
             stateMachine,
             discardingAfterShutdown(loop),
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftLog.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftLog.java
@@ -5,8 +5,8 @@
 import java.util.TreeMap;
 
 /**
- * In-memory part of the log: the last snapshot, the entries after it and a bounded number of
- * entries before it.
+ * In-memory part of the log: the last snapshot, the entries after it and some before it, bounded in
+ * number and size.
  */
 final class RaftLog {
 
@@ -207,12 +207,21 @@
    * @param index index of the last entry that the snapshot includes
    * @param data encoded state
    * @param retainedEntries number of entries to keep before the snapshot
+   * @param retainedBytes limit of their total size
    */
-  void compact(long index, byte[] data, int retainedEntries) {
+  void compact(long index, byte[] data, int retainedEntries, long retainedBytes) {
     snapshot =
         new RaftSnapshot(index, termAt(index), memberships.floorEntry(index).getValue(), data);
     memberships.headMap(memberships.floorKey(index), false).clear();
-    long keepFrom = Math.max(previousIndex, index - retainedEntries);
+    long keepFrom = index;
+    long bytes = 0;
+    while (keepFrom > Math.max(previousIndex, index - retainedEntries)) {
+      bytes += entry(keepFrom).sizeBytes();
+      if (bytes > retainedBytes) {
+        break;
+      }
+      keepFrom--;
+    }
     if (keepFrom > previousIndex) {
       long term = termAt(keepFrom);
       entries.subList(0, (int) (keepFrom - previousIndex)).clear();
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftSettings.java
@@ -12,6 +12,7 @@
  *     grants no vote for this time
  * @param electionMaxMs maximum election timeout; a leader without a quorum steps down after it
  * @param retainedEntries entries kept in memory before the last snapshot for slow followers
+ * @param retainedBytes limit of their total size
  * @param maxAppendBytes limit of the total size of the entries of one request
  * @param windowBytes limit of the total size of the entries sent to one follower and not
  *     acknowledged by it
@@ -29,6 +30,7 @@
     long electionMinMs,
     long electionMaxMs,
     int retainedEntries,
+    long retainedBytes,
     int maxAppendBytes,
     int windowBytes,
     int snapshotChunkBytes,
@@ -43,6 +45,7 @@
 
   private static final long ELECTION_MAX_MS = 1_000;
   private static final int RETAINED_ENTRIES = 1_000;
+  private static final long RETAINED_BYTES = 1024 * 1024;
   private static final int MAX_APPEND_BYTES = 512 * 1024;
   private static final int WINDOW_BYTES = 4 * 1024 * 1024;
 
@@ -52,7 +55,7 @@
   /** Above the longest pause of a healthy VM, and below the time that a new voter needs to join. */
   private static final long VOTER_TIMEOUT_MS = 2_500;
 
-  private static final long MAX_PENDING_BYTES = 64L * 1024 * 1024;
+  private static final long MAX_PENDING_BYTES = 8L * 1024 * 1024;
 
   /**
    * Returns the production settings.
@@ -71,6 +74,7 @@
         ELECTION_MIN_MS,
         ELECTION_MAX_MS,
         RETAINED_ENTRIES,
+        RETAINED_BYTES,
         MAX_APPEND_BYTES,
         WINDOW_BYTES,
         SNAPSHOT_CHUNK_BYTES,
--- a/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
@@ -354,7 +354,7 @@
    * @param data encoded state machine at the applied index
    */
   void compact(byte[] data) {
-    log.compact(appliedIndex, data, settings.retainedEntries());
+    log.compact(appliedIndex, data, settings.retainedEntries(), settings.retainedBytes());
     persistCheckpoint();
   }
 
--- a/src/main/java/org/ragwortpick/consensus/storage/LogStore.java
+++ b/src/main/java/org/ragwortpick/consensus/storage/LogStore.java
@@ -2,13 +2,14 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jboss.logging.Logger;
-import org.ragwortpick.consensus.raft.LogEntry;
 import org.ragwortpick.consensus.raft.LogRecord;
 import org.ragwortpick.consensus.raft.RecoveredState;
+import org.ragwortpick.proto.RaftLogRecord;
 
 /**
  * Log file of one group.
@@ -29,7 +30,6 @@
   private static final int WRITE_BUFFER_BYTES = 1024 * 1024;
 
   private final Disk disk;
-  private final RecoveredState recovered;
   private final ByteBuffer buffer = ByteBuffer.allocate(WRITE_BUFFER_BYTES);
   private DiskFile file;
   private long fileNumber;
@@ -38,10 +38,12 @@
   private boolean needsCheckpoint = true;
   private Optional<IOException> openingError = Optional.empty();
 
+  private Optional<RecoveredState> recovered;
+
   private LogStore(Disk disk, long fileNumber, RecoveredState recovered) {
     this.disk = disk;
     this.fileNumber = fileNumber;
-    this.recovered = recovered;
+    this.recovered = Optional.of(recovered);
   }
 
   /**
@@ -82,11 +84,12 @@
         lastFileNumber(disk)
             .orElseThrow(() -> new CorruptDataFolderException("the log file is missing"));
     String name = PREFIX + number;
-    LogStore store = new LogStore(disk, number, new LogFileReader(name, disk.read(name)).read());
+    RecoveredState recovered = new LogFileReader(name, disk.read(name)).read();
+    LogStore store = new LogStore(disk, number, recovered);
     // After a failed sync the page cache may hold data that is not on the disk. Writing the data
     // that was read to a new file makes it durable before the replica relies on it.
     try {
-      store.checkpoint(store.recovered);
+      store.checkpoint(recovered);
     } catch (IOException e) {
       store.openingError = Optional.of(e);
     }
@@ -94,12 +97,16 @@
   }
 
   /**
-   * Returns the state that was read from the disk.
+   * Returns the state that was read from the disk and releases it, because it would occupy memory
+   * for the life of the store.
    *
    * @return state at the time of opening
+   * @throws java.util.NoSuchElementException if it was already taken
    */
-  public RecoveredState recovered() {
-    return recovered;
+  public RecoveredState takeRecovered() {
+    RecoveredState taken = recovered.orElseThrow();
+    recovered = Optional.empty();
+    return taken;
   }
 
   /**
@@ -165,11 +172,13 @@
 
   private void checkpoint(RecoveredState state) throws IOException {
     String name = PREFIX + (fileNumber + 1);
-    byte[] hardState = RecordCodec.encodeRecord(state.hardState());
-    byte[] snapshot = RecordCodec.encodeRecord(state.snapshot());
-    long checkpointBytes = 2L * RecordFrames.HEADER_BYTES + hardState.length + snapshot.length;
-    for (LogEntry entry : state.entries()) {
-      checkpointBytes += RecordFrames.HEADER_BYTES + RecordCodec.encodeRecord(entry).length;
+    List<RaftLogRecord> records = new ArrayList<>();
+    records.add(RecordCodec.encodeRecord(state.hardState()));
+    records.add(RecordCodec.encodeRecord(state.snapshot()));
+    state.entries().forEach(entry -> records.add(RecordCodec.encodeRecord(entry)));
+    long checkpointBytes = 0;
+    for (RaftLogRecord next : records) {
+      checkpointBytes += RecordFrames.HEADER_BYTES + next.getSerializedSize();
     }
     buffer.clear();
     DiskFile previousFile = file;
@@ -180,10 +189,8 @@
     writtenBytes = 0;
     durableBytes = 0;
     append(RecordCodec.encodeHeader(checkpointBytes));
-    append(hardState);
-    append(snapshot);
-    for (LogEntry entry : state.entries()) {
-      append(RecordCodec.encodeRecord(entry));
+    for (RaftLogRecord next : records) {
+      append(next);
     }
     sync();
     disk.rename(name + TEMPORARY_SUFFIX, name);
@@ -192,7 +199,8 @@
     deleteOtherLogFiles(name);
   }
 
-  private void append(byte[] payload) throws IOException {
+  private void append(RaftLogRecord content) throws IOException {
+    byte[] payload = content.toByteArray();
     put(RecordFrames.header(payload, durableBytes));
     put(ByteBuffer.wrap(payload));
     writtenBytes += RecordFrames.HEADER_BYTES + payload.length;
--- a/src/main/java/org/ragwortpick/consensus/storage/RecordCodec.java
+++ b/src/main/java/org/ragwortpick/consensus/storage/RecordCodec.java
@@ -53,8 +53,8 @@
    * @param entry the entry
    * @return encoded record
    */
-  static byte[] encodeRecord(LogEntry entry) {
-    return RaftLogRecord.newBuilder().setEntry(encode(entry)).build().toByteArray();
+  static RaftLogRecord encodeRecord(LogEntry entry) {
+    return RaftLogRecord.newBuilder().setEntry(encode(entry)).build();
   }
 
   /**
@@ -63,12 +63,11 @@
    * @param state term and vote
    * @return encoded record
    */
-  static byte[] encodeRecord(HardState state) {
+  static RaftLogRecord encodeRecord(HardState state) {
     return RaftLogRecord.newBuilder()
         .setHardState(
             RaftHardState.newBuilder().setTerm(state.term()).setVotedFor(state.votedFor()))
-        .build()
-        .toByteArray();
+        .build();
   }
 
   /**
@@ -77,7 +76,7 @@
    * @param snapshot the snapshot
    * @return encoded record
    */
-  static byte[] encodeRecord(RaftSnapshot snapshot) {
+  static RaftLogRecord encodeRecord(RaftSnapshot snapshot) {
     return RaftLogRecord.newBuilder()
         .setSnapshot(
             RaftStoredSnapshot.newBuilder()
@@ -85,8 +84,7 @@
                 .setTerm(snapshot.term())
                 .setMembership(UnsafeByteOperations.unsafeWrap(snapshot.membership().encode()))
                 .setData(UnsafeByteOperations.unsafeWrap(snapshot.data())))
-        .build()
-        .toByteArray();
+        .build();
   }
 
   /**
@@ -95,11 +93,10 @@
    * @param checkpointBytes size in bytes of the checkpoint that follows
    * @return encoded record
    */
-  static byte[] encodeHeader(long checkpointBytes) {
+  static RaftLogRecord encodeHeader(long checkpointBytes) {
     return RaftLogRecord.newBuilder()
         .setHeader(RaftLogHeader.newBuilder().setCheckpointBytes(checkpointBytes))
-        .build()
-        .toByteArray();
+        .build();
   }
 
   /**
--- a/src/main/java/org/ragwortpick/control/ConfigurationStateMachine.java
+++ b/src/main/java/org/ragwortpick/control/ConfigurationStateMachine.java
@@ -1,8 +1,7 @@
 package org.ragwortpick.control;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.ragwortpick.config.DocumentDelta;
+import org.ragwortpick.config.DocumentHistory;
 import org.ragwortpick.consensus.StateMachine;
 import org.ragwortpick.proto.AnswerKind;
 import org.ragwortpick.proto.AnswerMessage;
@@ -22,19 +22,16 @@
 
 /**
  * Replicated state machine of the group {@code config}: documents of the current revision, answers
- * to operator requests, deltas of recent revisions and open engine orders.
+ * to operator requests, revision of the last change of each document and open engine orders.
  */
 public final class ConfigurationStateMachine implements StateMachine {
 
   /** Name of the consensus group. */
   public static final String GROUP = "config";
 
-  /** Number of recent revisions from which a delta can be computed. */
-  static final int MAX_DELTAS = 4_096;
-
   private static final byte[] NO_RESULT = new byte[0];
 
-  private Deque<DocumentDelta> deltas = new ArrayDeque<>();
+  private DocumentHistory history = new DocumentHistory(0);
   private OperatorRequests requests = new OperatorRequests();
   private Map<String, EngineOrder> openOrders = new LinkedHashMap<>();
   private volatile ConfigurationVersion current = new ConfigurationVersion(0, new TreeMap<>());
@@ -110,14 +107,7 @@
     SortedMap<String, String> changed = new TreeMap<>(current.documents());
     delta.applyTo(changed);
     current = new ConfigurationVersion(delta.toRevision(), changed);
-    addDelta(delta);
-  }
-
-  private void addDelta(DocumentDelta delta) {
-    deltas.addLast(delta);
-    if (deltas.size() > MAX_DELTAS) {
-      deltas.removeFirst();
-    }
+    history.record(delta.toRevision(), delta.puts().keySet(), delta.deletes());
   }
 
   /**
@@ -133,20 +123,11 @@
    * Computes the change since a revision.
    *
    * @param fromRevision revision that the receiver has
-   * @return the change to the current revision; empty if the deltas since that revision are no
-   *     longer kept or it is unknown, in which case {@link #fullDelta} is needed
+   * @return the change to the current revision; empty if the history does not reach back to that
+   *     revision or it is unknown, in which case {@link #fullDelta} is needed
    */
   public synchronized Optional<DocumentDelta> deltaSince(long fromRevision) {
-    if (fromRevision == current.revision()) {
-      return Optional.of(
-          new DocumentDelta(fromRevision, fromRevision, new TreeMap<>(), new TreeSet<>()));
-    }
-    boolean covered = !deltas.isEmpty() && deltas.getFirst().fromRevision() <= fromRevision;
-    return covered && fromRevision < current.revision()
-        ? Optional.of(
-            DocumentDelta.join(
-                deltas.stream().filter(change -> change.fromRevision() >= fromRevision).toList()))
-        : Optional.empty();
+    return history.since(fromRevision, current.revision(), current.documents());
   }
 
   /**
@@ -172,19 +153,41 @@
     ConfigurationSnapshot.Builder snapshot =
         ConfigurationSnapshot.newBuilder()
             .setRevision(current.revision())
-            .putAllDocuments(current.documents());
-    deltas.forEach(
-        change ->
-            snapshot.addChanges(
-                RevisionMessage.newBuilder()
-                    .setRevision(change.toRevision())
-                    .putAllPuts(change.puts())
-                    .addAllDeletes(change.deletes())));
+            .putAllDocuments(current.documents())
+            .setHistoryFrom(history.completeFromRevision())
+            .putAllChangedAt(history.changedAt())
+            .putAllRemovedAt(history.removedAt());
     snapshot.addAllRequests(requests.entries());
     openOrders.values().forEach(order -> snapshot.addOrders(ControlCodec.encode(order)));
     return snapshot.build().toByteArray();
   }
 
+  private static DocumentHistory decodeHistory(ConfigurationSnapshot snapshot) {
+    List<RevisionMessage> changes = snapshot.getChangesList();
+    boolean ofEarlierRelease = snapshot.getChangedAtCount() == 0 && !changes.isEmpty();
+    if (ofEarlierRelease) {
+      DocumentHistory decoded = new DocumentHistory(changes.get(0).getRevision() - 1);
+      changes.forEach(
+          change ->
+              decoded.record(
+                  change.getRevision(), change.getPutsMap().keySet(), change.getDeletesList()));
+      return decoded;
+    }
+    SortedMap<Long, List<String>> changed = keysByRevision(snapshot.getChangedAtMap());
+    SortedMap<Long, List<String>> removed = keysByRevision(snapshot.getRemovedAtMap());
+    DocumentHistory decoded = new DocumentHistory(snapshot.getHistoryFrom());
+    changed.forEach((revision, keys) -> decoded.record(revision, keys, List.of()));
+    removed.forEach((revision, keys) -> decoded.record(revision, List.of(), keys));
+    return decoded;
+  }
+
+  private static SortedMap<Long, List<String>> keysByRevision(Map<String, Long> revisions) {
+    SortedMap<Long, List<String>> keys = new TreeMap<>();
+    revisions.forEach(
+        (key, revision) -> keys.computeIfAbsent(revision, at -> new ArrayList<>()).add(key));
+    return keys;
+  }
+
   @Override
   public synchronized void restore(byte[] snapshot) {
     ConfigurationSnapshot decoded;
@@ -196,17 +199,7 @@
     }
     current =
         new ConfigurationVersion(decoded.getRevision(), new TreeMap<>(decoded.getDocumentsMap()));
-    deltas = new ArrayDeque<>();
-    decoded
-        .getChangesList()
-        .forEach(
-            change ->
-                addDelta(
-                    new DocumentDelta(
-                        change.getRevision() - 1,
-                        change.getRevision(),
-                        new TreeMap<>(change.getPutsMap()),
-                        new TreeSet<>(change.getDeletesList()))));
+    history = decodeHistory(decoded);
     requests = new OperatorRequests();
     decoded.getRequestsList().forEach(requests::add);
     openOrders = new LinkedHashMap<>();
--- a/src/main/java/org/ragwortpick/control/OperatorRequests.java
+++ b/src/main/java/org/ragwortpick/control/OperatorRequests.java
@@ -13,7 +13,11 @@
   /** Maximum number of stored answers; about five days at 2,100 changes a day. */
   static final int MAX_REQUESTS = 10_000;
 
+  /** Maximum total size of the stored answers in bytes; findings may be long. */
+  static final long MAX_BYTES = 4L * 1024 * 1024;
+
   private final Map<String, RequestMessage> requests = new LinkedHashMap<>();
+  private long storedBytes;
 
   /**
    * Finds the answer to a request.
@@ -26,7 +30,7 @@
   }
 
   /**
-   * Stores the first answer to a request and drops the oldest stored answer beyond the limit.
+   * Stores the first answer to a request and drops the oldest stored answers beyond the limits.
    *
    * @param request the request and its answer
    * @throws IllegalStateException if an answer is already stored under the request id
@@ -36,8 +40,10 @@
       throw new IllegalStateException(
           "operator request " + request.getRequestId() + " already has a stored answer");
     }
-    if (requests.size() > MAX_REQUESTS) {
-      requests.remove(requests.keySet().iterator().next());
+    storedBytes += request.getSerializedSize();
+    while (requests.size() > MAX_REQUESTS || storedBytes > MAX_BYTES && requests.size() > 1) {
+      RequestMessage oldest = requests.remove(requests.keySet().iterator().next());
+      storedBytes -= oldest.getSerializedSize();
     }
   }
 
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -4,11 +4,11 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.jboss.logging.Logger;
+import org.ragwortpick.common.ReportingScheduler;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.sync.AddressResponses;
 import org.ragwortpick.sync.ColdAllowances;
@@ -56,13 +56,7 @@
       PeerChannels channels,
       IntSupplier inFlight,
       long leavingMs) {
-    this.scheduler =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "sync-" + identity.vm());
-              thread.setDaemon(true);
-              return thread;
-            });
+    this.scheduler = ReportingScheduler.singleDaemon("sync-" + identity.vm());
     this.state = new SyncState(identity, clock, this::pollEarly);
     this.duties = new LeaderDuties(clock, leader, state);
     SyncExchange exchange = new SyncExchange(clock, leader, state, duties);
--- a/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
+++ b/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
@@ -1,14 +1,12 @@
 package org.ragwortpick.sync.view;
 
 import java.time.Clock;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.ConfigurationDocuments;
+import org.ragwortpick.config.DocumentHistory;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.SyncTimings;
@@ -24,8 +22,7 @@
 
   private final Clock clock;
   private final SortedMap<String, String> documents = new TreeMap<>();
-  private final Map<String, Long> changedAtRevision = new HashMap<>();
-  private long historyFromRevision;
+  private DocumentHistory history = new DocumentHistory(0);
   private volatile Configuration configuration = Configuration.EMPTY;
   private volatile long confirmedAtMs;
 
@@ -102,15 +99,11 @@
   private void apply(ConfigurationDelta delta) {
     if (delta.snapshot()) {
       documents.clear();
-      changedAtRevision.clear();
-      historyFromRevision = delta.revision();
+      history = new DocumentHistory(delta.revision());
     }
     documents.putAll(delta.puts());
-    delta.puts().keySet().forEach(key -> changedAtRevision.put(key, delta.revision()));
-    for (String key : delta.deletes()) {
-      documents.remove(key);
-      changedAtRevision.put(key, delta.revision());
-    }
+    delta.deletes().forEach(documents::remove);
+    history.record(delta.revision(), delta.puts().keySet(), delta.deletes());
     configuration = ConfigurationDocuments.fromDocuments(delta.revision(), documents);
   }
 
@@ -122,22 +115,23 @@
    */
   public synchronized ConfigurationDelta deltaSince(long revision) {
     long currentRevision = configuration.revision();
-    if (revision < historyFromRevision) {
-      return new ConfigurationDelta(0, currentRevision, true, new TreeMap<>(documents), List.of());
+    if (revision > currentRevision) {
+      // The receiver is ahead: it needs the confirmation only.
+      return new ConfigurationDelta(revision, currentRevision, false, new TreeMap<>(), List.of());
     }
-    SortedMap<String, String> puts = new TreeMap<>();
-    List<String> deletes = new ArrayList<>();
-    changedAtRevision.forEach(
-        (key, changedAt) -> {
-          if (changedAt > revision) {
-            String text = documents.get(key);
-            if (text == null) {
-              deletes.add(key);
-            } else {
-              puts.put(key, text);
-            }
-          }
-        });
-    return new ConfigurationDelta(revision, currentRevision, false, puts, deletes);
+    return history
+        .since(revision, currentRevision, documents)
+        .map(
+            changes ->
+                new ConfigurationDelta(
+                    revision,
+                    currentRevision,
+                    false,
+                    changes.puts(),
+                    List.copyOf(changes.deletes())))
+        .orElseGet(
+            () ->
+                new ConfigurationDelta(
+                    0, currentRevision, true, new TreeMap<>(documents), List.of()));
   }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -37,6 +37,9 @@
 
   private static final int IO_THREADS = 1;
 
+  /** Heap that an order of one byte needs at most, from its parsing to its replication. */
+  private static final long HEAP_BYTES_PER_ORDER_BYTE = 40;
+
   /** Shorter than the second after which operators try another VM. */
   private static final long CALL_TIMEOUT_MS = 850;
 
@@ -80,6 +83,9 @@
             .setIoThreads(IO_THREADS)
             .setWorkerThreads(1)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(
+                UndertowOptions.MAX_ENTITY_SIZE,
+                Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_ORDER_BYTE)
             .addHttpListener(
                 role.operatorAddress().port(),
                 role.operatorAddress().host(),
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -11,12 +11,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.common.ReportingScheduler;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.peer.PeerChannels;
@@ -47,7 +47,7 @@
   private final AtomicReference<List<HostPort>> seeds;
   private final PeerChannels channels = new PeerChannels();
   private final ScheduledExecutorService scheduler =
-      Executors.newScheduledThreadPool(TIMER_THREADS);
+      new ReportingScheduler(TIMER_THREADS, Thread::new);
   private final WorkCounter work = new WorkCounter();
   private final SyncNode sync;
   private final Optional<ForwardingControl> control;
--- a/src/main/java/org/ragwortpick/vm/VmProcess.java
+++ b/src/main/java/org/ragwortpick/vm/VmProcess.java
@@ -8,13 +8,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.jboss.logging.Logger;
 import org.ragwortpick.admin.AdminServer;
 import org.ragwortpick.admin.VmStatus;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.common.ReportingScheduler;
 import org.ragwortpick.consensus.GroupStatus;
 import org.ragwortpick.control.RemoteAdministration;
 import org.ragwortpick.entry.WorkCounter;
@@ -43,7 +43,7 @@
   private final Clock clock = new MonotonicClock();
   private final PeerChannels channels = new PeerChannels();
   private final ScheduledExecutorService scheduler =
-      Executors.newScheduledThreadPool(TIMER_THREADS);
+      new ReportingScheduler(TIMER_THREADS, Thread::new);
   private final WorkCounter work = new WorkCounter();
   private final Optional<ControlComponents> control;
   private final SyncNode sync;
--- a/src/test/java/org/ragwortpick/consensus/LogStoreTest.java
+++ b/src/test/java/org/ragwortpick/consensus/LogStoreTest.java
@@ -39,7 +39,7 @@
   }
 
   private List<Long> indexes() throws IOException {
-    return LogStore.open(disk).recovered().entries().stream().map(LogEntry::index).toList();
+    return LogStore.open(disk).takeRecovered().entries().stream().map(LogEntry::index).toList();
   }
 
   @Test
@@ -85,7 +85,7 @@
     RecoveredState state = new RecoveredState(new HardState(4, "b/0"), snapshot, List.of(rest));
     store.write(List.of(entry(4, 1), new LogRecord.Checkpoint(state), entry(4, 2)));
     assertEquals(disk.list().size(), 1);
-    RecoveredState recovered = LogStore.open(disk).recovered();
+    RecoveredState recovered = LogStore.open(disk).takeRecovered();
     assertEquals(recovered.hardState(), new HardState(4, "b/0"));
     assertEquals(recovered.snapshot().data().length, 3_000_000);
     assertEquals(recovered.entries().stream().map(LogEntry::term).toList(), List.of(1L, 2L));
@@ -110,7 +110,7 @@
   /** The end of a file that could not be written must not reach the file after it. */
   @Test
   public void refusedCheckpointLeavesNothingBehind() throws IOException {
-    RecoveredState state = LogStore.open(disk).recovered();
+    RecoveredState state = LogStore.open(disk).takeRecovered();
     for (int freeBytes = 0; freeBytes < 200; freeBytes += 7) {
       createStore();
       disk.setFreeBytes(freeBytes);
@@ -128,9 +128,10 @@
     disk.refuseChanges();
     LogStore opened = LogStore.open(disk);
     assertTrue(opened.openingError().isPresent());
-    assertEquals(opened.recovered().entries().size(), 3);
+    RecoveredState recovered = opened.takeRecovered();
+    assertEquals(recovered.entries().size(), 3);
     disk.clearFaults();
-    opened.write(List.of(new LogRecord.Checkpoint(opened.recovered()), entry(4, 1)));
+    opened.write(List.of(new LogRecord.Checkpoint(recovered), entry(4, 1)));
     assertEquals(indexes(), List.of(1L, 2L, 3L, 4L));
   }
 }
--- a/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
@@ -95,13 +95,14 @@
               500,
               1_000,
               8,
+              4_096,
               1_024,
               4_096,
               100,
               1 << 20,
               group.voterRemovalFloor(),
               2_500);
-      RaftCore core = new RaftCore(settings, store.recovered(), group.clock(), random);
+      RaftCore core = new RaftCore(settings, store.takeRecovered(), group.clock(), random);
       replica =
           Optional.of(
               new Replica(
--- a/src/test/java/org/ragwortpick/control/ConfigurationStateMachineTest.java
+++ b/src/test/java/org/ragwortpick/control/ConfigurationStateMachineTest.java
@@ -1,11 +1,12 @@
 package org.ragwortpick.control;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.ragwortpick.config.DocumentDelta;
@@ -13,7 +14,9 @@
 import org.ragwortpick.proto.AnswerMessage;
 import org.ragwortpick.proto.ChangeCommand;
 import org.ragwortpick.proto.ConfigurationCommand;
+import org.ragwortpick.proto.ConfigurationSnapshot;
 import org.ragwortpick.proto.OrderCommand;
+import org.ragwortpick.proto.RevisionMessage;
 import org.testng.annotations.Test;
 
 /** Guards against deltas that lose a change and against unbounded tables. */
@@ -70,16 +73,62 @@
     assertEquals(copy.deltaSince(11), Optional.<DocumentDelta>empty());
   }
 
+  /** Texts of replaced documents that were kept would fill the heap after some large changes. */
   @Test
-  public void limitsStoredDeltasAndAnswers() {
+  public void snapshotHoldsEachDocumentOnce() {
+    ConfigurationStateMachine machine = new ConfigurationStateMachine();
+    int documentBytes = 300_000;
+    String text = "x".repeat(documentBytes);
+    for (long base = 0; base < 100; base++) {
+      apply(machine, change("", base).putPuts(KEY, text + base));
+    }
+    int snapshotBytes = machine.snapshot().length;
+    assertTrue(snapshotBytes < 2 * documentBytes, "snapshot of " + snapshotBytes + " bytes");
+    DocumentDelta delta = machine.deltaSince(1).orElseThrow();
+    assertEquals(delta.toRevision(), 100);
+    assertEquals(delta.puts(), machine.current().documents());
+  }
+
+  /** A release that wrote the changes of each revision must be followed without a loss. */
+  @Test
+  public void snapshotOfEarlierReleaseIsRestored() {
+    ConfigurationSnapshot earlier =
+        ConfigurationSnapshot.newBuilder()
+            .setRevision(8)
+            .putDocuments("a", "1")
+            .putDocuments("b", "2")
+            .addChanges(RevisionMessage.newBuilder().setRevision(7).putPuts("b", "2"))
+            .addChanges(RevisionMessage.newBuilder().setRevision(8).addDeletes("c"))
+            .build();
+    ConfigurationStateMachine machine = new ConfigurationStateMachine();
+    machine.restore(earlier.toByteArray());
+    assertTrue(machine.deltaSince(5).isEmpty());
+    DocumentDelta delta = machine.deltaSince(6).orElseThrow();
+    assertEquals(delta.puts(), Map.of("b", "2"));
+    assertEquals(delta.deletes(), Set.of("c"));
+    assertEquals(machine.deltaSince(7).orElseThrow().puts(), Map.of());
+  }
+
+  /** Answers with long findings would fill the heap long before their number is limited. */
+  @Test
+  public void limitsBytesOfStoredAnswers() {
+    OperatorRequests requests = new OperatorRequests();
+    AnswerMessage answer = AnswerMessage.newBuilder().addFindings("x".repeat(100_000)).build();
+    for (int i = 0; i < 200; i++) {
+      requests.add(OperatorRequests.entry("r" + i, "d", answer));
+    }
+    long bytes = requests.entries().stream().mapToLong(next -> next.getSerializedSize()).sum();
+    assertTrue(bytes <= OperatorRequests.MAX_BYTES, bytes + " bytes");
+    assertTrue(requests.find("r199").isPresent() && requests.find("r0").isEmpty());
+  }
+
+  @Test
+  public void limitsStoredAnswers() {
     ConfigurationStateMachine machine = new ConfigurationStateMachine();
     int count = OperatorRequests.MAX_REQUESTS + 1;
     for (long base = 0; base < count; base++) {
       apply(machine, change("r" + base, base).putPuts(KEY, workspace(base)));
     }
-    long oldest = count - ConfigurationStateMachine.MAX_DELTAS;
-    assertTrue(machine.deltaSince(oldest).isPresent());
-    assertFalse(machine.deltaSince(oldest - 1).isPresent());
     assertEquals(apply(machine, change("r1", 1)).getRevision(), 2);
     assertEquals(apply(machine, change("r0", 0)).getKind(), AnswerKind.ANSWER_KIND_CONFLICT);
   }
