Forward bodies up to the configured limit

What callers saw: requests with bodies of 2 to 4 MiB, within the limit of 4 MiB, were answered with 400 "the body ended before its stated length".

Cause: the HTTP server has a limit of its own, 2 MB by default, which ended the body before BodyReader's limit applied.

Evidence: LargeBodyTest failed for 2,200,000 and 4,194,304 bytes, and passed for 1,900,000 and for 413 beyond the limit.

--- a/src/main/java/org/ragwortpick/entry/http/EntryServer.java
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -23,6 +23,9 @@
 
   private static final int MAX_HEADERS = 64;
 
+  /** The limit of bodies is part of the configuration, so the handlers apply it. */
+  private static final long LIMITED_BY_HANDLER = -1;
+
   private final Undertow undertow;
   private final WorkCounter work;
 
@@ -51,6 +54,7 @@
             .setByteBufferPool(buffers)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
             .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LIMITED_BY_HANDLER)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setHandler(handler)
