End a call at once whose response belongs to another request

Cause: UpstreamAttempt saw the foreign id, set a flag and queued the end of the call. The same read went on, found the end of the empty body and completed the call; onEnd did not look at the flag.

Fix: HttpListener.onHead returns the verdict and HttpCall ends the call by it, as broken and with its connection closed, before anything that follows can complete it. The request counts as sent and lost: 502 where it must not run twice, never "not run", otherwise repeated by its kind.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -179,8 +179,8 @@
     HttpHead head = new HttpHead(status, responseHeaders, framing);
     body = new BodyTracker(head);
     mayReuseConnection = mayReuseAfter(exchange.getResponse(), framing);
-    listener.onHead(head);
-    if (ended) {
+    if (!listener.onHead(head)) {
+      fail(CallFailure.Broken.Sign.UNUSABLE, "the response belongs to another request");
       return;
     }
     StreamSourceChannel channel = exchange.getResponseChannel();
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
@@ -9,8 +9,10 @@
    * The status line and the headers of the response were received.
    *
    * @param head status and headers
+   * @return false if the response does not belong to the request: the call then ends as broken, and
+   *     nothing that follows can complete it
    */
-  void onHead(HttpHead head);
+  boolean onHead(HttpHead head);
 
   /**
    * Bytes of the body were received.
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
@@ -83,10 +83,11 @@
   }
 
   @Override
-  public void onHead(HttpHead httpHead) {
+  public boolean onHead(HttpHead httpHead) {
     head = UpstreamHeaders.parse(httpHead.status(), httpHead.headers());
     streaming = request.stream() && httpHead.status() == 200;
     listener.onHead(head);
+    return true;
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -112,10 +112,11 @@
     }
 
     @Override
-    public void onHead(HttpHead head) {
+    public boolean onHead(HttpHead head) {
       status = head.status();
       notExecuted = head.headers().contains(names.notExecuted());
       notices.onHead(upstream, head);
+      return true;
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -106,7 +106,7 @@
   }
 
   @Override
-  public void onHead(HttpHead received) {
+  public boolean onHead(HttpHead received) {
     head = received;
     RoutingHeaders names = dependencies.headers();
     String echoed = head.headers().getFirst(names.requestId());
@@ -117,8 +117,7 @@
       LOG.warnf(
           "request %s: upstream %s responded with request id %s; the response is discarded",
           request.id(), upstream.id(), echoed);
-      call.abort();
-      return;
+      return false;
     }
     dependencies.notices().onHead(upstream, head);
     LoadReport.parse(head.headers().getFirst(names.load()))
@@ -129,6 +128,7 @@
     if (!notRun && head.isSuccess() && request.route().kind() == RequestKind.STREAMING) {
       startRelay();
     }
+    return true;
   }
 
   private void startRelay() {
@@ -142,7 +142,7 @@
 
   @Override
   public boolean onBytes(ByteBuffer bytes) {
-    if (aborted || mismatched) {
+    if (aborted) {
       return false;
     }
     evidence.onBytes();
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -135,8 +135,9 @@
     private volatile long bodyBytes;
 
     @Override
-    public void onHead(HttpHead head) {
+    public boolean onHead(HttpHead head) {
       // The head has no use in these tests.
+      return true;
     }
 
     @Override
