Start on a full disk with a data folder that is in use

What callers saw: a process that is restarted while its disk is full ended with "settings invalid", so the wait for room of the replica never began.

Cause: the check of the settings writes and syncs a probe file in the data folder at each start.

Evidence: found by reading the paths of the refused write; folderInUseIsNotProbedAgain fails without the change.

Fix: a folder with an identity was checked at its first start. What its disk refuses later is handled by the replica.

Measured: the test passes; no play with a restart on a full disk was made.

--- a/src/main/java/org/ragwortpick/settings/DataFolderProbe.java
+++ b/src/main/java/org/ragwortpick/settings/DataFolderProbe.java
@@ -13,15 +13,23 @@
 
   private static final String PROBE_FILE = ".sync-probe";
 
+  /** Present once a process has written and synced in the folder. */
+  private static final String IDENTITY_FILE = "identity.json";
+
   private DataFolderProbe() {}
 
   /**
-   * Writes, syncs and deletes a small file.
+   * Writes, syncs and deletes a small file. A folder that is in use already was checked at its
+   * first start: what its disk refuses later is a failure of the disk and not of the settings, and
+   * must not keep the process from starting.
    *
    * @param folder data folder; created if it does not exist
    * @return description of the failure, or empty if the folder can be used
    */
   public static Optional<String> check(Path folder) {
+    if (Files.exists(folder.resolve(IDENTITY_FILE))) {
+      return Optional.empty();
+    }
     try {
       Files.createDirectories(folder);
       Path probe = folder.resolve(PROBE_FILE);
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -61,6 +61,17 @@
         7_400);
   }
 
+  /** A full disk must not make settings invalid that a process has run with. */
+  @Test
+  public void folderInUseIsNotProbedAgain() throws IOException {
+    Path folder = Files.createTempDirectory("data");
+    // A folder in place of the probe file makes the probe fail, as a full disk does.
+    Files.createDirectory(folder.resolve(".sync-probe"));
+    assertTrue(DataFolderProbe.check(folder).isPresent());
+    Files.createFile(folder.resolve("identity.json"));
+    assertTrue(DataFolderProbe.check(folder).isEmpty());
+  }
+
   @Test
   public void invalidKillTimeIsReported() {
     for (String invalid : List.of("soon", "0", "-1", "NaN", "1e9")) {
