Forget the revision of a removal when its documents have returned

Cause: DocumentHistory.forgetRemoval removed the key and kept the entry of its revision.

Evidence: found on reading the diff again. DocumentHistoryTest.returnedDocumentIsNoLongerRemembered failed before: 100 revisions remembered after 200 changes, 0 expected.

Fix: an entry without keys is removed.

Measured: the test passes with those of the state machine.

--- a/src/main/java/org/ragwortpick/config/DocumentHistory.java
+++ b/src/main/java/org/ragwortpick/config/DocumentHistory.java
@@ -61,7 +61,11 @@
   private void forgetRemoval(String key) {
     Long revision = removedAt.remove(key);
     if (revision != null) {
-      removalsByRevision.get(revision).remove(key);
+      SortedSet<String> removed = removalsByRevision.get(revision);
+      removed.remove(key);
+      if (removed.isEmpty()) {
+        removalsByRevision.remove(revision);
+      }
     }
   }
 
@@ -91,6 +95,11 @@
     return Optional.of(new DocumentDelta(fromRevision, revision, puts, deletes));
   }
 
+  /** Returns the number of revisions of which removals are remembered. */
+  int revisionsWithRemovals() {
+    return removalsByRevision.size();
+  }
+
   /**
    * Returns the oldest revision since which changes can be computed.
    *
--- a/src/test/java/org/ragwortpick/config/DocumentHistoryTest.java
+++ b/src/test/java/org/ragwortpick/config/DocumentHistoryTest.java
@@ -61,4 +61,16 @@
         history.since(10, count, new TreeMap<>()).orElseThrow().deletes().size(),
         DocumentHistory.MAX_REMOVED);
   }
+
+  /** A document that is removed and added by turns must leave nothing behind. */
+  @Test
+  public void returnedDocumentIsNoLongerRemembered() {
+    DocumentHistory history = new DocumentHistory(0);
+    for (int revision = 1; revision <= REVISIONS; revision++) {
+      boolean removed = revision % 2 == 1;
+      List<String> key = List.of("k");
+      history.record(revision, removed ? List.of() : key, removed ? key : List.of());
+    }
+    assertEquals(history.revisionsWithRemovals(), 0);
+  }
 }
