--- a/src/test/java/org/ragwortpick/consensus/RefusedWriteTest.java
+++ b/src/test/java/org/ragwortpick/consensus/RefusedWriteTest.java
@@ -192,17 +192,11 @@
   public void snapshotOnFullDiskIsStoredOnceThereIsRoom() {
     SimulatedVm full = follower();
     full.crash();
-    for (int i = 0; i < 300; i++) {
-      group.propose(leader);
-      group.runFor(5);
-    }
+    group.proposeMany(leader, 300, 5);
     full.start();
     full.disk().refuseChanges();
     leader.disk().refuseChanges();
-    for (int i = 0; i < 300; i++) {
-      group.propose(leader);
-      group.runFor(5);
-    }
+    group.proposeMany(leader, 300, 5);
     final List<Replica> replicas = replicas();
     group.vms().forEach(vm -> vm.disk().clearFaults());
     group.runFor(CATCH_UP_MS);
--- a/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
+++ b/src/test/java/org/ragwortpick/consensus/ScenarioTest.java
@@ -118,15 +118,9 @@
   public void replicaCatchesUpWhileCommitsContinue() {
     SimulatedVm stopped = follower();
     stopped.crash();
-    for (int i = 0; i < 600; i++) {
-      group.propose(leader);
-      group.runFor(2);
-    }
+    group.proposeMany(leader, 600, 2);
     stopped.start();
-    for (int i = 0; i < 200; i++) {
-      group.propose(leader);
-      group.runFor(5);
-    }
+    group.proposeMany(leader, 200, 5);
     group.runFor(500);
     assertTrue(group.history().acknowledgedCount() > 800, "too few commits during the catch-up");
     group.repairAndCheck();
--- a/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedGroup.java
@@ -152,6 +152,14 @@
     return command;
   }
 
+  /** Proposes commands with a pause after each, without waiting for their commit. */
+  void proposeMany(SimulatedVm vm, int count, long pauseMs) {
+    for (int i = 0; i < count; i++) {
+      propose(vm);
+      runFor(pauseMs);
+    }
+  }
+
   /** Commits a new command; retries if the leader changes. */
   void commitOne() {
     int before = history.acknowledgedCount();
