--- a/src/main/java/org/ragwortpick/config/DocumentHistory.java
+++ b/src/main/java/org/ragwortpick/config/DocumentHistory.java
@@ -95,7 +95,11 @@
     return Optional.of(new DocumentDelta(fromRevision, revision, puts, deletes));
   }
 
-  /** Returns the number of revisions of which removals are remembered. */
+  /**
+   * Returns the number of revisions of which removals are remembered.
+   *
+   * @return number of revisions
+   */
   int revisionsWithRemovals() {
     return removalsByRevision.size();
   }
