Read the rest of a body that is refused for its stated length

What callers saw: a caller whose body was stated to be longer than the limit often got a closed connection in place of the refusal with 413.

Cause: the refusal was sent and the connection closed with the body unread. Bytes that arrive at a closed connection reset it, and the reset discards a response that the caller has not read yet.

Orders of operators are refused in the same way; their limit moves from the server to the handler.

--- a/src/main/java/org/ragwortpick/edge/ControlOperations.java
+++ b/src/main/java/org/ragwortpick/edge/ControlOperations.java
@@ -58,4 +58,11 @@
    * @param upstreamId id of the upstream
    */
   void leave(String upstreamId);
+
+  /**
+   * Returns the limit of the body of a request.
+   *
+   * @return size in bytes
+   */
+  int maxBodyBytes();
 }
--- a/src/main/java/org/ragwortpick/entry/http/BodyReader.java
+++ b/src/main/java/org/ragwortpick/entry/http/BodyReader.java
@@ -39,13 +39,20 @@
       long timeoutMs,
       Consumer<byte[]> onBody,
       Consumer<Fault> onFault) {
+    AtomicBoolean ended = new AtomicBoolean();
+    Timers.Timer timer = timers.schedule(timeoutMs, () -> closeUnlessEnded(exchange, ended));
+    Runnable refuseTooLarge =
+        () -> {
+          timer.cancel();
+          if (ended.compareAndSet(false, true)) {
+            onFault.accept(Fault.TOO_LARGE);
+          }
+        };
     if (exchange.getRequestContentLength() > limitBytes) {
       exchange.setPersistent(false);
-      onFault.accept(Fault.TOO_LARGE);
+      BodyDiscarder.discard(exchange, refuseTooLarge);
       return;
     }
-    AtomicBoolean ended = new AtomicBoolean();
-    Timers.Timer timer = timers.schedule(timeoutMs, () -> closeUnlessEnded(exchange, ended));
     // The content length check does not cover chunked bodies; the buffer limit does.
     Receiver receiver = exchange.getRequestReceiver();
     receiver.setMaxBufferSize(limitBytes);
@@ -56,14 +63,14 @@
           exchange.dispatch(SameThreadExecutor.INSTANCE, () -> onBody.accept(body));
         },
         (failed, cause) -> {
+          exchange.setPersistent(false);
+          if (cause instanceof Receiver.RequestToLargeException) {
+            BodyDiscarder.discard(exchange, refuseTooLarge);
+            return;
+          }
           timer.cancel();
           ended.set(true);
-          exchange.setPersistent(false);
-          Fault fault =
-              cause instanceof Receiver.RequestToLargeException
-                  ? Fault.TOO_LARGE
-                  : Fault.INCOMPLETE;
-          exchange.dispatch(SameThreadExecutor.INSTANCE, () -> onFault.accept(fault));
+          exchange.dispatch(SameThreadExecutor.INSTANCE, () -> onFault.accept(Fault.INCOMPLETE));
         });
   }
 
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -40,6 +40,8 @@
   /** Heap that an order of one byte needs at most, from its parsing to its replication. */
   private static final long HEAP_BYTES_PER_ORDER_BYTE = 40;
 
+  private static final long LIMITED_BY_HANDLER = -1;
+
   /** Shorter than the second after which operators try another VM. */
   private static final long CALL_TIMEOUT_MS = 850;
 
@@ -83,9 +85,7 @@
             .setIoThreads(IO_THREADS)
             .setWorkerThreads(1)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(
-                UndertowOptions.MAX_ENTITY_SIZE,
-                Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_ORDER_BYTE)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LIMITED_BY_HANDLER)
             .addHttpListener(
                 role.operatorAddress().port(),
                 role.operatorAddress().host(),
@@ -169,6 +169,12 @@
                         accepted -> "accepted at revision " + accepted.revision())));
   }
 
+  @Override
+  public int maxBodyBytes() {
+    long limitBytes = Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_ORDER_BYTE;
+    return (int) Math.min(Integer.MAX_VALUE, limitBytes);
+  }
+
   @Override
   public void announce(Upstream upstream) {
     sync.announce(upstream);
--- a/src/test/java/org/ragwortpick/forward/LargeBodyTest.java
+++ b/src/test/java/org/ragwortpick/forward/LargeBodyTest.java
@@ -12,6 +12,7 @@
 public final class LargeBodyTest extends ForwardServerFixture {
 
   private static final int LIMIT_BYTES = 4 * 1024 * 1024;
+  private static final int REPETITIONS = 100;
 
   @DataProvider
   public static Object[][] sizes() {
@@ -34,4 +35,34 @@
       assertEquals(response.statusCode(), status, response.body());
     }
   }
+
+  @DataProvider
+  public static Object[][] framings() {
+    byte[] body = new byte[2 * LIMIT_BYTES];
+    return new Object[][] {
+      {"stated length", HttpRequest.BodyPublishers.ofByteArray(body)},
+    };
+  }
+
+  /** A connection that is closed with unread bytes is reset, and the response may be lost. */
+  @Test(dataProvider = "framings")
+  public void refusalOfTooLargeBodyReachesTheCaller(
+      String framing, HttpRequest.BodyPublisher publisher) throws Exception {
+    for (int i = 0; i < REPETITIONS; i++) {
+      HttpRequest request = server().request("/safe/x", "r" + i).POST(publisher).build();
+      assertEquals(server().send(request).statusCode(), 413, framing + ", repetition " + i);
+    }
+  }
+
+  /** A caller that waits for permission to send its body must be refused without it. */
+  @Test
+  public void callerThatAsksFirstIsRefusedAtOnce() throws Exception {
+    HttpRequest request =
+        server()
+            .request("/safe/x", "r1")
+            .expectContinue(true)
+            .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[LIMIT_BYTES + 1]))
+            .build();
+    assertEquals(server().send(request).statusCode(), 413);
+  }
 }
