--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -7,13 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
-import org.ragwortpick.common.StateChart;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.ConfigurationDocuments;
 import org.ragwortpick.config.ConfigurationProblem;
@@ -41,10 +38,6 @@
 
   private static final String INVENTORY = "inventory";
   private static final String RULES = "rules";
-  private static final String PREPARE = "PREPARE";
-  private static final String RETURN = "RETURN";
-  private static final String TAKE_OUT = "TAKE_OUT";
-  private static final String RAMPED = "RAMPED";
 
   /** Maximum number of findings in an answer; up to 10,000 answers are stored and replicated. */
   private static final int MAX_FINDINGS = 100;
@@ -52,11 +45,10 @@
   /** Maximum number of times that a change is computed when it conflicts with other changes. */
   private static final int MAX_ATTEMPTS = 10;
 
-  private final StateChart chart = StateChart.load("data-centre.json");
   private final ConsensusGroup group;
   private final ConfigurationStateMachine machine;
   private final LeaderLease lease;
-  private final PlacementSource placement;
+  private final DataCentreChanges dataCentreChanges;
   private final int minimumVoters;
 
   /**
@@ -78,7 +70,7 @@
     this.group = group;
     this.machine = machine;
     this.lease = lease;
-    this.placement = placement;
+    this.dataCentreChanges = new DataCentreChanges(placement);
     this.minimumVoters = minimumVoters;
   }
 
@@ -164,7 +156,13 @@
     return problems.stream().map(ConfigurationProblem::message).toList();
   }
 
-  private static void refuse(ChangeCommand.Builder change, List<String> findings) {
+  /**
+   * Turns a change into a refused one, which changes no document.
+   *
+   * @param change the change
+   * @param findings reasons for the refusal
+   */
+  static void refuse(ChangeCommand.Builder change, List<String> findings) {
     change
         .setRefused(true)
         .setAnswer(
@@ -209,46 +207,10 @@
         .orElseGet(
             () ->
                 proposeOnCurrentRevision(
-                    base -> takeOut(request, base), request.requestId(), digest, MAX_ATTEMPTS));
-  }
-
-  private ChangeCommand.Builder takeOut(TakeOutRequest request, ConfigurationVersion base) {
-    Configuration current = base.configuration();
-    ChangeCommand.Builder change = ChangeCommand.newBuilder();
-    String name = request.dataCentre();
-    if (!isDataCentre(current, name)) {
-      return refuseUnknownDataCentre(change, current, name);
-    }
-    Set<String> remaining = remainingWithout(current, name);
-    if (remaining.isEmpty() && !request.now()) {
-      refuse(
-          change,
-          List.of(
-              "dataCentre: "
-                  + name
-                  + " is the last data centre in service; return another one first or set now"));
-      return change;
-    }
-    PlacementPlan plan = placement.plan(current.inventory(), remaining);
-    boolean immediate = request.now() || placement.isComplete() && plan.isReady();
-    List<String> unplaced = request.now() ? plan.missing() : plan.unplaced();
-    String event = immediate ? TAKE_OUT : PREPARE;
-    return transition(change, base, name, List.of(event), unplaced);
-  }
-
-  /**
-   * Lists the data centres that take work and are not being taken out, except a given one.
-   *
-   * @param current the configuration
-   * @param leaving data centre to exclude
-   * @return names of the other data centres
-   */
-  static Set<String> remainingWithout(Configuration current, String leaving) {
-    return current.inventory().dataCentres().stream()
-        .filter(name -> !name.equals(leaving))
-        .filter(current::takesWork)
-        .filter(name -> current.stateOf(name) != DataCentreState.PREPARING)
-        .collect(Collectors.toSet());
+                    base -> dataCentreChanges.takeOut(request, base),
+                    request.requestId(),
+                    digest,
+                    MAX_ATTEMPTS));
   }
 
   @Override
@@ -259,33 +221,12 @@
         .orElseGet(
             () ->
                 proposeOnCurrentRevision(
-                    base -> returnToService(request, base),
+                    base -> dataCentreChanges.returnToService(request, base),
                     request.requestId(),
                     digest,
                     MAX_ATTEMPTS));
   }
 
-  private ChangeCommand.Builder returnToService(ReturnRequest request, ConfigurationVersion base) {
-    ChangeCommand.Builder change = ChangeCommand.newBuilder();
-    Configuration current = base.configuration();
-    if (!isDataCentre(current, request.dataCentre())) {
-      return refuseUnknownDataCentre(change, current, request.dataCentre());
-    }
-    boolean ramps = !current.inventory().dataCentres().isEmpty();
-    return transition(
-        change,
-        base,
-        request.dataCentre(),
-        ramps ? List.of(RETURN) : List.of(RETURN, RAMPED),
-        List.of());
-  }
-
-  /** Accepts any name if there is no inventory, as in a deployment that forwards requests. */
-  private static boolean isDataCentre(Configuration current, String name) {
-    List<String> names = current.inventory().dataCentres();
-    return names.isEmpty() || names.contains(name);
-  }
-
   /**
    * Commits a transition of a data centre that no operator requested, such as the end of a ramp.
    *
@@ -302,57 +243,11 @@
           Either.left(new AdministrationError.Conflict(base.revision())));
     }
     ChangeCommand.Builder change =
-        transition(ChangeCommand.newBuilder(), base, dataCentre, List.of(event), List.of());
+        dataCentreChanges.transition(base, dataCentre, List.of(event), List.of());
     return propose(change.setBaseRevision(base.revision()).setLeaderBase(true))
         .thenApply(result -> result.flatMap(ControlCodec::decode));
   }
 
-  /**
-   * Fills a change with the state of a data centre after some events. An event that does not apply
-   * in the present state, such as a second take-out, has no effect.
-   */
-  private ChangeCommand.Builder transition(
-      ChangeCommand.Builder change,
-      ConfigurationVersion base,
-      String dataCentre,
-      List<String> events,
-      List<String> unplaced) {
-    Configuration current = base.configuration();
-    DataCentreState after = current.stateOf(dataCentre);
-    for (String event : events) {
-      after = chart.next(after.name(), event).map(DataCentreState::valueOf).orElse(after);
-    }
-    Map<String, DataCentreState> states = new HashMap<>(current.rules().dataCentres());
-    states.put(dataCentre, after);
-    Rules rules = current.rules();
-    putDelta(
-        change,
-        base,
-        new Configuration(
-            base.revision() + 1,
-            current.inventory(),
-            new Rules(
-                rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
-            current.routing()));
-    return change.setAnswer(
-        AnswerMessage.newBuilder()
-            .setKind(AnswerKind.ANSWER_KIND_ACCEPTED)
-            .setDataCentreState(after.name())
-            .addAllUnplaced(unplaced));
-  }
-
-  private static ChangeCommand.Builder refuseUnknownDataCentre(
-      ChangeCommand.Builder change, Configuration current, String name) {
-    List<String> names = current.inventory().dataCentres();
-    refuse(
-        change,
-        List.of(
-            new ConfigurationProblem.UnknownName(
-                    "request", "dataCentre", name, "data centre", names)
-                .message()));
-    return change;
-  }
-
   /** Proposes a change on the current revision and recomputes it after a conflict. */
   private CompletionStage<Either<AdministrationError, AcceptedChange>> proposeOnCurrentRevision(
       Function<ConfigurationVersion, ChangeCommand.Builder> computation,
