Carry out an order for a data centre only if its operator still waits

Cause: orders carry no number, and a VM took whatever it read for a new order. A copy that had waited in a suspended process, or had arrived together with the close of its caller, was carried out after the operator had sent it to another VM and given a newer order, which was acknowledged.

Fix: an order names the revision that its VM knew when the operator certainly waited, and the leader refuses it if a later order for that data centre was accepted, one without effect included, since its acknowledgement binds as well.

--- a/src/main/java/org/ragwortpick/config/Configuration.java
+++ b/src/main/java/org/ragwortpick/config/Configuration.java
@@ -20,6 +20,7 @@
   private final Map<String, Service> services;
   private final Map<String, Pipeline> pipelines;
   private final Map<String, Workspace> workspaces;
+  private final Map<String, Long> orderRevisions;
   private final Optional<RoutingConfiguration> routing;
   private final Optional<RoutingTable> routingTable;
 
@@ -31,7 +32,7 @@
    * @param rules rules
    */
   public Configuration(long revision, Inventory inventory, Rules rules) {
-    this(revision, inventory, rules, Optional.empty());
+    this(revision, inventory, rules, Map.of(), Optional.empty());
   }
 
   /**
@@ -40,16 +41,22 @@
    * @param revision revision, increasing by one with each accepted change
    * @param inventory inventory whose names are unique
    * @param rules rules
+   * @param orderRevisions revision of the last accepted order of an operator by data centre
    * @param routing routes of transparently forwarded requests; empty if none were proposed
    */
   public Configuration(
-      long revision, Inventory inventory, Rules rules, Optional<RoutingConfiguration> routing) {
+      long revision,
+      Inventory inventory,
+      Rules rules,
+      Map<String, Long> orderRevisions,
+      Optional<RoutingConfiguration> routing) {
     this.revision = revision;
     this.inventory = inventory;
     this.rules = rules;
     this.services = index(inventory.services(), Service::name);
     this.pipelines = index(inventory.pipelines(), Pipeline::name);
     this.workspaces = index(inventory.workspaces(), Workspace::name);
+    this.orderRevisions = Map.copyOf(orderRevisions);
     this.routing = routing;
     this.routingTable = routing.map(RoutingTable::new);
   }
@@ -143,6 +150,16 @@
     return rules.dataCentres().getOrDefault(dataCentre, DataCentreState.IN);
   }
 
+  /**
+   * Returns the revisions of the last accepted orders that take data centres out or return them,
+   * orders without effect included.
+   *
+   * @return revisions by name of the data centre
+   */
+  public Map<String, Long> orderRevisions() {
+    return orderRevisions;
+  }
+
   /**
    * Returns whether a data centre may receive new work.
    *
--- a/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
@@ -25,6 +25,7 @@
   private static final String PIPELINE_PREFIX = "pipeline/";
   private static final String WORKSPACE_PREFIX = "workspace/";
   private static final String DATA_CENTRE_PREFIX = "dataCentre/";
+  private static final String DATA_CENTRE_ORDER_PREFIX = "dataCentreOrder/";
 
   private ConfigurationDocuments() {}
 
@@ -50,6 +51,9 @@
     rules
         .dataCentres()
         .forEach((dc, state) -> documents.put(DATA_CENTRE_PREFIX + dc, encode(state)));
+    configuration
+        .orderRevisions()
+        .forEach((dc, at) -> documents.put(DATA_CENTRE_ORDER_PREFIX + dc, encode(at)));
     configuration.routing().ifPresent(routing -> documents.put(ROUTING_KEY, routing.encode()));
     return documents;
   }
@@ -72,17 +76,13 @@
             decodeAll(documents, SERVICE_PREFIX, Service.class),
             decodeAll(documents, PIPELINE_PREFIX, Pipeline.class),
             decodeAll(documents, WORKSPACE_PREFIX, Workspace.class));
-    Map<String, DataCentreState> states = new HashMap<>();
-    documentsWithPrefix(documents, DATA_CENTRE_PREFIX)
-        .forEach(
-            (key, text) ->
-                states.put(
-                    key.substring(DATA_CENTRE_PREFIX.length()),
-                    decode(text, DataCentreState.class)));
+    Map<String, DataCentreState> states =
+        decodeByName(documents, DATA_CENTRE_PREFIX, DataCentreState.class);
     return new Configuration(
         revision,
         inventory,
         new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+        decodeByName(documents, DATA_CENTRE_ORDER_PREFIX, Long.class),
         Optional.ofNullable(documents.get(ROUTING_KEY)).map(RoutingConfiguration::decode));
   }
 
@@ -98,6 +98,14 @@
     return values;
   }
 
+  private static <T> Map<String, T> decodeByName(
+      SortedMap<String, String> documents, String prefix, Class<T> type) {
+    Map<String, T> values = new HashMap<>();
+    documentsWithPrefix(documents, prefix)
+        .forEach((key, text) -> values.put(key.substring(prefix.length()), decode(text, type)));
+    return values;
+  }
+
   private static String encode(Object value) {
     try {
       return Json.MESSAGES.writeValueAsString(value);
--- a/src/main/java/org/ragwortpick/control/AdministrationServer.java
+++ b/src/main/java/org/ragwortpick/control/AdministrationServer.java
@@ -56,20 +56,11 @@
               .thenApply(this::toReply);
       case TAKE_OUT ->
           administration
-              .takeOut(
-                  new TakeOutRequest(
-                      call.getTakeOut().getRequestId(),
-                      call.getTakeOut().getDataCentre(),
-                      call.getTakeOut().getNow()),
-                  timeoutMs)
+              .takeOut(ControlCodec.decode(call.getTakeOut()), timeoutMs)
               .thenApply(this::toReply);
       case RETURN_TO_SERVICE ->
           administration
-              .returnToService(
-                  new ReturnRequest(
-                      call.getReturnToService().getRequestId(),
-                      call.getReturnToService().getDataCentre()),
-                  timeoutMs)
+              .returnToService(ControlCodec.decode(call.getReturnToService()), timeoutMs)
               .thenApply(this::toReply);
       case REPLACE_ROUTING ->
           administration
--- a/src/main/java/org/ragwortpick/control/ControlCodec.java
+++ b/src/main/java/org/ragwortpick/control/ControlCodec.java
@@ -8,6 +8,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.ragwortpick.common.Json;
 import org.ragwortpick.config.DataCentreState;
 import org.ragwortpick.config.Inventory;
@@ -103,11 +104,29 @@
    * @return the message
    */
   static TakeOutOperation encode(TakeOutRequest request) {
-    return TakeOutOperation.newBuilder()
-        .setRequestId(request.requestId())
-        .setDataCentre(request.dataCentre())
-        .setNow(request.now())
-        .build();
+    TakeOutOperation.Builder message =
+        TakeOutOperation.newBuilder()
+            .setRequestId(request.requestId())
+            .setDataCentre(request.dataCentre())
+            .setNow(request.now());
+    request.baseRevision().ifPresent(message::setBaseRevision);
+    return message.build();
+  }
+
+  /**
+   * Decodes a request to take out a data centre.
+   *
+   * @param message the message
+   * @return the request
+   */
+  static TakeOutRequest decode(TakeOutOperation message) {
+    return new TakeOutRequest(
+        message.getRequestId(),
+        message.getDataCentre(),
+        message.getNow(),
+        message.hasBaseRevision()
+            ? OptionalLong.of(message.getBaseRevision())
+            : OptionalLong.empty());
   }
 
   /**
@@ -117,10 +136,27 @@
    * @return the message
    */
   static ReturnOperation encode(ReturnRequest request) {
-    return ReturnOperation.newBuilder()
-        .setRequestId(request.requestId())
-        .setDataCentre(request.dataCentre())
-        .build();
+    ReturnOperation.Builder message =
+        ReturnOperation.newBuilder()
+            .setRequestId(request.requestId())
+            .setDataCentre(request.dataCentre());
+    request.baseRevision().ifPresent(message::setBaseRevision);
+    return message.build();
+  }
+
+  /**
+   * Decodes a request to return a data centre.
+   *
+   * @param message the message
+   * @return the request
+   */
+  static ReturnRequest decode(ReturnOperation message) {
+    return new ReturnRequest(
+        message.getRequestId(),
+        message.getDataCentre(),
+        message.hasBaseRevision()
+            ? OptionalLong.of(message.getBaseRevision())
+            : OptionalLong.empty());
   }
 
   /**
--- a/src/main/java/org/ragwortpick/control/DataCentreChanges.java
+++ b/src/main/java/org/ragwortpick/control/DataCentreChanges.java
@@ -1,9 +1,12 @@
 package org.ragwortpick.control;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.ragwortpick.common.StateChart;
 import org.ragwortpick.config.Configuration;
@@ -39,9 +42,16 @@
    *
    * @param request the request
    * @param base version that the change is based on
-   * @return the change, which is refused if the request is invalid
+   * @return the change, which is refused if the request is invalid; a conflict if a later order for
+   *     the data centre was accepted
    */
-  ChangeCommand.Builder takeOut(TakeOutRequest request, ConfigurationVersion base) {
+  Either<AdministrationError, ChangeCommand.Builder> takeOut(
+      TakeOutRequest request, ConfigurationVersion base) {
+    return unlessOutdated(
+        request.dataCentre(), request.baseRevision(), base, () -> takeOutNow(request, base));
+  }
+
+  private ChangeCommand.Builder takeOutNow(TakeOutRequest request, ConfigurationVersion base) {
     Configuration current = base.configuration();
     String name = request.dataCentre();
     if (!isDataCentre(current, name)) {
@@ -58,7 +68,31 @@
     boolean immediate = request.now() || placement.isComplete() && plan.isReady();
     List<String> unplaced = request.now() ? plan.missing() : plan.unplaced();
     String event = immediate ? TAKE_OUT : PREPARE;
-    return transition(base, name, List.of(event), unplaced);
+    return order(base, name, List.of(event), unplaced);
+  }
+
+  /** An order that changes nothing is recorded too: its acknowledgement binds as any other. */
+  private ChangeCommand.Builder order(
+      ConfigurationVersion base, String dataCentre, List<String> events, List<String> unplaced) {
+    Map<String, Long> orderRevisions = new HashMap<>(base.configuration().orderRevisions());
+    orderRevisions.put(dataCentre, base.revision() + 1);
+    return transition(base, dataCentre, events, unplaced, orderRevisions);
+  }
+
+  /**
+   * An order may arrive long after its operator has given it up and sent others, for example from a
+   * process that was suspended. The revision tells what the operator can have known.
+   */
+  private static Either<AdministrationError, ChangeCommand.Builder> unlessOutdated(
+      String dataCentre,
+      OptionalLong baseRevision,
+      ConfigurationVersion base,
+      Supplier<ChangeCommand.Builder> change) {
+    long lastOrder = base.configuration().orderRevisions().getOrDefault(dataCentre, 0L);
+    if (baseRevision.isPresent() && lastOrder > baseRevision.getAsLong()) {
+      return Either.left(new AdministrationError.Conflict(base.revision()));
+    }
+    return Either.right(change.get());
   }
 
   /** Lists the data centres that take work and are not being taken out, except a given one. */
@@ -75,15 +109,22 @@
    *
    * @param request the request
    * @param base version that the change is based on
-   * @return the change, which is refused if the request is invalid
+   * @return the change, which is refused if the request is invalid; a conflict if a later order for
+   *     the data centre was accepted
    */
-  ChangeCommand.Builder returnToService(ReturnRequest request, ConfigurationVersion base) {
+  Either<AdministrationError, ChangeCommand.Builder> returnToService(
+      ReturnRequest request, ConfigurationVersion base) {
+    return unlessOutdated(
+        request.dataCentre(), request.baseRevision(), base, () -> returnNow(request, base));
+  }
+
+  private ChangeCommand.Builder returnNow(ReturnRequest request, ConfigurationVersion base) {
     Configuration current = base.configuration();
     if (!isDataCentre(current, request.dataCentre())) {
       return refuseUnknownDataCentre(current, request.dataCentre());
     }
     boolean ramps = !current.inventory().dataCentres().isEmpty();
-    return transition(
+    return order(
         base, request.dataCentre(), ramps ? List.of(RETURN) : List.of(RETURN, RAMPED), List.of());
   }
 
@@ -94,17 +135,27 @@
   }
 
   /**
-   * Computes the change to the state of a data centre after some events. An event that does not
-   * apply in the present state, such as a second take-out, has no effect.
+   * Computes a change to the state of a data centre that no operator ordered.
    *
    * @param base version that the change is based on
    * @param dataCentre name of the data centre
-   * @param events events of {@code data-centre.json}
-   * @param unplaced descriptions of the replicas that the remaining data centres do not run
+   * @param event event of {@code data-centre.json}
    * @return the change
    */
-  ChangeCommand.Builder transition(
-      ConfigurationVersion base, String dataCentre, List<String> events, List<String> unplaced) {
+  ChangeCommand.Builder advance(ConfigurationVersion base, String dataCentre, String event) {
+    return transition(
+        base, dataCentre, List.of(event), List.of(), base.configuration().orderRevisions());
+  }
+
+  /**
+   * An event that does not apply in the present state, such as a second take-out, has no effect.
+   */
+  private ChangeCommand.Builder transition(
+      ConfigurationVersion base,
+      String dataCentre,
+      List<String> events,
+      List<String> unplaced,
+      Map<String, Long> orderRevisions) {
     Configuration current = base.configuration();
     DataCentreState after = current.stateOf(dataCentre);
     for (String event : events) {
@@ -122,6 +173,7 @@
             current.inventory(),
             new Rules(
                 rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+            orderRevisions,
             current.routing()));
     return change.setAnswer(
         AnswerMessage.newBuilder()
--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -129,6 +129,7 @@
             inventory,
             new Rules(
                 rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
+            current.orderRevisions(),
             current.routing());
     putDelta(change, base, proposed);
     change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
@@ -196,7 +197,7 @@
           Either.left(new AdministrationError.Invalid(findings)));
     }
     return proposeOnCurrentRevision(
-        base -> RoutingChange.compute(routing, base), "", "", MAX_ATTEMPTS);
+        base -> Either.right(RoutingChange.compute(routing, base)), "", "", MAX_ATTEMPTS);
   }
 
   @Override
@@ -242,22 +243,26 @@
       return CompletableFuture.completedFuture(
           Either.left(new AdministrationError.Conflict(base.revision())));
     }
-    ChangeCommand.Builder change =
-        dataCentreChanges.transition(base, dataCentre, List.of(event), List.of());
+    ChangeCommand.Builder change = dataCentreChanges.advance(base, dataCentre, event);
     return propose(change.setBaseRevision(base.revision()).setLeaderBase(true))
         .thenApply(result -> result.flatMap(ControlCodec::decode));
   }
 
   /** Proposes a change on the current revision and recomputes it after a conflict. */
   private CompletionStage<Either<AdministrationError, AcceptedChange>> proposeOnCurrentRevision(
-      Function<ConfigurationVersion, ChangeCommand.Builder> computation,
+      Function<ConfigurationVersion, Either<AdministrationError, ChangeCommand.Builder>>
+          computation,
       String requestId,
       String digest,
       int attemptsLeft) {
     ConfigurationVersion base = machine.current();
+    Either<AdministrationError, ChangeCommand.Builder> computed = computation.apply(base);
+    if (computed.isLeft()) {
+      return CompletableFuture.completedFuture(Either.left(computed.getLeft()));
+    }
     ChangeCommand.Builder change =
-        computation
-            .apply(base)
+        computed
+            .get()
             .setRequestId(requestId)
             .setRequestDigest(digest)
             .setBaseRevision(base.revision())
--- a/src/main/java/org/ragwortpick/control/RoutingChange.java
+++ b/src/main/java/org/ragwortpick/control/RoutingChange.java
@@ -30,7 +30,11 @@
           change,
           base,
           new Configuration(
-              base.revision() + 1, current.inventory(), current.rules(), Optional.of(routing)));
+              base.revision() + 1,
+              current.inventory(),
+              current.rules(),
+              current.orderRevisions(),
+              Optional.of(routing)));
     }
     return change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
   }
--- a/src/main/java/org/ragwortpick/edge/ControlOperations.java
+++ b/src/main/java/org/ragwortpick/edge/ControlOperations.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.edge;
 
+import io.undertow.server.HttpServerExchange;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -29,21 +30,42 @@
    */
   CompletionStage<Either<AdministrationError, Optional<RoutingConfiguration>>> readRouting();
 
+  /**
+   * Tells whether a request that is being read now was certainly sent a short time ago, so that its
+   * operator still waits for the response.
+   *
+   * @param exchange exchange of the request
+   * @return false if the request may be old
+   */
+  boolean isRecent(HttpServerExchange exchange);
+
+  /**
+   * Returns the revision of the configuration that this VM knows. An order that is based on it is
+   * refused if a later order for its data centre was accepted.
+   *
+   * @return the revision; lower than the current one if this VM lags
+   */
+  long knownRevision();
+
   /**
    * Takes a data centre out: its upstreams receive no new work.
    *
    * @param dataCentre name of the data centre
+   * @param baseRevision revision that was known when the operator still waited for the order
    * @return the new revision, or the reason for a refusal
    */
-  CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(String dataCentre);
+  CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
+      String dataCentre, long baseRevision);
 
   /**
    * Returns a data centre to service: its upstreams may receive new work again.
    *
    * @param dataCentre name of the data centre
+   * @param baseRevision revision that was known when the operator still waited for the order
    * @return the new revision, or the reason for a refusal
    */
-  CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(String dataCentre);
+  CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
+      String dataCentre, long baseRevision);
 
   /**
    * Accepts the announcement of an upstream.
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -125,6 +125,15 @@
     return new ConsensusLeaderSource(group, stateMachine);
   }
 
+  /**
+   * Returns the revision that the replica has applied.
+   *
+   * @return the revision; it may lag behind the leader's
+   */
+  long revision() {
+    return stateMachine.current().revision();
+  }
+
   /**
    * Returns the gRPC services.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -4,11 +4,13 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -40,8 +42,6 @@
   /** Heap that an order of one byte needs at most, from its parsing to its replication. */
   private static final long HEAP_BYTES_PER_ORDER_BYTE = 40;
 
-  private static final long LIMITED_BY_HANDLER = -1;
-
   /** Shorter than the second after which operators try another VM. */
   private static final long CALL_TIMEOUT_MS = 850;
 
@@ -51,7 +51,8 @@
   private final Optional<ControlReplica> replica;
   private final SyncNode sync;
   private final Administration administration;
-  private final Undertow server;
+  private final OperatorListener operators;
+  private final Undertow directory;
 
   /**
    * Creates the role without listening yet.
@@ -80,16 +81,14 @@
     replica.ifPresent(local -> local.registerMetrics(registry));
     this.sync = sync;
     this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
-    this.server =
+    this.operators =
+        new OperatorListener(
+            role.operatorAddress(), MetricsHandler.wrap(registry, protocol.control(this)), clock);
+    this.directory =
         Undertow.builder()
             .setIoThreads(IO_THREADS)
             .setWorkerThreads(1)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LIMITED_BY_HANDLER)
-            .addHttpListener(
-                role.operatorAddress().port(),
-                role.operatorAddress().host(),
-                MetricsHandler.wrap(registry, protocol.control(this)))
             .addHttpListener(
                 role.directoryAddress().port(),
                 role.directoryAddress().host(),
@@ -118,7 +117,8 @@
   /** Starts the replica and the listeners. */
   void start() {
     replica.ifPresent(ControlReplica::start);
-    server.start();
+    directory.start();
+    operators.start(directory.getWorker());
   }
 
   @Override
@@ -137,16 +137,30 @@
   }
 
   @Override
-  public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(String dataCentre) {
-    TakeOutRequest request = new TakeOutRequest(newRequestId(), dataCentre, true);
+  public boolean isRecent(HttpServerExchange exchange) {
+    return operators.recentRequests().contains(exchange);
+  }
+
+  @Override
+  public long knownRevision() {
+    long viewRevision = sync.configurationView().current().revision();
+    return Math.max(viewRevision, replica.map(ControlReplica::revision).orElse(0L));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
+      String dataCentre, long baseRevision) {
+    TakeOutRequest request =
+        new TakeOutRequest(newRequestId(), dataCentre, true, OptionalLong.of(baseRevision));
     return logOutcome(
         "take-out of " + dataCentre, administration.takeOut(request, CALL_TIMEOUT_MS));
   }
 
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
-      String dataCentre) {
-    ReturnRequest request = new ReturnRequest(newRequestId(), dataCentre);
+      String dataCentre, long baseRevision) {
+    ReturnRequest request =
+        new ReturnRequest(newRequestId(), dataCentre, OptionalLong.of(baseRevision));
     return logOutcome(
         "return of " + dataCentre, administration.returnToService(request, CALL_TIMEOUT_MS));
   }
@@ -197,7 +211,8 @@
 
   @Override
   public void close() throws IOException {
-    server.stop();
+    operators.close();
+    directory.stop();
     if (replica.isPresent()) {
       replica.get().close();
     }
--- a/src/test/java/org/ragwortpick/control/LeaderAdministrationTest.java
+++ b/src/test/java/org/ragwortpick/control/LeaderAdministrationTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.ragwortpick.config.DataCentreState;
 import org.ragwortpick.config.Inventory;
 import org.ragwortpick.config.Rules;
@@ -127,4 +128,44 @@
         ControlFixture.get(control.administration().read(ControlFixture.TIMEOUT_MS)).getLeft(),
         new AdministrationError.NotLeader(Optional.of("vm2")));
   }
+
+  /** An order that changed nothing counts as well, since its operator was told that it holds. */
+  @Test
+  public void orderBasedOnRevisionBeforeLaterOrderIsRefused() {
+    ControlFixture control = new ControlFixture();
+    control.propose(INVENTORY);
+    long beforeTakeOut = control.machine().current().revision();
+    takeOut(control, "first", "norte-a", true);
+    long beforeRepetition = control.machine().current().revision();
+    assertTrue(returnBasedOn(control, "early", beforeTakeOut).isLeft());
+    takeOut(control, "again", "norte-a", true);
+    assertTrue(returnBasedOn(control, "late", beforeRepetition).isLeft());
+    takeOut(control, "elsewhere", "norte-b", true);
+    control.machine().restore(control.machine().snapshot());
+    assertTrue(returnBasedOn(control, "later", beforeRepetition).isLeft());
+    assertEquals(
+        control.machine().current().configuration().stateOf("norte-a"), DataCentreState.OUT);
+    long current = control.machine().current().revision();
+    assertTrue(returnBasedOn(control, "current", current).isRight());
+    assertTrue(
+        ControlFixture.get(
+                control
+                    .administration()
+                    .takeOut(
+                        new TakeOutRequest("old", "norte-a", true, OptionalLong.of(current)),
+                        ControlFixture.TIMEOUT_MS))
+            .isLeft());
+    assertEquals(
+        control.machine().current().configuration().stateOf("norte-a"), DataCentreState.RETURNING);
+  }
+
+  private static Either<AdministrationError, AcceptedChange> returnBasedOn(
+      ControlFixture control, String id, long revision) {
+    return ControlFixture.get(
+        control
+            .administration()
+            .returnToService(
+                new ReturnRequest(id, "norte-a", OptionalLong.of(revision)),
+                ControlFixture.TIMEOUT_MS));
+  }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -170,7 +170,7 @@
             List.of(RoutingFixture.workspace("w1", "k1")),
             null,
             "");
-    return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Optional.of(routing));
+    return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Map.of(), Optional.of(routing));
   }
 
   private static Route route(String name, RequestKind kind, int attempts, RouteStage... stages) {
