Base the product's own orders for a data centre on the revision they were given at

What operators could see: a take-out or return that had waited in a suspended VM and was given up was carried out after a newer one, as on the platform's calls (the same cause, in the commands of the product).

Cause: the request id protects from a second execution of one request, not from the late execution of a request that was never answered.

Fix: the commands take-out and return read the current revision and send it; the administration API takes it as baseRevision. A resend under the same id gets its first answer whatever it is based on.

--- a/src/main/java/org/ragwortpick/admin/DataCentreEndpoint.java
+++ b/src/main/java/org/ragwortpick/admin/DataCentreEndpoint.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.server.HttpServerExchange;
+import java.util.OptionalLong;
 import org.ragwortpick.control.Administration;
 import org.ragwortpick.control.ReturnRequest;
 import org.ragwortpick.control.TakeOutRequest;
@@ -33,7 +34,10 @@
                 exchange,
                 administration.takeOut(
                     new TakeOutRequest(
-                        requestId(body), dataCentre(exchange), body.path("now").asBoolean()),
+                        requestId(body),
+                        dataCentre(exchange),
+                        body.path("now").asBoolean(),
+                        baseRevision(body)),
                     ConfigurationEndpoint.OPERATION_TIMEOUT_MS),
                 result -> ConfigurationEndpoint.sendChangeResult(exchange, result)));
   }
@@ -50,7 +54,7 @@
             JsonExchange.sendWhenComplete(
                 exchange,
                 administration.returnToService(
-                    new ReturnRequest(requestId(body), dataCentre(exchange)),
+                    new ReturnRequest(requestId(body), dataCentre(exchange), baseRevision(body)),
                     ConfigurationEndpoint.OPERATION_TIMEOUT_MS),
                 result -> ConfigurationEndpoint.sendChangeResult(exchange, result)));
   }
@@ -59,6 +63,11 @@
     return body.path("requestId").asText("");
   }
 
+  private static OptionalLong baseRevision(JsonNode body) {
+    JsonNode revision = body.path("baseRevision");
+    return revision.isIntegralNumber() ? OptionalLong.of(revision.asLong()) : OptionalLong.empty();
+  }
+
   private static String dataCentre(HttpServerExchange exchange) {
     return exchange.getQueryParameters().get("dataCentre").getFirst();
   }
--- a/src/main/java/org/ragwortpick/cli/AdminCommand.java
+++ b/src/main/java/org/ragwortpick/cli/AdminCommand.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
+import java.util.Map;
 import java.util.Optional;
 import org.kohsuke.args4j.Option;
 import org.ragwortpick.common.HostPort;
@@ -67,6 +69,32 @@
     return response.get().isError() ? ExitCode.REFUSED : ExitCode.OK;
   }
 
+  /**
+   * Reads the current revision and sends a request that is based on it, so that a copy that is held
+   * back on its way is refused after a later order.
+   *
+   * @param client client of the VM
+   * @param path path of the request
+   * @param body JSON body, to which the revision is added
+   * @param out stream for results
+   * @param err stream for error messages
+   * @return exit code
+   */
+  protected final int postOnCurrentRevision(
+      OperatorClient client, String path, ObjectNode body, PrintStream out, PrintStream err) {
+    Optional<OperatorResponse> read = client.get("/admin/v1/configuration", Map.of());
+    if (read.isEmpty() || read.get().isError()) {
+      return printResponse(read, out, err);
+    }
+    try {
+      body.put("baseRevision", Json.MESSAGES.readTree(read.get().body()).path("revision").asLong());
+    } catch (JsonProcessingException e) {
+      err.println("the VM returned a configuration that is no JSON: " + e.getOriginalMessage());
+      return ExitCode.REFUSED;
+    }
+    return printResponse(client.post(path, body.toString()), out, err);
+  }
+
   private static String prettyPrinted(String body) {
     try {
       JsonNode node = Json.MESSAGES.readTree(body);
--- a/src/main/java/org/ragwortpick/cli/ReturnCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ReturnCommand.java
@@ -28,7 +28,7 @@
   protected int call(OperatorClient client, PrintStream out, PrintStream err) {
     ObjectNode body = Json.MESSAGES.createObjectNode();
     body.put("requestId", requestId);
-    return printResponse(
-        client.post("/admin/v1/data-centres/" + dataCentre + "/return", body.toString()), out, err);
+    return postOnCurrentRevision(
+        client, "/admin/v1/data-centres/" + dataCentre + "/return", body, out, err);
   }
 }
--- a/src/main/java/org/ragwortpick/cli/TakeOutCommand.java
+++ b/src/main/java/org/ragwortpick/cli/TakeOutCommand.java
@@ -34,9 +34,7 @@
     ObjectNode body = Json.MESSAGES.createObjectNode();
     body.put("requestId", requestId);
     body.put("now", immediately);
-    return printResponse(
-        client.post("/admin/v1/data-centres/" + dataCentre + "/take-out", body.toString()),
-        out,
-        err);
+    return postOnCurrentRevision(
+        client, "/admin/v1/data-centres/" + dataCentre + "/take-out", body, out, err);
   }
 }
--- a/src/main/java/org/ragwortpick/control/ConfigurationStateMachine.java
+++ b/src/main/java/org/ragwortpick/control/ConfigurationStateMachine.java
@@ -119,6 +119,16 @@
     return current;
   }
 
+  /**
+   * Tells whether the answer to an operator request is stored.
+   *
+   * @param requestId identity of the request
+   * @return true if a resend gets the first answer
+   */
+  public synchronized boolean hasAnswered(String requestId) {
+    return requests.find(requestId).isPresent();
+  }
+
   /**
    * Computes the change since a revision.
    *
--- a/src/main/java/org/ragwortpick/control/ControlCodec.java
+++ b/src/main/java/org/ragwortpick/control/ControlCodec.java
@@ -159,6 +159,28 @@
             : OptionalLong.empty());
   }
 
+  /**
+   * Computes the digest of a request to take out a data centre. A resend may be based on a later
+   * revision.
+   *
+   * @param request the request
+   * @return hexadecimal digest
+   */
+  static String digest(TakeOutRequest request) {
+    return digest(encode(request).toBuilder().clearBaseRevision().build());
+  }
+
+  /**
+   * Computes the digest of a request to return a data centre. A resend may be based on a later
+   * revision.
+   *
+   * @param request the request
+   * @return hexadecimal digest
+   */
+  static String digest(ReturnRequest request) {
+    return digest(encode(request).toBuilder().clearBaseRevision().build());
+  }
+
   /**
    * Decodes an answer.
    *
--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -203,7 +203,7 @@
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
       TakeOutRequest request, long timeoutMs) {
-    String digest = ControlCodec.digest(ControlCodec.encode(request));
+    String digest = ControlCodec.digest(request);
     return requireId(request.requestId())
         .orElseGet(
             () ->
@@ -217,7 +217,7 @@
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
       ReturnRequest request, long timeoutMs) {
-    String digest = ControlCodec.digest(ControlCodec.encode(request));
+    String digest = ControlCodec.digest(request);
     return requireId(request.requestId())
         .orElseGet(
             () ->
@@ -258,7 +258,9 @@
     ConfigurationVersion base = machine.current();
     Either<AdministrationError, ChangeCommand.Builder> computed = computation.apply(base);
     if (computed.isLeft()) {
-      return CompletableFuture.completedFuture(Either.left(computed.getLeft()));
+      return machine.hasAnswered(requestId)
+          ? proposeAnswered(requestId, digest)
+          : CompletableFuture.completedFuture(Either.left(computed.getLeft()));
     }
     ChangeCommand.Builder change =
         computed
@@ -277,6 +279,17 @@
                     : CompletableFuture.completedFuture(result.flatMap(ControlCodec::decode)));
   }
 
+  /** Returns the first answer to a request that was sent again after it had been accepted. */
+  private CompletionStage<Either<AdministrationError, AcceptedChange>> proposeAnswered(
+      String requestId, String digest) {
+    ChangeCommand.Builder change =
+        ChangeCommand.newBuilder()
+            .setRequestId(requestId)
+            .setRequestDigest(digest)
+            .setUnevaluated(true);
+    return propose(change).thenApply(result -> result.flatMap(ControlCodec::decode));
+  }
+
   private CompletionStage<Either<AdministrationError, AnswerMessage>> propose(
       ChangeCommand.Builder change) {
     if (!hasEnoughVoters()) {
--- a/src/test/java/org/ragwortpick/control/LeaderAdministrationTest.java
+++ b/src/test/java/org/ragwortpick/control/LeaderAdministrationTest.java
@@ -159,6 +159,22 @@
         control.machine().current().configuration().stateOf("norte-a"), DataCentreState.RETURNING);
   }
 
+  /** The resend is based on a revision before the request itself, or on a later one. */
+  @Test
+  public void resentOrderGetsItsFirstAnswerWhateverItIsBasedOn() {
+    ControlFixture control = new ControlFixture();
+    control.propose(INVENTORY);
+    takeOut(control, "out", "norte-a", true);
+    long before = control.machine().current().revision();
+    AcceptedChange first = returnBasedOn(control, "back", before).get();
+    takeOut(control, "out-again", "norte-a", true);
+    assertEquals(returnBasedOn(control, "back", before).get(), first);
+    long after = control.machine().current().revision();
+    assertEquals(returnBasedOn(control, "back", after).get(), first);
+    assertEquals(
+        control.machine().current().configuration().stateOf("norte-a"), DataCentreState.OUT);
+  }
+
   private static Either<AdministrationError, AcceptedChange> returnBasedOn(
       ControlFixture control, String id, long revision) {
     return ControlFixture.get(
