Log data centres, revisions and times that explain a late request

Each VM now logs "data centres out of service changed" with the revision, the data centres and the age of the confirmation. "request ended" and "request sent again" state dataCentre, revision and revisionAgeMs of the choice, and "request ended" writtenMs, the time of the first byte beside sentMs, the time of the choice. The lines of batches state dataCentre and revision.

DataCentreChangeLogTest and RequestLogTest pass, as do StageCollectorTest, PausedStageUpstreamTest, StageLoadTest and StoppingServerTest.

--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
@@ -51,6 +51,7 @@
   private final String service;
   private final Supplier<Optional<BatchProfile>> profile;
   private final Supplier<List<Upstream>> upstreams;
+  private final LongSupplier revision;
   private final CollectorRole role;
   private final BatchTransport transport;
   private final ResultReleaser inputReleaser;
@@ -68,6 +69,7 @@
    * @param service name of the service
    * @param profile batch profile of the service; empty if the configuration has none
    * @param upstreams upstreams of the service that may take work
+   * @param revision revision of the configuration, read before the upstreams
    * @param role decides for which VMs the local VM may collect pieces
    * @param transport sends calls to upstreams
    * @param requestedPauses pauses that upstreams requested
@@ -79,6 +81,7 @@
       String service,
       Supplier<Optional<BatchProfile>> profile,
       Supplier<List<Upstream>> upstreams,
+      LongSupplier revision,
       CollectorRole role,
       BatchTransport transport,
       RequestedPauses requestedPauses,
@@ -88,6 +91,7 @@
     this.service = service;
     this.profile = profile;
     this.upstreams = upstreams;
+    this.revision = revision;
     this.role = role;
     this.transport = new PausingTransport(transport, requestedPauses, timers);
     this.trackers = new CallTrackers(requestedPauses);
@@ -228,6 +232,7 @@
         .findOverdue(nowMs - MAX_TARGET_OVERRUN_MS, limits.get().maxPieces())
         .forEach(work -> fail(work, SubmissionEnd.Cause.OVERLOADED, "target missed in the queue"));
     failUnpermittedWork(nowMs);
+    long chosenAtRevision = revision.getAsLong();
     trackers.refresh(upstreams.get());
     List<CallTracker> free = new ArrayList<>(trackers.free(limits.get(), nowMs));
     // Upstreams in preferred data centres come first; the others still get what is left.
@@ -243,7 +248,16 @@
               (long) StageTimes.callMs(limits.get(), limits.get().maxPieces()));
       List<WaitingPiece> batch = queue.takeBatch(slot, trackers::freeAtMs);
       if (!batch.isEmpty()) {
-        sendBatch(tracker, batch, limits.get(), nowMs);
+        send(
+            tracker,
+            new SentBatch(
+                service,
+                tracker.upstream(),
+                chosenAtRevision,
+                batch,
+                nowMs,
+                StageTimes.callMs(limits.get(), batch.size())),
+            limits.get());
       }
     }
     if (queue.size() > 0) {
@@ -297,23 +311,21 @@
             });
   }
 
-  private void sendBatch(
-      CallTracker tracker, List<WaitingPiece> batch, BatchProfile limits, long nowMs) {
-    long bytes = batch.stream().mapToLong(piece -> piece.submission().work().resultBytes()).sum();
-    tracker.onCallStarted(nowMs, StageTimes.callMs(limits, batch.size()));
-    tracker.resultCapacity().reserve(bytes);
+  private void send(CallTracker tracker, SentBatch sent, BatchProfile limits) {
+    tracker.onCallStarted(sent.sentAtMs(), sent.statedMs());
+    tracker.resultCapacity().reserve(sent.resultBytes());
     Timers.Timer inputRelease =
-        tracker.resultCapacity().isReliable(nowMs) && role.isSoleCollector(service)
-            ? timers.schedule(MAX_INPUT_FETCH_MS, () -> releaseFetchedInputs(batch))
+        tracker.resultCapacity().isReliable(sent.sentAtMs()) && role.isSoleCollector(service)
+            ? timers.schedule(MAX_INPUT_FETCH_MS, () -> releaseFetchedInputs(sent.pieces()))
             : () -> {};
     transport.run(
-        tracker.upstream(),
-        batch.stream().map(piece -> piece.toCall(nowMs)).toList(),
-        tracker.timeoutMs(limits, batch.size()),
+        sent.upstream(),
+        sent.pieces().stream().map(piece -> piece.toCall(sent.sentAtMs())).toList(),
+        tracker.timeoutMs(limits, sent.pieces().size()),
         outcome -> {
-          tracker.resultCapacity().cancelReservation(bytes);
+          tracker.resultCapacity().cancelReservation(sent.resultBytes());
           inputRelease.cancel();
-          onOutcome(tracker, batch, limits, nowMs, outcome);
+          onOutcome(tracker, sent, limits, outcome);
           dispatch();
         });
   }
@@ -334,28 +346,16 @@
   }
 
   private void onOutcome(
-      CallTracker tracker,
-      List<WaitingPiece> batch,
-      BatchProfile limits,
-      long sentAtMs,
-      BatchOutcome outcome) {
+      CallTracker tracker, SentBatch sent, BatchProfile limits, BatchOutcome outcome) {
     long nowMs = clock.millis();
     if (outcome instanceof BatchOutcome.Answered answered) {
-      DecisionLine.of("batch answered")
-          .with("service", service)
-          .with("upstream", tracker.upstream().id())
-          .with("requests", requestIdsOf(batch))
-          .with("pieces", batch.size())
-          .with("tookMs", nowMs - sentAtMs)
-          .with("statedMs", (long) StageTimes.callMs(limits, batch.size()))
-          .with("notProduced", countCauses(answered.results()))
-          .with("waitingPieces", queue.size())
-          .info(LOG);
-      tracker.onCallAnswered(StageTimes.callMs(limits, batch.size()), nowMs - sentAtMs);
-      tracker.measureThroughput(batch.size(), nowMs, queue.size() >= limits.maxPieces());
-      for (int i = 0; i < batch.size(); i++) {
-        onResult(
-            tracker, batch.get(i), answered.results().get(i), nowMs + limits.resultLifetimeMs());
+      sent.logAnswered(answered.results(), nowMs, queue.size());
+      tracker.onCallAnswered(sent.statedMs(), nowMs - sent.sentAtMs());
+      int pieces = sent.pieces().size();
+      tracker.measureThroughput(pieces, nowMs, queue.size() >= limits.maxPieces());
+      long expiresAtMs = nowMs + limits.resultLifetimeMs();
+      for (int i = 0; i < pieces; i++) {
+        onResult(tracker, sent.pieces().get(i), answered.results().get(i), expiresAtMs);
       }
       recordExhaustedCapacity(tracker, answered.results(), limits, nowMs);
       return;
@@ -366,29 +366,8 @@
     } else {
       tracker.onCallFailed(nowMs, lost);
     }
-    DecisionLine.of("batch not answered")
-        .with("service", service)
-        .with("upstream", tracker.upstream().id())
-        .with("requests", requestIdsOf(batch))
-        .with("outcome", outcome.getClass().getSimpleName())
-        .with("tookMs", nowMs - sentAtMs)
-        .with("pausedMs", tracker.pausedUntilMs() - nowMs)
-        .info(LOG);
-    batch.forEach(piece -> requeue(lost ? piece.withFailure() : piece));
-  }
-
-  private static String requestIdsOf(List<WaitingPiece> batch) {
-    return batch.stream()
-        .map(piece -> piece.submission().work().requestId())
-        .distinct()
-        .collect(Collectors.joining(","));
-  }
-
-  private static Map<PieceResult.Cause, Long> countCauses(List<PieceResult> results) {
-    return results.stream()
-        .filter(PieceResult.NotProduced.class::isInstance)
-        .map(result -> ((PieceResult.NotProduced) result).cause())
-        .collect(Collectors.groupingBy(cause -> cause, TreeMap::new, Collectors.counting()));
+    sent.logNotAnswered(outcome, nowMs, tracker.pausedUntilMs() - nowMs);
+    sent.pieces().forEach(piece -> requeue(lost ? piece.withFailure() : piece));
   }
 
   private static void recordExhaustedCapacity(
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -208,7 +208,7 @@
     triedUpstreams.add(upstream.id());
     repeatPolicy.onAttemptStarted();
     sentAtMs = dependencies.clock().millis();
-    log.attemptStarted(upstream);
+    log.attemptStarted(upstream, dependencies.configuration());
     UpstreamAttempt nextAttempt =
         new UpstreamAttempt(
             dependencies,
@@ -276,7 +276,16 @@
         request.body(),
         false,
         ResponseLimits.withoutTotalTimeout(remainingMs + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
-        () -> !ended);
+        this::mayWrite);
+  }
+
+  /** Called immediately before the first byte of an attempt is written. */
+  private boolean mayWrite() {
+    if (ended) {
+      return false;
+    }
+    log.attemptWritten();
+    return true;
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -8,6 +8,7 @@
 import org.ragwortpick.entry.upstream.ReceivedBody;
 import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.routing.RoutedWorkspace;
+import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.Upstream;
 
 /** Logs one line for each request that ended, with the facts that determined its outcome. */
@@ -21,9 +22,13 @@
   private final ForwardMetrics metrics;
   private String upstream = "-";
   private String upstreamState = "-";
+  private String dataCentre = "-";
+  private long revision = -1;
+  private long revisionAgeMs = -1;
   private int status;
   private long stagesMs = -1;
   private long attemptStartedMs = -1;
+  private long writtenMs = -1;
   private long responseStartedMs = -1;
   private Optional<ReceivedBody> body = Optional.empty();
   private String brokenBy = "-";
@@ -56,11 +61,21 @@
    * Records an attempt that starts.
    *
    * @param chosen upstream of the attempt
+   * @param view view of the configuration by which it was chosen
    */
-  void attemptStarted(Upstream chosen) {
+  void attemptStarted(Upstream chosen, ConfigurationView view) {
     upstream = chosen.id();
     upstreamState = chosen.state() + "/" + chosen.sequence();
+    dataCentre = chosen.dataCentre();
+    revision = view.current().revision();
+    revisionAgeMs = clock.millis() - view.confirmedAtMs();
     attemptStartedMs = elapsedMs();
+    writtenMs = -1;
+  }
+
+  /** Records that the first byte of the attempt is about to be written to its upstream. */
+  void attemptWritten() {
+    writtenMs = elapsedMs();
   }
 
   /**
@@ -73,6 +88,9 @@
         .with("request", request.id())
         .with("outcome", outcome)
         .with("upstream", upstream)
+        .with("dataCentre", dataCentre)
+        .with("revision", revision)
+        .with("revisionAgeMs", revisionAgeMs)
         .with("remainingMs", request.deadlineAtMs() - clock.millis())
         .info(LOG);
   }
@@ -129,9 +147,13 @@
         .with("priority", request.priority())
         .with("upstream", upstream)
         .with("upstreamState", upstreamState)
+        .with("dataCentre", dataCentre)
+        .with("revision", revision)
+        .with("revisionAgeMs", revisionAgeMs)
         .with("sends", attempts)
         .with("stagesMs", stagesMs)
         .with("sentMs", attemptStartedMs)
+        .with("writtenMs", writtenMs)
         .with("answerMs", responseStartedMs)
         .with("endMs", elapsedMs())
         .with("framing", body.map(ReceivedBody::framing).map(Enum::name).orElse("-"))
--- a/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
+++ b/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
@@ -79,7 +79,9 @@
       if (!delta.snapshot() && delta.fromRevision() != previousRevision) {
         return false;
       }
+      Configuration before = configuration;
       apply(delta);
+      DataCentreChangeLog.onConfiguration(before, configuration, clock.millis() - confirmationMs);
     }
     if (configuration.revision() < previousRevision
         || configuration.revision() < delta.revision()) {
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -235,6 +235,7 @@
                 .flatMap(table -> table.service(service))
                 .flatMap(ServiceProfile::batching),
         () -> chooser.available(service),
+        () -> configuration().revision(),
         collectorRole,
         transport,
         pauses,
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -45,6 +45,7 @@
             "svc",
             () -> Optional.of(RoutingFixture.batch(4, 100, 10, 1_000)),
             () -> upstreams,
+            () -> 1,
             new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
             transport,
             pauses,
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -56,6 +56,7 @@
               upstreamReads++;
               return upstreams;
             },
+            () -> 1,
             new CollectorRole("vm", () -> vms, () -> true, () -> viewAgeMs, time.clock()),
             transport,
             new RequestedPauses(time.clock(), new Random(1)),
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -146,6 +146,7 @@
             "svc",
             () -> Optional.of(PROFILE),
             () -> upstreams,
+            () -> 1,
             new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
             service,
             new RequestedPauses(time.clock(), new Random(1)),
