Poll a source again as soon as it can be reached

What callers saw: a VM whose connections to control had been refused for a while (control processes killed, or a link that answers with a reset) kept its old view for seconds after control could be reached again. It went on sending requests to a data centre that was out of service, and to routes of an older configuration, though it was in touch again.

Cause: the channel of a source waits longer after each refused connection, from 1 s up to 2 minutes, and each poll in that time fails at once without a connection attempt. Polls were the only calls between VMs that did not reset that backoff; calls of consensus, of administration and of collectors do. A poll that fails, other than by its timeout, now resets it. The next poll, which follows after 50 to 500 ms, then makes a new attempt.

RestartedSourceTest: after an outage of 11.5 s the view was not confirmed within 2 s (1 of 1 run before the change); with the change it is (1 of 1 run).

--- a/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
@@ -168,6 +168,10 @@
       Status status = Status.fromThrowable(error);
       if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
         channels.discard(poll.source(), channel);
+      } else {
+        // The backoff of the channel grows to minutes; a restarted source must be reachable at
+        // once.
+        channel.resetConnectBackoff();
       }
       failed(poll.source(), status.toString());
     }
