Check the data centre again before the first byte of a request

What callers saw: traffic reached a data centre that was out of service. One way to it: the upstream of a request or of a batch of pieces was chosen, a new connection to it took time to open (up to the connect timeout of 300 ms) or the process did not run for a while, and the request was written by the choice made before the take-out.

Cause: the permit of a call, which is asked immediately before its first byte, asked only whether the request still waits, and for batches nothing. It now also asks whether the data centre still takes work, and whether the view was confirmed since the process last resumed. A call that is not permitted writes nothing, so the request goes to another upstream or is refused as not run, and pieces go back to their queue.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -276,12 +276,19 @@
         request.body(),
         false,
         ResponseLimits.withoutTotalTimeout(remainingMs + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
-        this::mayWrite);
+        () -> mayWrite(upstream));
   }
 
-  /** Called immediately before the first byte of an attempt is written. */
-  private boolean mayWrite() {
-    if (ended) {
+  /**
+   * Called immediately before the first byte of an attempt is written. The connection may have
+   * taken time to open, and the process may have been suspended since the choice.
+   */
+  private boolean mayWrite(Upstream upstream) {
+    boolean permitted =
+        !ended
+            && dependencies.viewIsCurrent().getAsBoolean()
+            && dependencies.chooser().mayTakeWork(upstream);
+    if (!permitted) {
       return false;
     }
     log.attemptWritten();
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.BatchOutcome;
 import org.ragwortpick.batch.BatchProtocol;
@@ -38,6 +39,7 @@
   private final BatchProtocol protocol;
   private final RoutingHeaders names;
   private final UpstreamNotices notices;
+  private final Predicate<Upstream> mayTakeWork;
   private final RecentHandles recentHandles = new RecentHandles();
 
   /**
@@ -47,16 +49,20 @@
    * @param protocol encoding of the calls
    * @param names names of headers
    * @param notices reads what upstreams state about themselves
+   * @param mayTakeWork whether an upstream may take work, evaluated immediately before each call is
+   *     written
    */
   public HttpBatchTransport(
       HttpCallClient callClient,
       BatchProtocol protocol,
       RoutingHeaders names,
-      UpstreamNotices notices) {
+      UpstreamNotices notices,
+      Predicate<Upstream> mayTakeWork) {
     this.callClient = callClient;
     this.protocol = protocol;
     this.names = names;
     this.notices = notices;
+    this.mayTakeWork = mayTakeWork;
   }
 
   @Override
@@ -95,7 +101,7 @@
             body,
             false,
             new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
-            () -> true),
+            () -> mayTakeWork.test(upstream)),
         listener);
   }
 
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -78,6 +78,16 @@
             .toList());
   }
 
+  /**
+   * Tells whether an upstream that was chosen may still take work.
+   *
+   * @param upstream the upstream
+   * @return false if its data centre was taken out of service since
+   */
+  public boolean mayTakeWork(Upstream upstream) {
+    return configuration.get().takesWork(upstream.dataCentre());
+  }
+
   /**
    * Returns the time until the first upstream of a service may get a request, if all of them have
    * requested a pause.
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -49,6 +49,7 @@
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
+import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.ViewFreshness;
 import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.VmState;
@@ -151,7 +152,8 @@
         new PartQuarantine(
             sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
     HttpBatchTransport transport =
-        new HttpBatchTransport(httpCallClient, protocol.batches(), protocol.headers(), notices);
+        new HttpBatchTransport(
+            httpCallClient, protocol.batches(), protocol.headers(), notices, this::mayTakeWork);
     this.stages =
         new RemoteStageRunner(
             settings.peerAddress(),
@@ -276,6 +278,11 @@
     return sync.configurationView().current();
   }
 
+  /** Tells whether an upstream may take work by a view that is not older than a suspension. */
+  private boolean mayTakeWork(Upstream upstream) {
+    return freshness.isConfirmedSinceResume() && chooser.mayTakeWork(upstream);
+  }
+
   private List<String> entryVmNames() {
     return sync.vmDirectory().vms().stream()
         .filter(VmRecord::servesCallers)
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -24,6 +24,7 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.DataCentreState;
 import org.ragwortpick.config.Inventory;
 import org.ragwortpick.config.Rules;
 import org.ragwortpick.entry.WorkCounter;
@@ -212,6 +213,22 @@
     worker.getIoThread().execute(() -> produceStages.run());
   }
 
+  /** Ends the last submitted stage, and takes a data centre out before the attempt is written. */
+  void produceStagesAndTakeOut(String dataCentre) {
+    worker
+        .getIoThread()
+        .execute(
+            () -> {
+              produceStages.run();
+              configuration = withoutDataCentre(dataCentre);
+            });
+  }
+
+  private static Configuration withoutDataCentre(String dataCentre) {
+    Rules rules = new Rules(List.of(), List.of(), 0, Map.of(dataCentre, DataCentreState.OUT));
+    return new Configuration(2, Inventory.EMPTY, rules, configuration().routing());
+  }
+
   /** Returns the number of stages that were submitted; they end by {@link #produceStages}. */
   int submittedStages() {
     return submissions.get();
@@ -230,6 +247,10 @@
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
+  void announceIn(String dataCentre, String id, HostPort address) {
+    upstreams.put(id, TestUpstreams.ready(id, "s1", address, dataCentre));
+  }
+
   /** Announces an upstream that runs many requests at once. */
   void announceLarge(String id, HostPort address) {
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -8,7 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpick.batch.BatchOutcome;
 import org.ragwortpick.batch.BatchProtocol;
@@ -43,12 +45,14 @@
   private HttpCallClient callClient;
   private LeavingUpstreams leaving;
   private RequestedPauses pauses;
+  private final Set<String> takenOut = ConcurrentHashMap.newKeySet();
 
   @BeforeMethod
   public void start() throws Exception {
     worker =
         Xnio.getInstance()
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    takenOut.clear();
     leaving = new LeavingUpstreams(new MonotonicClock());
     pauses = new RequestedPauses(new MonotonicClock(), new Random(1));
     callClient =
@@ -67,7 +71,8 @@
         callClient,
         protocol,
         ForwardTestServer.HEADERS,
-        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses));
+        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses),
+        upstream -> !takenOut.contains(upstream.dataCentre()));
   }
 
   @DataProvider
@@ -92,6 +97,30 @@
     }
   }
 
+  /** Guards against pieces that are chosen before a data centre is taken out and sent after it. */
+  @Test
+  public void batchChosenBeforeTakeOutIsNotSent() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((c, r, headers) -> RawUpstream.response(headers, "", "[]"))) {
+      CompletableFuture<BatchOutcome> outcome = new CompletableFuture<>();
+      worker
+          .getIoThread()
+          .execute(
+              () -> {
+                transport(new EmptyBatches())
+                    .run(
+                        TestUpstreams.ready("u1", "s1", upstream.address(), "dc"),
+                        List.of(),
+                        TIMEOUT_MS,
+                        outcome::complete);
+                takenOut.add("dc");
+              });
+      BatchOutcome end = outcome.get(4 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      assertEquals(upstream.workRequests(), 0);
+      assertTrue(end instanceof BatchOutcome.NotReached, end.toString());
+    }
+  }
+
   @Test
   public void truncatedUnframedResponseLosesItsPieces() throws Exception {
     try (RawUpstream upstream =
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -56,7 +56,8 @@
             new UpstreamNotices(
                 ForwardTestServer.HEADERS,
                 new LeavingUpstreams(clock),
-                new RequestedPauses(clock, new SplittableRandom(1))));
+                new RequestedPauses(clock, new SplittableRandom(1))),
+            upstream -> true);
   }
 
   @AfterMethod
