--- a/src/main/java/org/ragwortpick/control/RoutingChange.java
+++ b/src/main/java/org/ragwortpick/control/RoutingChange.java
@@ -1,7 +1,9 @@
 package org.ragwortpick.control;
 
 import java.util.Optional;
+import org.jboss.logging.Logger;
 import org.ragwortpick.config.Configuration;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.proto.AnswerKind;
 import org.ragwortpick.proto.AnswerMessage;
 import org.ragwortpick.proto.ChangeCommand;
@@ -10,6 +12,8 @@
 /** Change that replaces all routes; the configuration with the highest number wins. */
 final class RoutingChange {
 
+  private static final Logger LOG = Logger.getLogger(RoutingChange.class);
+
   private RoutingChange() {}
 
   /**
@@ -32,6 +36,12 @@
           new Configuration(
               base.revision() + 1, current.inventory(), current.rules(), Optional.of(routing)));
     }
+    DecisionLine.of("routing change")
+        .with("number", routing.number())
+        .with("installedNumber", current.routing().map(RoutingConfiguration::number).orElse(null))
+        .with("baseRevision", base.revision())
+        .with("changes", isHigher)
+        .info(LOG);
     return change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
   }
 }
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -6,12 +6,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.proto.HeardVm;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
 import org.ragwortpick.proto.SyncRequest;
 import org.ragwortpick.proto.SyncResponse;
+import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.SyncTimings;
@@ -25,6 +29,8 @@
 /** Logic of the polling protocol, without I/O and threads. */
 public final class SyncExchange {
 
+  private static final Logger LOG = Logger.getLogger(SyncExchange.class);
+
   private final Clock clock;
   private final LeaderSource leader;
   private final SyncState state;
@@ -163,8 +169,26 @@
     cursor.receivedVersion = mergeFromSource(response.getRecords()) ? response.getCursor() : 0;
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::deliverGrant);
-    return state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs)
-        && clock.millis() - confirmedAtMs < SyncTimings.MAX_SOURCE_AGE_MS;
+    long previousRevision = state.view().current().revision();
+    boolean accepted =
+        state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
+    long ageMs = clock.millis() - confirmedAtMs;
+    logChange(previousRevision, poll.source(), ageMs);
+    return accepted && ageMs < SyncTimings.MAX_SOURCE_AGE_MS;
+  }
+
+  private void logChange(long previousRevision, HostPort source, long ageMs) {
+    Configuration current = state.view().current();
+    if (current.revision() == previousRevision) {
+      return;
+    }
+    DecisionLine.of("configuration updated")
+        .with("revision", current.revision())
+        .with("previousRevision", previousRevision)
+        .with("routing", current.routing().map(RoutingConfiguration::number).orElse(null))
+        .with("source", source)
+        .with("confirmationAgeMs", ageMs)
+        .info(LOG);
   }
 
   private void deliverGrant(Grant grant) {
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -24,6 +24,7 @@
 import org.ragwortpick.edge.ControlOperations;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.edge.EntryAddressSource;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.settings.ForwardingSettings;
@@ -51,6 +52,7 @@
   private final Optional<ControlReplica> replica;
   private final SyncNode sync;
   private final Administration administration;
+  private final Clock clock;
   private final Undertow server;
 
   /**
@@ -79,6 +81,7 @@
     this.replica = replica;
     replica.ifPresent(local -> local.registerMetrics(registry));
     this.sync = sync;
+    this.clock = clock;
     this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
     this.server =
         Undertow.builder()
@@ -124,8 +127,16 @@
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> replaceRouting(
       RoutingConfiguration routing) {
+    long startedAtMs = clock.millis();
     return logOutcome(
-        "routing " + routing.number(), administration.replaceRouting(routing, CALL_TIMEOUT_MS));
+            "routing " + routing.number(), administration.replaceRouting(routing, CALL_TIMEOUT_MS))
+        .whenComplete(
+            (outcome, failure) ->
+                DecisionLine.of("routing order answered")
+                    .with("number", routing.number())
+                    .with("accepted", failure == null && outcome.isRight())
+                    .with("waitMs", clock.millis() - startedAtMs)
+                    .info(LOG));
   }
 
   @Override
