--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -39,6 +39,7 @@
   private long nowMs = 1_000_000;
   private int maxDelayMs = 60;
   private int duplicatePercent = 5;
+  private int lateMessagePercent = 5;
   private Vm leader;
   private long term;
   private long lastConfirmedMs;
@@ -85,6 +86,11 @@
     maxDelayMs = newMaxDelayMs;
   }
 
+  /** Sets the share of messages that take up to 600 ms longer than the maximum delay. */
+  void setLateMessagePercent(int newLateMessagePercent) {
+    lateMessagePercent = newLateMessagePercent;
+  }
+
   void cut(Vm a, Vm b, boolean isCut) {
     cut[a.index][b.index] = isCut;
     cut[b.index][a.index] = isCut;
@@ -163,7 +169,8 @@
   }
 
   private int delayMs() {
-    return random.nextInt(maxDelayMs) + (random.nextInt(20) == 0 ? random.nextInt(600) : 0);
+    return random.nextInt(maxDelayMs)
+        + (random.nextInt(100) < lateMessagePercent ? random.nextInt(600) : 0);
   }
 
   private Vm byAddress(HostPort address) {
