Move a VM in touch away from a relay or a lagging source at once

Callers: a VM that reaches all control VMs served routes older than an accepted change for more than 2,000 ms.

Cause: a VM that had fallen back to a relay stayed with it for 20 polls (10 s), and any source was kept while its confirmation was younger than 2,000 ms. With the poll interval of 500 ms this alone exceeds the limit. A relay that is itself cut off, a pair of VMs that relay for each other, and a control VM that follows another one instead of the leader all lag so far. The return to the preferred source also went through every failing source before the working one was polled again.

Fix: a source counts as fresh below 1,000 ms, which a control VM that polls the leader meets even after a lost poll. While the source lags or is a relay, one other control VM in turn is tried between two regular polls, and replaces the source if it is fresh. A trial that fails goes back to the source before it. At most one more poll each 500 ms, and none while a control VM with a fresh confirmation is polled.

The line "configuration updated" moves to SyncClient, because simulated VMs wrote it to the test output.

--- a/src/main/java/org/ragwortpick/sync/SyncTimings.java
+++ b/src/main/java/org/ragwortpick/sync/SyncTimings.java
@@ -15,6 +15,13 @@
   /** Time after its last confirmation for which a configuration is in force. */
   public static final long CONFIG_LEASE_MS = 4_000;
 
+  /**
+   * Age of a confirmation up to which a source is not searched for a better one: a control VM that
+   * polls the leader stays below it even after a lost poll. One more interval and a lost poll of
+   * the local VM stay below the 2,000 ms within which an accepted change has to be in force.
+   */
+  public static final long FRESH_SOURCE_AGE_MS = 1_000;
+
   /**
    * Age of a confirmation at which the next poll goes to another source. Two VMs that relay for
    * each other stop polling each other before the VM timeout; a chain of two relays stays below
--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -18,6 +18,9 @@
 /**
  * Selects the source of each poll: the leader for a control VM, otherwise a control VM of the local
  * data centre, then the other control VMs, then other entry VMs as relays.
+ *
+ * <p>While the source is a relay, or its confirmation lags, one other control VM is tried between
+ * two polls of it. It becomes the source if its confirmation is fresh.
  */
 public final class SourceSelector {
 
@@ -33,6 +36,12 @@
   private final VmDirectory vms;
   private List<HostPort> candidates = List.of();
   private HostPort current;
+  private HostPort trial;
+
+  /** Whether the next poll is a trial between two regular polls. */
+  private boolean extraPoll;
+
+  private int trials;
   private int pollsOfOtherSource;
   private int failedPolls;
 
@@ -72,12 +81,31 @@
           "neither the settings nor the directory name a VM to poll;"
               + " add control VMs or relays to the settings");
     }
-    boolean retryPreferred = pollsOfOtherSource >= POLLS_BEFORE_PREFERRED || leaderChanged();
-    if (retryPreferred || current == null || !candidates.contains(current)) {
+    trial = null;
+    if (current == null || !candidates.contains(current)) {
       pollsOfOtherSource = 0;
       current = candidates.get(0);
+    } else if (extraPoll) {
+      trial = nextControlVm();
+    } else if (pollsOfOtherSource >= POLLS_BEFORE_PREFERRED || leaderChanged()) {
+      pollsOfOtherSource = 0;
+      trial = candidates.get(0);
     }
-    return current;
+    return trial == null ? current : trial;
+  }
+
+  /** Returns the control VM to try in place of the current source, or that source itself. */
+  private HostPort nextControlVm() {
+    List<HostPort> others =
+        controlAddresses().stream().filter(address -> !address.equals(current)).toList();
+    return others.isEmpty() ? current : others.get(trials++ % others.size());
+  }
+
+  private List<HostPort> controlAddresses() {
+    return controlVms().stream()
+        .map(ControlVm::peerAddress)
+        .filter(address -> !address.equals(identity.peerAddress()))
+        .toList();
   }
 
   private boolean leaderChanged() {
@@ -88,24 +116,42 @@
   }
 
   /**
-   * Records a successful poll.
+   * Records a poll whose response was used.
    *
    * @param source polled source
+   * @param quality age of its confirmation
+   * @return true if a control VM should be tried without waiting for the next regular poll
    */
-  public synchronized void recordSuccess(HostPort source) {
+  public synchronized boolean recordSuccess(HostPort source, SourceQuality quality) {
+    boolean isTrial = source.equals(trial);
+    boolean isFresh = quality == SourceQuality.FRESH;
     failedPolls = 0;
+    if (isTrial && isFresh) {
+      current = source;
+    }
     if (source.equals(current) && candidates.indexOf(source) > 0) {
       pollsOfOtherSource++;
     }
+    extraPoll = !isTrial && (!isFresh || !controlAddresses().contains(source));
+    trial = null;
+    return extraPoll;
   }
 
   /**
-   * Records a failed poll and selects the next source.
+   * Records a failed poll. After a trial the source before it is polled again, at once if the trial
+   * took the place of a regular poll. Otherwise the next source is polled.
    *
    * @param source polled source
-   * @return true if other sources remain to be tried in this round
+   * @return true if another source should be polled without waiting for the next regular poll
    */
   public synchronized boolean recordFailure(HostPort source) {
+    boolean wasExtraPoll = extraPoll;
+    extraPoll = false;
+    if (source.equals(trial) && !source.equals(current)) {
+      trial = null;
+      return !wasExtraPoll;
+    }
+    trial = null;
     failedPolls++;
     pollsOfOtherSource = 0;
     if (!candidates.isEmpty()) {
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
@@ -9,9 +9,12 @@
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.proto.SyncResponse;
 import org.ragwortpick.proto.SyncSourceGrpc;
+import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.sync.SyncTimings;
 
 /**
@@ -119,9 +122,9 @@
     }
   }
 
-  private void succeeded(HostPort source) {
-    selector.recordSuccess(source);
-    finishPoll(SyncTimings.POLL_INTERVAL_MS);
+  private void succeeded(HostPort source, SourceQuality quality) {
+    boolean searchesSource = selector.recordSuccess(source, quality);
+    finishPoll(searchesSource ? SyncTimings.MIN_POLL_INTERVAL_MS : SyncTimings.POLL_INTERVAL_MS);
   }
 
   private void failed(HostPort source, String reason) {
@@ -148,21 +151,38 @@
 
     @Override
     public void onNext(SyncResponse response) {
-      boolean accepted;
+      SourceQuality quality;
+      long previousRevision = exchange.configuration().revision();
       try {
-        accepted = exchange.accept(poll, response);
+        quality = exchange.accept(poll, response);
       } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
         LOG.warnf(
             e, "response of VM %s cannot be decoded; trying the next source", response.getVm());
-        accepted = false;
+        quality = SourceQuality.UNUSABLE;
       }
-      if (accepted) {
-        succeeded(poll.source());
+      logChange(previousRevision, response);
+      if (quality != SourceQuality.UNUSABLE) {
+        succeeded(poll.source(), quality);
       } else {
         failed(poll.source(), "the response is not usable, or its confirmation is too old");
       }
     }
 
+    private void logChange(long previousRevision, SyncResponse response) {
+      Configuration current = exchange.configuration();
+      if (current.revision() == previousRevision) {
+        return;
+      }
+      DecisionLine.of("configuration updated")
+          .with("revision", current.revision())
+          .with("previousRevision", previousRevision)
+          .with("routing", current.routing().map(RoutingConfiguration::number).orElse(null))
+          .with("source", poll.source())
+          .with("confirmationAgeMs", response.getConfirmedAgeMs())
+          .with("pollMs", clock.millis() - poll.sentAtMs())
+          .info(LOG);
+    }
+
     @Override
     public void onError(Throwable error) {
       Status status = Status.fromThrowable(error);
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -6,16 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.config.Configuration;
-import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.proto.HeardVm;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
 import org.ragwortpick.proto.SyncRequest;
 import org.ragwortpick.proto.SyncResponse;
-import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.LeaderSource;
 import org.ragwortpick.sync.SyncTimings;
@@ -29,8 +26,6 @@
 /** Logic of the polling protocol, without I/O and threads. */
 public final class SyncExchange {
 
-  private static final Logger LOG = Logger.getLogger(SyncExchange.class);
-
   private final Clock clock;
   private final LeaderSource leader;
   private final SyncState state;
@@ -153,13 +148,13 @@
    *
    * @param poll the poll
    * @param response the response
-   * @return true if it was accepted and the same source should be polled again
+   * @return whether the same source should be polled again
    */
-  public synchronized boolean accept(Poll poll, SyncResponse response) {
+  public synchronized SourceQuality accept(Poll poll, SyncResponse response) {
     // The age is counted from the time of sending, so that network delay never makes a view newer.
     long confirmedAtMs = poll.sentAtMs() - response.getConfirmedAgeMs();
     if (!response.getConfirmed() || !state.view().isWithinLease(confirmedAtMs)) {
-      return false;
+      return SourceQuality.UNUSABLE;
     }
     Cursor cursor = cursors.computeIfAbsent(poll.source(), address -> new Cursor());
     boolean sameIncarnation = cursor.sourceIncarnation == response.getIncarnation();
@@ -169,26 +164,22 @@
     cursor.receivedVersion = mergeFromSource(response.getRecords()) ? response.getCursor() : 0;
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::deliverGrant);
-    long previousRevision = state.view().current().revision();
     boolean accepted =
         state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
     long ageMs = clock.millis() - confirmedAtMs;
-    logChange(previousRevision, poll.source(), ageMs);
-    return accepted && ageMs < SyncTimings.MAX_SOURCE_AGE_MS;
+    if (!accepted || ageMs >= SyncTimings.MAX_SOURCE_AGE_MS) {
+      return SourceQuality.UNUSABLE;
+    }
+    return ageMs < SyncTimings.FRESH_SOURCE_AGE_MS ? SourceQuality.FRESH : SourceQuality.LAGGING;
   }
 
-  private void logChange(long previousRevision, HostPort source, long ageMs) {
-    Configuration current = state.view().current();
-    if (current.revision() == previousRevision) {
-      return;
-    }
-    DecisionLine.of("configuration updated")
-        .with("revision", current.revision())
-        .with("previousRevision", previousRevision)
-        .with("routing", current.routing().map(RoutingConfiguration::number).orElse(null))
-        .with("source", source)
-        .with("confirmationAgeMs", ageMs)
-        .info(LOG);
+  /**
+   * Returns the configuration of the local VM.
+   *
+   * @return the configuration
+   */
+  public Configuration configuration() {
+    return state.view().current();
   }
 
   private void deliverGrant(Grant grant) {
--- a/src/test/java/org/ragwortpick/sync/rpc/AcceptedChangeDelayTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/AcceptedChangeDelayTest.java
@@ -20,7 +20,7 @@
   /** Time added to the limit while the group of control VMs is disturbed. */
   private static final long UNSTABLE_CORE_MS = 5_000;
 
-  @Test(groups = "known-red")
+  @Test
   public void vmInTouchAppliesAcceptedChangeInTime() {
     Seeds.forEach(seed -> new Run(seed).run());
   }
--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -361,9 +361,12 @@
         at(frozenUntilMs, () -> deliverResponse(poll, response, source, sender));
         return;
       }
-      if (exchange.accept(poll, response)) {
+      SourceQuality quality = exchange.accept(poll, response);
+      if (quality != SourceQuality.UNUSABLE) {
         pending = null;
-        selector.recordSuccess(poll.source());
+        if (selector.recordSuccess(poll.source(), quality)) {
+          nextPollAtMs = sentAtMs + SyncTimings.MIN_POLL_INTERVAL_MS;
+        }
       } else {
         recordFailedPoll();
       }
