--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -226,7 +226,7 @@
 
   private static Configuration withoutDataCentre(String dataCentre) {
     Rules rules = new Rules(List.of(), List.of(), 0, Map.of(dataCentre, DataCentreState.OUT));
-    return new Configuration(2, Inventory.EMPTY, rules, configuration().routing());
+    return new Configuration(2, Inventory.EMPTY, rules, Map.of(), configuration().routing());
   }
 
   /** Returns the number of stages that were submitted; they end by {@link #produceStages}. */
