Apply a leave notice only to the incarnation that it names

What callers could see: an engine that started again under its id got no more work on any VM until its next start. A leave notice of its earlier start had lain in a suspended control process, or had been delayed on the way, and was applied to the incarnation on record, which by then was the later one.

Leave notices can carry the incarnation as well; UpstreamHome now ignores a notice of an earlier incarnation and keeps one of a later incarnation until its record arrives. A notice that names none still concerns the incarnation on record.

--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.ragwortpick.sync.SyncTimings;
 import org.ragwortpick.sync.Upstream;
@@ -89,10 +90,11 @@
    * Processes a leave notice of an upstream.
    *
    * @param id id of the upstream
-   * @return true if the local VM has a record of the upstream
+   * @param incarnation incarnation that leaves; empty if the notice does not name it
+   * @return true if the local VM has a record of the incarnation that leaves
    */
-  public boolean leave(String id) {
-    return home.leave(id);
+  public boolean leave(String id, OptionalLong incarnation) {
+    return home.leave(id, incarnation);
   }
 
   /** Rebuilds the snapshot if a record has changed or the refresh interval has passed. */
--- a/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
+++ b/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.ragwortpick.sync.SyncTimings;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
@@ -26,7 +27,7 @@
   private final Clock clock;
   private final SoftTable table;
   private final Map<String, LastAnnouncement> lastAnnouncements = new HashMap<>();
-  private final Map<String, Long> leaveNotices = new HashMap<>();
+  private final Map<String, LeaveNotice> leaveNotices = new HashMap<>();
 
   /**
    * Creates an empty home.
@@ -85,20 +86,28 @@
   }
 
   /**
-   * Processes a leave notice of an upstream. A notice has no incarnation: it concerns the one on
-   * record, or else the first one whose record arrives within the retention time.
+   * Processes a leave notice of an upstream. One that names its incarnation concerns only that; it
+   * may come long after the upstream has started again under its id. Any other concerns the
+   * incarnation on record. If there is no record yet, the notice concerns the first one that
+   * arrives within the retention time.
    *
    * @param id id of the upstream
-   * @return true if the local VM has a record of the upstream
+   * @param incarnation incarnation that leaves; empty if the notice does not name it
+   * @return true if the local VM has a record of the incarnation that leaves
    */
-  public synchronized boolean leave(String id) {
-    leaveNotices.put(id, clock.millis());
+  public synchronized boolean leave(String id, OptionalLong incarnation) {
+    leaveNotices.put(id, new LeaveNotice(incarnation, clock.millis()));
     return markLeft(id);
   }
 
   private boolean markLeft(String id) {
+    LeaveNotice notice = leaveNotices.get(id);
     Optional<SoftRecord.OfUpstream> current = recordOf(id);
-    if (current.isEmpty()) {
+    if (current.isEmpty() || notice.isAfter(current.get())) {
+      return false;
+    }
+    if (notice.isBefore(current.get())) {
+      leaveNotices.remove(id);
       return false;
     }
     leaveNotices.remove(id);
@@ -141,7 +150,7 @@
    */
   public synchronized void tick() {
     long nowMs = clock.millis();
-    leaveNotices.values().removeIf(atMs -> nowMs - atMs >= LEAVE_NOTICE_RETENTION_MS);
+    leaveNotices.values().removeIf(notice -> nowMs - notice.atMs >= LEAVE_NOTICE_RETENTION_MS);
     List.copyOf(leaveNotices.keySet()).forEach(this::markLeft);
     for (Iterator<Map.Entry<String, LastAnnouncement>> i = lastAnnouncements.entrySet().iterator();
         i.hasNext(); ) {
@@ -188,6 +197,17 @@
     return table.find(SoftRecord.OfUpstream.keyOf(id)).map(SoftRecord.OfUpstream.class::cast);
   }
 
+  private record LeaveNotice(OptionalLong incarnation, long atMs) {
+
+    boolean isAfter(SoftRecord.OfUpstream record) {
+      return incarnation.isPresent() && incarnation.getAsLong() > record.upstream().incarnation();
+    }
+
+    boolean isBefore(SoftRecord.OfUpstream record) {
+      return incarnation.isPresent() && incarnation.getAsLong() < record.upstream().incarnation();
+    }
+  }
+
   private static final class LastAnnouncement {
     private final long incarnation;
     private final long sequence;
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -167,15 +168,27 @@
   }
 
   /**
-   * Processes a leave notice of an upstream and sends it without delay.
+   * Processes a leave notice that does not name the incarnation of its upstream.
    *
    * @param upstreamId id of the upstream
    */
   public void leave(String upstreamId) {
-    boolean hasRecord = state.upstreams().leave(upstreamId);
+    leave(upstreamId, OptionalLong.empty());
+  }
+
+  /**
+   * Processes a leave notice of an upstream and sends it without delay.
+   *
+   * @param upstreamId id of the upstream
+   * @param incarnation incarnation that leaves; empty if the notice does not name it
+   */
+  public void leave(String upstreamId, OptionalLong incarnation) {
+    boolean hasRecord = state.upstreams().leave(upstreamId, incarnation);
     LOG.infof(
-        "upstream %s leaves, %s",
-        upstreamId, hasRecord ? "gets no new work" : "but this VM has no record of it yet");
+        "upstream %s, incarnation %s leaves, %s",
+        upstreamId,
+        incarnation.isPresent() ? incarnation.getAsLong() : "not named",
+        hasRecord ? "gets no new work" : "but this VM has no record of it, or of a later one");
     pollEarly();
   }
 
