Split the calls to one collector out of RemoteStageRunner

The calls are now CollectorCalls, which knows the work only as a CollectorCallListener. Behaviour and log lines are unchanged.

RemoteStageRunnerTest, QueueWaitsTest and StageCollectorTest pass.

--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -1,19 +1,12 @@
 package org.ragwortpick.batch;
 
 import io.grpc.BindableService;
-import io.grpc.ManagedChannel;
-import io.grpc.Status;
-import io.grpc.stub.ClientCallStreamObserver;
-import io.grpc.stub.ClientResponseObserver;
 import java.time.Clock;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,20 +14,11 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.peer.PeerChannels;
-import org.ragwortpick.proto.BatchCollectorGrpc;
-import org.ragwortpick.proto.ReleaseResultsReply;
-import org.ragwortpick.proto.ReleaseResultsRequest;
-import org.ragwortpick.proto.SubmitPiecesReply;
-import org.ragwortpick.proto.SubmitPiecesRequest;
 import org.ragwortpick.sync.VmRecord;
 
 /**
  * Submits stage work to the collector of its service, and to the next one if that collector fails.
  * Confined to one thread.
- *
- * <p>A reply may take as long as the queue of the collector, so a failed collector is detected by a
- * probe: a collector with outstanding replies that has sent nothing for a while must reply to an
- * empty call.
  */
 public final class RemoteStageRunner implements StageRunner, ResultReleaser {
 
@@ -49,12 +33,6 @@
    */
   private static final long REFUSED_SKIP_MS = 500;
 
-  /** Time without a message after which a collector with outstanding replies is probed. */
-  private static final long PROBE_AFTER_MS = 500;
-
-  /** Timeout of probes and releases, to which a collector replies without queueing them. */
-  private static final long UNQUEUED_CALL_TIMEOUT_MS = 400;
-
   /**
    * Maximum number of attempts for one stage, each at another collector, while collectors refuse
    * it.
@@ -73,7 +51,7 @@
   private final Timers timers;
   private final Clock clock;
   private final Map<HostPort, Long> skippedUntilMs = new HashMap<>();
-  private final Map<HostPort, OutstandingCalls> callsByCollector = new HashMap<>();
+  private final Map<HostPort, CollectorCalls> callsByCollector = new HashMap<>();
   private final QueueWaits waits;
 
   /**
@@ -154,20 +132,15 @@
       localCollectors.release(service, handles);
       return;
     }
-    BatchCollectorGrpc.newStub(channels.channel(collector))
-        .withDeadlineAfter(UNQUEUED_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-        .release(
-            ReleaseResultsRequest.newBuilder().setService(service).addAllHandles(handles).build(),
-            new ReleaseObserver(
-                () -> {},
-                status ->
-                    LOG.debugf(
-                        "results of service %s not released at collector %s (%s); they will expire",
-                        service, collector, status)));
+    CollectorCalls.release(channels.channel(collector), collector, service, handles);
+  }
+
+  private CollectorCalls newCalls(HostPort collector) {
+    return new CollectorCalls(collector, channels, viewAgeMs, waits, loop, timers, clock);
   }
 
   /** Submitted work, which moves to the next collector if one fails. */
-  private final class Ticket implements StageTicket {
+  private final class Ticket implements StageTicket, CollectorCallListener {
 
     private final StageWork work;
     private final long submittedAtMs;
@@ -205,8 +178,9 @@
       if (collector.equals(localAddress)) {
         cancel = localCollectors.submit(remainingWork, viewAgeMs.getAsLong(), this::onReply);
       } else {
-        OutstandingCalls calls = callsByCollector.computeIfAbsent(collector, OutstandingCalls::new);
-        calls.send(this, remainingWork);
+        callsByCollector
+            .computeIfAbsent(collector, RemoteStageRunner.this::newCalls)
+            .send(remainingWork, this);
       }
     }
 
@@ -225,7 +199,13 @@
           work.dataCentre());
     }
 
-    private void onCollectorFailed(String reason) {
+    @Override
+    public void onStarted(Runnable cancelCall) {
+      cancel = cancelCall;
+    }
+
+    @Override
+    public void onCollectorFailed(String reason) {
       failedCollectors++;
       if (failedCollectors >= MAX_FAILED_COLLECTORS) {
         LOG.warnf(
@@ -250,7 +230,8 @@
     }
 
     /** A refusal by an unavailable collector does not end the work while attempts are left. */
-    private void onReply(SubmissionEnd end) {
+    @Override
+    public void onReply(SubmissionEnd end) {
       boolean unavailable =
           end instanceof SubmissionEnd.Failed failed
               && failed.cause() == SubmissionEnd.Cause.UNAVAILABLE;
@@ -284,167 +265,4 @@
       }
     }
   }
-
-  /** Outstanding calls to one collector, with the probe that detects its failure. */
-  private final class OutstandingCalls {
-
-    private final HostPort collector;
-    private final Set<Ticket> pending = new HashSet<>();
-    private long lastMessageAtMs;
-    private boolean probeScheduled;
-
-    private OutstandingCalls(HostPort collector) {
-      this.collector = collector;
-    }
-
-    private void send(Ticket ticket, StageWork work) {
-      if (pending.isEmpty()) {
-        lastMessageAtMs = clock.millis();
-      }
-      pending.add(ticket);
-      ManagedChannel channel = channels.channel(collector);
-      SubmitObserver observer = new SubmitObserver(this, ticket, channel);
-      ticket.cancel =
-          () -> {
-            pending.remove(ticket);
-            observer.cancel();
-          };
-      BatchCollectorGrpc.newStub(channel)
-          .withDeadlineAfter(work.remainingMs(), TimeUnit.MILLISECONDS)
-          .submit(BatchCodec.encode(work, viewAgeMs.getAsLong()), observer);
-      scheduleProbe(PROBE_AFTER_MS);
-    }
-
-    private void scheduleProbe(long delayMs) {
-      if (!probeScheduled) {
-        probeScheduled = true;
-        timers.schedule(delayMs, this::probeIfSilent);
-      }
-    }
-
-    private void probeIfSilent() {
-      probeScheduled = false;
-      long silentMs = clock.millis() - lastMessageAtMs;
-      if (pending.isEmpty()) {
-        return;
-      }
-      if (silentMs < PROBE_AFTER_MS) {
-        scheduleProbe(PROBE_AFTER_MS - silentMs);
-        return;
-      }
-      ManagedChannel channel = channels.channel(collector);
-      BatchCollectorGrpc.newStub(channel)
-          .withDeadlineAfter(UNQUEUED_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-          .release(
-              ReleaseResultsRequest.getDefaultInstance(),
-              new ReleaseObserver(
-                  () -> loop.execute(this::onProbeReply),
-                  status -> loop.execute(() -> onProbeFailure(channel, status))));
-    }
-
-    private void onProbeReply() {
-      lastMessageAtMs = clock.millis();
-      if (!pending.isEmpty()) {
-        scheduleProbe(PROBE_AFTER_MS);
-      }
-    }
-
-    private void onProbeFailure(ManagedChannel channel, Status status) {
-      LOG.warnf("collector %s does not answer a probe (%s)", collector, status);
-      channels.discard(collector, channel);
-      Set<Ticket> affected = new HashSet<>(pending);
-      pending.clear();
-      affected.forEach(
-          ticket -> ticket.onCollectorFailed("the collector did not reply to a probe"));
-    }
-  }
-
-  /** Receives the reply of a collector. */
-  private final class SubmitObserver
-      implements ClientResponseObserver<SubmitPiecesRequest, SubmitPiecesReply> {
-
-    private final OutstandingCalls calls;
-    private final Ticket ticket;
-    private final ManagedChannel channel;
-    private ClientCallStreamObserver<SubmitPiecesRequest> call;
-
-    private SubmitObserver(OutstandingCalls calls, Ticket ticket, ManagedChannel channel) {
-      this.calls = calls;
-      this.ticket = ticket;
-      this.channel = channel;
-    }
-
-    private void cancel() {
-      call.cancel("the request has ended", null);
-    }
-
-    @Override
-    public void beforeStart(ClientCallStreamObserver<SubmitPiecesRequest> stream) {
-      call = stream;
-    }
-
-    @Override
-    public void onNext(SubmitPiecesReply reply) {
-      loop.execute(
-          () -> {
-            calls.lastMessageAtMs = clock.millis();
-            waits.merge(reply.getWaitsList());
-            if (calls.pending.remove(ticket)) {
-              ticket.onReply(BatchCodec.decode(reply));
-            }
-          });
-    }
-
-    @Override
-    public void onError(Throwable error) {
-      Status status = Status.fromThrowable(error);
-      // The reconnect backoff of a channel grows; a restarted VM must be reached without that
-      // delay.
-      if (status.getCode() == Status.Code.UNAVAILABLE) {
-        channel.resetConnectBackoff();
-      }
-      loop.execute(() -> failed(status));
-    }
-
-    private void failed(Status status) {
-      if (!calls.pending.remove(ticket)) {
-        return;
-      }
-      if (status.getCode() == Status.Code.DEADLINE_EXCEEDED) {
-        ticket.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, 0));
-      } else {
-        ticket.onCollectorFailed(status.toString());
-      }
-    }
-
-    @Override
-    public void onCompleted() {
-      // The single reply was handled in onNext.
-    }
-  }
-
-  /**
-   * Receives the reply to a release or probe.
-   *
-   * @param onReply runs after a reply
-   * @param onFailure receives the status of a failure
-   */
-  private record ReleaseObserver(Runnable onReply, Consumer<Status> onFailure)
-      implements io.grpc.stub.StreamObserver<ReleaseResultsReply> {
-
-    @Override
-    public void onNext(ReleaseResultsReply reply) {
-      onReply.run();
-    }
-
-    @Override
-    public void onError(Throwable error) {
-      onFailure.accept(Status.fromThrowable(error));
-    }
-
-    @Override
-    public void onCompleted() {
-      // The single reply was handled in onNext.
-    }
-  }
 }
