Show what decided on the repeat of a forwarded request

Which hypothesis on the retry budget holds could not be told from the lines: a repeat named neither the repeats and first attempts in the window nor the number of VMs that divide the constant, and a denial left no trace. The line of a repeat and the line of the end of a request now carry them (no line more than before), and ragwortpick_forward_repeats_total counts the decisions by service and reason. The share of the constant moves to a class of its own, so that a test can run the code that derives it. No decision changes.

--- a/src/bench/java/org/ragwortpick/bench/NaiveDecisions.java
+++ b/src/bench/java/org/ragwortpick/bench/NaiveDecisions.java
@@ -19,6 +19,8 @@
 import org.ragwortpick.policy.HedgePolicy;
 import org.ragwortpick.policy.PrefixIndex;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.RetryDecision;
+import org.ragwortpick.policy.RetryShare;
 import org.ragwortpick.policy.SelectionRequest;
 import org.ragwortpick.policy.UpstreamLimiter;
 import org.ragwortpick.policy.UpstreamSelector;
@@ -183,8 +185,8 @@
     public void recordFirstAttempt() {}
 
     @Override
-    public boolean tryTake() {
-      return true;
+    public RetryDecision take() {
+      return new RetryDecision(true, 0, 0, RetryShare.NONE);
     }
   }
 
--- a/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -13,6 +13,7 @@
 
   private final Counter requests;
   private final Counter attempts;
+  private final Counter repeats;
   private final Counter bodies;
   private final Histogram firstByte;
 
@@ -34,6 +35,12 @@
             .help("Requests sent to upstreams by service and outcome")
             .labelNames("service", "outcome")
             .register(registry);
+    this.repeats =
+        Counter.builder()
+            .name("ragwortpick_forward_repeats_total")
+            .help("Decisions on the repeat of a request by service and reason")
+            .labelNames("service", "decision")
+            .register(registry);
     this.bodies =
         Counter.builder()
             .name("ragwortpick_forward_bodies_total")
@@ -68,6 +75,16 @@
     attempts.labelValues(service, outcome).inc();
   }
 
+  /**
+   * Counts a decision on the repeat of a request.
+   *
+   * @param service name of the service
+   * @param decision the decision
+   */
+  void repeatDecided(String service, RepeatDecision decision) {
+    repeats.labelValues(service, decision.label()).inc();
+  }
+
   /**
    * Counts a body that was received completely.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -282,12 +282,17 @@
   @Override
   public boolean mayRepeat(AttemptOutcome outcome) {
     boolean suspected = trial || dependencies.quarantine().isSuspected(service, prefix.parts());
-    return !ended && repeatPolicy.mayRepeat(outcome, suspected);
+    if (ended) {
+      return false;
+    }
+    boolean repeats = repeatPolicy.mayRepeat(outcome, suspected);
+    dependencies.metrics().repeatDecided(service, repeatPolicy.lastDecision());
+    return repeats;
   }
 
   @Override
   public void onRepeat(AttemptOutcome outcome) {
-    log.repeating(outcome);
+    log.repeating(outcome, repeatPolicy.lastDecision());
     startAttempt();
   }
 
@@ -370,6 +375,6 @@
     ended = true;
     deadline.cancel();
     stages.ifPresent(StageGraphRun::abandon);
-    log.ended(end, repeatPolicy.attempts());
+    log.ended(end, repeatPolicy.attempts(), repeatPolicy.lastDecision());
   }
 }
--- a/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
+++ b/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.RetryDecision;
 import org.ragwortpick.routing.Route;
 
 /**
@@ -19,6 +20,7 @@
   private int attempts;
   private int unreachedAttempts;
   private boolean mayHaveRun;
+  private RepeatDecision lastDecision = RepeatDecision.NONE;
 
   /**
    * Creates the policy of one request.
@@ -55,6 +57,15 @@
     return mayHaveRun;
   }
 
+  /**
+   * Returns the last decision on a repeat.
+   *
+   * @return the decision; {@link RepeatDecision#NONE} before the first one
+   */
+  RepeatDecision lastDecision() {
+    return lastDecision;
+  }
+
   /**
    * Records the outcome of an attempt and decides whether the request is repeated. A repeat takes
    * from the retry budget if the attempt reached an upstream.
@@ -65,11 +76,25 @@
    */
   boolean mayRepeat(AttemptOutcome outcome, boolean suspected) {
     mayHaveRun |= outcome == AttemptOutcome.FAILED || outcome == AttemptOutcome.LOST;
+    lastDecision = decide(outcome, suspected);
+    return lastDecision.repeats();
+  }
+
+  private RepeatDecision decide(AttemptOutcome outcome, boolean suspected) {
     if (outcome == AttemptOutcome.NOT_REACHED) {
       unreachedAttempts++;
-      return unreachedAttempts < MAX_UNREACHED_ATTEMPTS;
+      return unreachedAttempts < MAX_UNREACHED_ATTEMPTS
+          ? RepeatDecision.UNREACHED
+          : RepeatDecision.MAX_ATTEMPTS;
+    }
+    if (outcome != AttemptOutcome.NOT_RUN && (!route.repeatable() || suspected)) {
+      return RepeatDecision.NOT_REPEATABLE;
+    }
+    if (attempts - unreachedAttempts >= route.maxAttempts()) {
+      return RepeatDecision.MAX_ATTEMPTS;
     }
-    boolean allowed = outcome == AttemptOutcome.NOT_RUN || (route.repeatable() && !suspected);
-    return allowed && attempts - unreachedAttempts < route.maxAttempts() && budget.tryTake();
+    RetryDecision decision = budget.take();
+    return new RepeatDecision(
+        decision.granted() ? "granted" : "denied", decision.granted(), decision.toString());
   }
 }
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -67,12 +67,14 @@
    * Logs that the request is repeated.
    *
    * @param outcome outcome of the last attempt
+   * @param decision what decided on the repeat
    */
-  void repeating(AttemptOutcome outcome) {
+  void repeating(AttemptOutcome outcome, RepeatDecision decision) {
     DecisionLine.of("request sent again")
         .with("request", request.id())
         .with("outcome", outcome)
         .with("upstream", upstream)
+        .with("retryBudget", decision.budget())
         .with("remainingMs", request.deadlineAtMs() - clock.millis())
         .info(LOG);
   }
@@ -113,8 +115,9 @@
    *
    * @param end label of how the request ended
    * @param attempts number of attempts
+   * @param lastDecision last decision on a repeat
    */
-  void ended(String end, int attempts) {
+  void ended(String end, int attempts, RepeatDecision lastDecision) {
     metrics.requestEnded(request.route().name(), end);
     DecisionLine line = DecisionLine.of("request ended");
     if (!end.equals("answered")) {
@@ -130,6 +133,8 @@
         .with("upstream", upstream)
         .with("upstreamState", upstreamState)
         .with("sends", attempts)
+        .with("repeat", lastDecision.label())
+        .with("retryBudget", lastDecision.budget())
         .with("stagesMs", stagesMs)
         .with("sentMs", attemptStartedMs)
         .with("answerMs", responseStartedMs)
--- a/src/main/java/org/ragwortpick/policy/budget/RatioRetryBudget.java
+++ b/src/main/java/org/ragwortpick/policy/budget/RatioRetryBudget.java
@@ -1,8 +1,10 @@
 package org.ragwortpick.policy.budget;
 
 import java.time.Clock;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.RetryDecision;
+import org.ragwortpick.policy.RetryShare;
 
 /**
  * Allows retries and hedges up to a percentage of the first attempts plus a constant, both counted
@@ -16,7 +18,7 @@
 
   private final Clock clock;
   private final int ratioPercent;
-  private final IntSupplier constant;
+  private final Supplier<RetryShare> share;
   private final long[] firstAttemptsByBucket = new long[BUCKETS];
   private final long[] takenByBucket = new long[BUCKETS];
   private long bucketIndex;
@@ -31,21 +33,21 @@
    * @param constant retries and hedges within 10 s that are allowed regardless of first attempts
    */
   public RatioRetryBudget(Clock clock, int ratioPercent, int constant) {
-    this(clock, ratioPercent, () -> constant);
+    this(clock, ratioPercent, () -> new RetryShare(constant, 1));
   }
 
   /**
-   * Creates a budget whose constant changes, as when it is divided among a varying number of VMs.
+   * Creates a budget whose constant is divided among a varying number of VMs.
    *
    * @param clock monotonic clock
    * @param ratioPercent retries and hedges per 100 first attempts
-   * @param constant supplies the current number of retries and hedges within 10 s that are allowed
+   * @param share supplies the current share of the retries and hedges within 10 s that are allowed
    *     regardless of first attempts
    */
-  public RatioRetryBudget(Clock clock, int ratioPercent, IntSupplier constant) {
+  public RatioRetryBudget(Clock clock, int ratioPercent, Supplier<RetryShare> share) {
     this.clock = clock;
     this.ratioPercent = ratioPercent;
-    this.constant = constant;
+    this.share = share;
     this.bucketIndex = clock.millis() / BUCKET_MS;
   }
 
@@ -57,15 +59,16 @@
   }
 
   @Override
-  public synchronized boolean tryTake() {
+  public synchronized RetryDecision take() {
     slide();
-    boolean exceeded = (taken + 1 - constant.getAsInt()) * PERCENT > firstAttempts * ratioPercent;
-    if (exceeded) {
-      return false;
+    RetryShare current = share.get();
+    int constant = current.constant() / current.vms();
+    boolean granted = (taken + 1 - constant) * PERCENT <= firstAttempts * ratioPercent;
+    if (granted) {
+      taken++;
+      takenByBucket[(int) (bucketIndex % BUCKETS)]++;
     }
-    taken++;
-    takenByBucket[(int) (bucketIndex % BUCKETS)]++;
-    return true;
+    return new RetryDecision(granted, (int) taken, (int) firstAttempts, current);
   }
 
   private void slide() {
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -40,6 +40,7 @@
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
+import org.ragwortpick.policy.budget.SharedRetryConstant;
 import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.RequestedPauses;
@@ -284,14 +285,11 @@
 
   private ForwardDependencies.RetryBudgets retryBudgets(ForwardingSettings.EntryRole role) {
     Map<String, RetryBudget> budgets = new HashMap<>();
+    SharedRetryConstant constant =
+        new SharedRetryConstant(role.retryConstant(), this::entryVmNames);
     return service ->
         budgets.computeIfAbsent(
-            service,
-            name ->
-                new RatioRetryBudget(
-                    clock,
-                    role.retryRatioPercent(),
-                    () -> role.retryConstant() / Math.max(1, entryVmNames().size())));
+            service, name -> new RatioRetryBudget(clock, role.retryRatioPercent(), constant));
   }
 
   private void release(String service, List<String> handles) {
--- a/src/test/java/org/ragwortpick/entry/EntryFakes.java
+++ b/src/test/java/org/ragwortpick/entry/EntryFakes.java
@@ -30,6 +30,8 @@
 import org.ragwortpick.policy.DeadlineBudget;
 import org.ragwortpick.policy.HedgePolicy;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.RetryDecision;
+import org.ragwortpick.policy.RetryShare;
 import org.ragwortpick.policy.UpstreamLimiter;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.RequestedPauses;
@@ -293,8 +295,8 @@
   }
 
   @Override
-  public boolean tryTake() {
-    return holds(Condition.RETRIES);
+  public RetryDecision take() {
+    return new RetryDecision(holds(Condition.RETRIES), 0, 0, RetryShare.NONE);
   }
 
   @Override
--- a/src/test/java/org/ragwortpick/policy/budget/RatioRetryBudgetTest.java
+++ b/src/test/java/org/ragwortpick/policy/budget/RatioRetryBudgetTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.SplittableRandom;
 import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.policy.RetryShare;
 import org.testng.annotations.Test;
 
 /**
@@ -71,7 +72,8 @@
     ManualClock clock = new ManualClock();
     int granted = 0;
     for (int vm = 0; vm < vms; vm++) {
-      RatioRetryBudget budget = new RatioRetryBudget(clock, RATIO_PERCENT, () -> total / vms);
+      RatioRetryBudget budget =
+          new RatioRetryBudget(clock, RATIO_PERCENT, () -> new RetryShare(total, vms));
       while (budget.tryTake()) {
         granted++;
       }
