Count VMs that were lost as long as their repeats are in the window

A VM now counts for a window and the configuration lease after it was last in the view. It may have a share itself for at most 2 s after its last confirmation, so whoever has a share counts every VM that has one and every VM whose repeats are still in the window.

--- a/src/main/java/org/ragwortpick/policy/budget/SharedRetryConstant.java
+++ b/src/main/java/org/ragwortpick/policy/budget/SharedRetryConstant.java
@@ -1,7 +1,9 @@
 package org.ragwortpick.policy.budget;
 
 import java.time.Clock;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -14,7 +16,8 @@
  *
  * <p>A process does not know what its predecessor has taken, nor do other VMs know of it yet. It
  * therefore has a share only after it was in its own confirmed view for one window and the time in
- * which all others learn of it. Until then it can retry what its own first attempts allow.
+ * which all others learn of it. Until then it can retry what its own first attempts allow. A VM
+ * that leaves the view is counted for as long after it.
  */
 public final class SharedRetryConstant implements Supplier<RetryShare> {
 
@@ -23,6 +26,12 @@
   /** Longest time in which a VM appears in the views of all VMs that have a share. */
   private static final long MAX_LEARN_MS = SyncTimings.CONFIG_LEASE_MS;
 
+  /**
+   * Time for which a VM counts after it was last in the view: what it took remains in the window,
+   * and it may take more until its own view is too old for a share.
+   */
+  private static final long RETENTION_MS = RatioRetryBudget.MEMORY_MS + MAX_LEARN_MS;
+
   /** Age of the view up to which the local VM has a share; others learn of it no later. */
   private static final long MAX_VIEW_AGE_MS = SyncTimings.MAX_SOURCE_AGE_MS;
 
@@ -38,6 +47,7 @@
   private final LongSupplier viewAgeMs;
   private final LongSupplier resumedAtMs;
   private final Clock clock;
+  private final Map<String, Long> seenAtMs = new HashMap<>();
   private long presentSinceMs;
   private long observedAtMs;
   private boolean withheld = true;
@@ -97,9 +107,11 @@
       presentSinceMs = nowMs;
     }
     observedAtMs = nowMs;
+    present.forEach(name -> seenAtMs.put(name, nowMs));
+    seenAtMs.values().removeIf(atMs -> nowMs - atMs > RETENTION_MS);
     boolean known = nowMs - presentSinceMs > RatioRetryBudget.MEMORY_MS + MAX_LEARN_MS;
     return known && ageMs <= MAX_VIEW_AGE_MS
-        ? new RetryShare(constant, present.size())
+        ? new RetryShare(constant, seenAtMs.size())
         : RetryShare.NONE;
   }
 }
--- a/src/test/java/org/ragwortpick/forward/RetryBudgetOfAllVmsTest.java
+++ b/src/test/java/org/ragwortpick/forward/RetryBudgetOfAllVmsTest.java
@@ -126,6 +126,23 @@
         });
   }
 
+  /** What a VM repeated before its end stays in the window when the others have lost it. */
+  @Test(dataProvider = "sizes")
+  public void endedVmsFreeNoShareWithinWindow(int vms, double requestsPerSecond) {
+    check(
+        "ends of most VMs",
+        vms,
+        requestsPerSecond,
+        (simulation, elapsedMs) -> {
+          simulation.setFailureProbability(elapsedMs > 37_000 ? 1 : 0);
+          if (elapsedMs == 40_000) {
+            for (int i = 2; i < vms; i++) {
+              simulation.stop(i);
+            }
+          }
+        });
+  }
+
   @Test(dataProvider = "sizes")
   public void vmsThatAreCutOffStayWithinBudget(int vms, double requestsPerSecond) {
     check("cuts", vms, requestsPerSecond, RetryBudgetOfAllVmsTest::cut);
--- a/src/test/java/org/ragwortpick/forward/RetryBudgetSimulation.java
+++ b/src/test/java/org/ragwortpick/forward/RetryBudgetSimulation.java
@@ -186,6 +186,11 @@
     vms.set(index, new Vm(name));
   }
 
+  /** Ends the process of a VM for good. */
+  void stop(int index) {
+    vms.get(index).running = false;
+  }
+
   Result run(Plan plan, long durationMs) {
     long startMs = clock.millis();
     while (clock.millis() - startMs < durationMs) {
