--- a/src/main/java/org/ragwortpick/routing/WeightedService.java
+++ b/src/main/java/org/ragwortpick/routing/WeightedService.java
@@ -6,4 +6,4 @@
  * @param service name of the service
  * @param weight share, relative to the weights of the other services of the route
  */
-public record WeightedService(String service, int weight) {}
+public record WeightedService(String service, long weight) {}
