Serve a route whose host is given with a port

Callers: such a route was accepted and every request to it got 404. Cause: the port was removed from the Host header only, not from the host of the route. Both, and the check for two routes of one host and prefix, now use one form. RoutingRulesTest "host with port" failed before.

--- a/src/main/java/org/ragwortpick/routing/RoutingTable.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingTable.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -24,7 +23,7 @@
   public RoutingTable(RoutingConfiguration configuration) {
     this.configuration = configuration;
     for (Route route : configuration.routes()) {
-      String host = route.host().toLowerCase(Locale.ROOT);
+      String host = HostNames.withoutPort(route.host());
       routesByHost.computeIfAbsent(host, name -> new ArrayList<>()).add(route);
     }
     Comparator<Route> longestFirst =
@@ -62,18 +61,11 @@
    * @return the route, or empty if none matches
    */
   public Optional<Route> match(String hostHeader, String path) {
-    return routesByHost.getOrDefault(hostName(hostHeader), List.of()).stream()
+    return routesByHost.getOrDefault(HostNames.withoutPort(hostHeader), List.of()).stream()
         .filter(route -> path.startsWith(route.pathPrefix()))
         .findFirst();
   }
 
-  private static String hostName(String hostHeader) {
-    int colon = hostHeader.lastIndexOf(':');
-    String host =
-        colon > 0 && hostHeader.indexOf(']') < colon ? hostHeader.substring(0, colon) : hostHeader;
-    return host.toLowerCase(Locale.ROOT);
-  }
-
   /**
    * Tells whether callers need a workspace key on routes that are not open.
    *
--- a/src/main/java/org/ragwortpick/routing/RoutingValidator.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingValidator.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -29,7 +28,7 @@
       checkValues(route, problems);
       String firstRoute =
           routesByHostAndPrefix.putIfAbsent(
-              route.host().toLowerCase(Locale.ROOT) + route.pathPrefix(), route.name());
+              HostNames.withoutPort(route.host()) + route.pathPrefix(), route.name());
       if (firstRoute != null) {
         problems.add(new RoutingProblem.DuplicateRoute(route.name(), firstRoute));
       }
