Refuse a key that two tenants of one name share

An invalid configuration was acknowledged: the check compared the names of the two tenants. It compares the entries now; a key listed twice by one tenant stays valid. RoutingRulesTest "key shared by tenants of one name" failed before; all 49 cases pass, and its entry leaves KNOWN-RED.

--- a/src/main/java/org/ragwortpick/routing/RoutingValidator.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingValidator.java
@@ -79,12 +79,13 @@
   }
 
   private static void checkKeys(List<RoutedWorkspace> workspaces, List<RoutingProblem> problems) {
-    Map<String, String> workspacesByKey = new HashMap<>();
+    Map<String, RoutedWorkspace> workspacesByKey = new HashMap<>();
     for (RoutedWorkspace workspace : workspaces) {
       for (String key : workspace.keys()) {
-        String firstWorkspace = workspacesByKey.putIfAbsent(key, workspace.name());
-        if (firstWorkspace != null && !firstWorkspace.equals(workspace.name())) {
-          problems.add(new RoutingProblem.SharedKey(workspace.name(), firstWorkspace));
+        RoutedWorkspace first = workspacesByKey.putIfAbsent(key, workspace);
+        // Compared by identity: two workspaces of one name and the same keys are equal records.
+        if (first != null && first != workspace) {
+          problems.add(new RoutingProblem.SharedKey(workspace.name(), first.name()));
         }
       }
     }
