--- a/src/main/java/org/ragwortpick/routing/RoutingValidator.java
+++ b/src/main/java/org/ragwortpick/routing/RoutingValidator.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -29,7 +28,7 @@
       checkValues(route, problems);
       String firstRoute =
           routesByHostAndPrefix.putIfAbsent(
-              route.host().toLowerCase(Locale.ROOT) + route.pathPrefix(), route.name());
+              HostNames.withoutPort(route.host()) + route.pathPrefix(), route.name());
       if (firstRoute != null) {
         problems.add(new RoutingProblem.DuplicateRoute(route.name(), firstRoute));
       }
@@ -80,12 +79,13 @@
   }
 
   private static void checkKeys(List<RoutedWorkspace> workspaces, List<RoutingProblem> problems) {
-    Map<String, String> workspacesByKey = new HashMap<>();
+    Map<String, RoutedWorkspace> workspacesByKey = new HashMap<>();
     for (RoutedWorkspace workspace : workspaces) {
       for (String key : workspace.keys()) {
-        String firstWorkspace = workspacesByKey.putIfAbsent(key, workspace.name());
-        if (firstWorkspace != null && !firstWorkspace.equals(workspace.name())) {
-          problems.add(new RoutingProblem.SharedKey(workspace.name(), firstWorkspace));
+        RoutedWorkspace first = workspacesByKey.putIfAbsent(key, workspace);
+        // Compared by identity: two workspaces of one name and the same keys are equal records.
+        if (first != null && first != workspace) {
+          problems.add(new RoutingProblem.SharedKey(workspace.name(), first.name()));
         }
       }
     }
