--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -208,7 +208,7 @@
     triedUpstreams.add(upstream.id());
     repeatPolicy.onAttemptStarted();
     sentAtMs = dependencies.clock().millis();
-    log.attemptStarted(upstream);
+    log.attemptStarted(upstream, dependencies.configuration());
     UpstreamAttempt nextAttempt =
         new UpstreamAttempt(
             dependencies,
@@ -276,7 +276,23 @@
         request.body(),
         false,
         ResponseLimits.withoutTotalTimeout(remainingMs + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
-        () -> !ended);
+        () -> mayWrite(upstream));
+  }
+
+  /**
+   * Called immediately before the first byte of an attempt is written. The connection may have
+   * taken time to open, and the process may have been suspended since the choice.
+   */
+  private boolean mayWrite(Upstream upstream) {
+    boolean permitted =
+        !ended
+            && dependencies.viewIsCurrent().getAsBoolean()
+            && dependencies.chooser().mayTakeWork(upstream);
+    if (!permitted) {
+      return false;
+    }
+    log.attemptWritten();
+    return true;
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Configuration;
 import org.ragwortpick.proto.HeardVm;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
@@ -147,13 +148,13 @@
    *
    * @param poll the poll
    * @param response the response
-   * @return true if it was accepted and the same source should be polled again
+   * @return whether the same source should be polled again
    */
-  public synchronized boolean accept(Poll poll, SyncResponse response) {
+  public synchronized SourceQuality accept(Poll poll, SyncResponse response) {
     // The age is counted from the time of sending, so that network delay never makes a view newer.
     long confirmedAtMs = poll.sentAtMs() - response.getConfirmedAgeMs();
     if (!response.getConfirmed() || !state.view().isWithinLease(confirmedAtMs)) {
-      return false;
+      return SourceQuality.UNUSABLE;
     }
     Cursor cursor = cursors.computeIfAbsent(poll.source(), address -> new Cursor());
     boolean sameIncarnation = cursor.sourceIncarnation == response.getIncarnation();
@@ -163,8 +164,22 @@
     cursor.receivedVersion = mergeFromSource(response.getRecords()) ? response.getCursor() : 0;
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::deliverGrant);
-    return state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs)
-        && clock.millis() - confirmedAtMs < SyncTimings.MAX_SOURCE_AGE_MS;
+    boolean accepted =
+        state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
+    long ageMs = clock.millis() - confirmedAtMs;
+    if (!accepted || ageMs >= SyncTimings.MAX_SOURCE_AGE_MS) {
+      return SourceQuality.UNUSABLE;
+    }
+    return ageMs < SyncTimings.FRESH_SOURCE_AGE_MS ? SourceQuality.FRESH : SourceQuality.LAGGING;
+  }
+
+  /**
+   * Returns the configuration of the local VM.
+   *
+   * @return the configuration
+   */
+  public Configuration configuration() {
+    return state.view().current();
   }
 
   private void deliverGrant(Grant grant) {
