--- a/src/main/java/org/ragwortpick/edge/ControlOperations.java
+++ b/src/main/java/org/ragwortpick/edge/ControlOperations.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import org.ragwortpick.control.AcceptedChange;
 import org.ragwortpick.control.AdministrationError;
@@ -78,8 +79,9 @@
    * Accepts the leave notice of an upstream, which receives no new work from then on.
    *
    * @param upstreamId id of the upstream
+   * @param incarnation incarnation that leaves; empty if the notice does not name it
    */
-  void leave(String upstreamId);
+  void leave(String upstreamId, OptionalLong incarnation);
 
   /**
    * Returns the limit of the body of a request.
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -206,8 +206,8 @@
   }
 
   @Override
-  public void leave(String upstreamId) {
-    sync.leave(upstreamId);
+  public void leave(String upstreamId, OptionalLong incarnation) {
+    sync.leave(upstreamId, incarnation);
   }
 
   @Override
