Leave a source of polls that is cut off before its age breaks the 2 s bound

Cause: a VM polls the control VM of its own data centre first. If that one is cut off from the other control VMs, it gets its view through VMs that poll it, and its answers age. They counted as good up to an age of 2,000 ms. With the interval of 500 ms to the next poll, the view of the VM lagged by up to 2.5 s and more, again and again, since the preferred source is tried again every 10 s. The limit is now 1,200 ms: above the age that a chain of two relays reaches with the leader, and below 2,000 ms with the next poll added.

--- a/src/main/java/org/ragwortpick/sync/SyncTimings.java
+++ b/src/main/java/org/ragwortpick/sync/SyncTimings.java
@@ -16,11 +16,11 @@
   public static final long CONFIG_LEASE_MS = 4_000;
 
   /**
-   * Age of a confirmation at which the next poll goes to another source. Two VMs that relay for
-   * each other stop polling each other before the VM timeout; a chain of two relays stays below
-   * this age.
+   * Age of a confirmation at which the next poll goes to another source. With the interval to that
+   * poll, a change is in force within 2 s on a VM whose source is cut off from the leader; a chain
+   * of two relays stays below this age.
    */
-  public static final long MAX_SOURCE_AGE_MS = 2_000;
+  public static final long MAX_SOURCE_AGE_MS = 1_200;
 
   /** Time without a heartbeat after which the leader flags a VM as lost. */
   public static final long VM_TIMEOUT_MS = 3_000;
