--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -39,7 +39,7 @@
   private long nowMs = 1_000_000;
   private int maxDelayMs = 60;
   private int duplicatePercent = 5;
-  private int lateMessagePercent = 5;
+  private boolean hasSlowMessages = true;
   private Vm leader;
   private long term;
   private long lastConfirmedMs;
@@ -86,9 +86,9 @@
     maxDelayMs = newMaxDelayMs;
   }
 
-  /** Sets the share of messages that take up to 600 ms longer than the maximum delay. */
-  void setLateMessagePercent(int newLateMessagePercent) {
-    lateMessagePercent = newLateMessagePercent;
+  /** Delays all messages by the maximum delay at most, as on links without any disruption. */
+  void excludeSlowMessages() {
+    hasSlowMessages = false;
   }
 
   void cut(Vm a, Vm b, boolean isCut) {
@@ -169,8 +169,9 @@
   }
 
   private int delayMs() {
-    return random.nextInt(maxDelayMs)
-        + (random.nextInt(100) < lateMessagePercent ? random.nextInt(600) : 0);
+    int usualMs = random.nextInt(maxDelayMs);
+    boolean slow = hasSlowMessages && random.nextInt(20) == 0;
+    return usualMs + (slow ? random.nextInt(600) : 0);
   }
 
   private Vm byAddress(HostPort address) {
