Round the retry ratio of the settings down

A ratio such as 0.125 was rounded to 13 percent, so the VMs together allowed more repeats than the operators. Now it is the whole percentage below. ForwardingSettingsReaderTest.retryRatioIsNeverRoundedUp failed before (0.999: 100 in place of 99). No deployment has such a ratio today.

--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -130,11 +131,17 @@
         reader.requiredAddress("callerAddress"),
         reader.requiredAddress("readinessAddress"),
         readStopTimeoutMs(reader, environment.getOrDefault(KILL_AFTER_SECONDS, "")),
-        (int) Math.min(MAX_RETRY_RATIO_PERCENT, Math.round(ratio * PERCENT)),
+        wholePercent(ratio),
         (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
         reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent));
   }
 
+  /** Rounds down, so that no more is allowed than the ratio states; 0.29 is 29 percent. */
+  private static int wholePercent(double ratio) {
+    BigDecimal percent = BigDecimal.valueOf(ratio).movePointRight(2);
+    return percent.min(BigDecimal.valueOf(MAX_RETRY_RATIO_PERCENT)).intValue();
+  }
+
   /**
    * Reads the stop timeout. Where the environment states the time after which it kills a process
    * that it has asked to stop, that time decides.
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -61,6 +61,22 @@
         7_400);
   }
 
+  /** A ratio that is rounded up would allow more retries than the operators do. */
+  @Test
+  public void retryRatioIsNeverRoundedUp() throws IOException {
+    String settings = Files.readString(file);
+    for (Map.Entry<String, Integer> ratio :
+        Map.of("0.125", 12, "0.2", 20, "0.29", 29, "0.999", 99).entrySet()) {
+      Files.writeString(
+          file,
+          settings.replace("\"entry\": {", "\"entry\": { \"retryRatio\": " + ratio.getKey() + ","));
+      assertEquals(
+          read("8").get().entry().orElseThrow().retryRatioPercent(),
+          ratio.getValue().intValue(),
+          ratio.getKey());
+    }
+  }
+
   /** A full disk must not make settings invalid that a process has run with. */
   @Test
   public void folderInUseIsNotProbedAgain() throws IOException {
