Use the reply of a leader that takes longer than one attempt

Operators: on a busy machine a large configuration got 503 again and again, although the leader did the work of each try.

Cause: an attempt at the leader was cancelled after 500 ms and sent again from scratch, first to another VM. An order whose work takes longer than that never got a reply, whatever the timeout of the call.

Fix: after 500 ms the next attempt starts as before, but the one before it goes on until the timeout of the call, and the first final reply counts. A redirect or an error of an attempt that has a successor starts nothing, so the number of attempts stays as it was.

--- a/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -30,10 +32,11 @@
 public final class LeaderCalls<Q, R> {
 
   /**
-   * Timeout of one attempt. A commit takes a few milliseconds; an election of about one second is
-   * bridged by retries.
+   * Time without a reply after which the next attempt starts. A commit takes a few milliseconds; an
+   * election of about one second is bridged by retries. The attempt before goes on until the
+   * timeout of the call, because a busy leader may be about to reply.
    */
-  private static final long ATTEMPT_TIMEOUT_MS = 500;
+  private static final long NEXT_ATTEMPT_MS = 500;
 
   private static final long RETRY_DELAY_MS = 50;
 
@@ -94,14 +97,20 @@
       call.result().complete(Optional.empty());
       return;
     }
+    if (call.result().isDone()) {
+      return;
+    }
     HostPort address = target.get();
     ManagedChannel channel = channels.channel(address);
-    long attemptTimeoutMs = Math.min(remainingMs, ATTEMPT_TIMEOUT_MS);
+    Attempt attempt = new Attempt(call, address, channel);
+    if (remainingMs > NEXT_ATTEMPT_MS) {
+      attempt.scheduleNext();
+    }
     ClientCalls.asyncUnaryCall(
         channel.newCall(
-            method, CallOptions.DEFAULT.withDeadlineAfter(attemptTimeoutMs, TimeUnit.MILLISECONDS)),
+            method, CallOptions.DEFAULT.withDeadlineAfter(remainingMs, TimeUnit.MILLISECONDS)),
         call.request(),
-        new ReplyObserver(call, address, channel, attemptTimeoutMs == ATTEMPT_TIMEOUT_MS));
+        attempt);
   }
 
   private void retryLater(Call<Q, R> call) {
@@ -113,13 +122,8 @@
     }
   }
 
-  private void onReply(Call<Q, R> call, HostPort address, R reply) {
-    Optional<Redirect> redirect = redirectOf.apply(reply);
-    if (redirect.isEmpty()) {
-      call.result().complete(Optional.of(reply));
-      return;
-    }
-    Optional<HostPort> leader = redirect.get().leader().filter(hint -> !hint.equals(address));
+  private void onRedirect(Call<Q, R> call, HostPort address, Redirect redirect) {
+    Optional<HostPort> leader = redirect.leader().filter(hint -> !hint.equals(address));
     if (leader.isPresent()) {
       target.compareAndSet(address, leader.get());
     } else {
@@ -152,37 +156,63 @@
     }
   }
 
-  private final class ReplyObserver implements StreamObserver<R> {
+  private final class Attempt implements StreamObserver<R> {
     private final Call<Q, R> call;
     private final HostPort address;
     private final ManagedChannel channel;
-    private final boolean fullTimeout;
 
-    ReplyObserver(Call<Q, R> call, HostPort address, ManagedChannel channel, boolean fullTimeout) {
+    /**
+     * Whether this attempt ended or another one follows it; only one of both may start the next.
+     */
+    private final AtomicBoolean followed = new AtomicBoolean();
+
+    private volatile Future<?> next = CompletableFuture.completedFuture(null);
+
+    Attempt(Call<Q, R> call, HostPort address, ManagedChannel channel) {
       this.call = call;
       this.address = address;
       this.channel = channel;
-      this.fullTimeout = fullTimeout;
+    }
+
+    void scheduleNext() {
+      try {
+        next = scheduler.schedule(this::startNext, NEXT_ATTEMPT_MS, TimeUnit.MILLISECONDS);
+      } catch (RejectedExecutionException e) {
+        // The VM is stopping; this attempt is the last one.
+        followed.set(true);
+      }
+    }
+
+    private void startNext() {
+      if (followed.compareAndSet(false, true)) {
+        channels.discard(address, channel);
+        onFailure(call, address);
+      }
     }
 
     @Override
     public void onNext(R reply) {
-      onReply(call, address, reply);
+      next.cancel(false);
+      boolean isLast = followed.compareAndSet(false, true);
+      Optional<Redirect> redirect = redirectOf.apply(reply);
+      if (redirect.isEmpty()) {
+        call.result().complete(Optional.of(reply));
+      } else if (isLast) {
+        onRedirect(call, address, redirect.get());
+      }
     }
 
     @Override
     public void onError(Throwable failure) {
-      Status.Code code = Status.fromThrowable(failure).getCode();
+      next.cancel(false);
       // The connect backoff of a channel grows to minutes; a restarted leader must be reached at
       // once.
-      if (code == Status.Code.UNAVAILABLE) {
+      if (Status.fromThrowable(failure).getCode() == Status.Code.UNAVAILABLE) {
         channel.resetConnectBackoff();
       }
-      // A shortened attempt that timed out does not indicate a broken connection.
-      if (fullTimeout && code == Status.Code.DEADLINE_EXCEEDED) {
-        channels.discard(address, channel);
+      if (followed.compareAndSet(false, true)) {
+        onFailure(call, address);
       }
-      onFailure(call, address);
     }
 
     @Override
--- a/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderLease.java
@@ -20,7 +20,7 @@
 
   private static final long POLL_INTERVAL_MS = 20;
 
-  /** Maximum wait; shorter than the 500 ms after which {@link LeaderCalls} ends an attempt. */
+  /** Maximum wait; shorter than the 500 ms after which {@link LeaderCalls} tries once more. */
   private static final long MAX_WAIT_MS = 300;
 
   private final ConsensusGroup group;
