Keep a pending leave notice when one of an earlier start arrives late

Engines: a late notice of incarnation 7 replaced the pending one of 8, so that 8 stayed in use when its record arrived, after it had said that it leaves.

Of two notices that name their incarnation the one of the later counts.

--- a/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
+++ b/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
@@ -96,7 +96,8 @@
    * @return true if the local VM has a record of the incarnation that leaves
    */
   public synchronized boolean leave(String id, OptionalLong incarnation) {
-    leaveNotices.put(id, new LeaveNotice(incarnation, clock.millis()));
+    leaveNotices.merge(
+        id, new LeaveNotice(incarnation, clock.millis()), LeaveNotice::ofLaterIncarnation);
     return markLeft(id);
   }
 
@@ -199,6 +200,12 @@
 
   private record LeaveNotice(OptionalLong incarnation, long atMs) {
 
+    /** Returns the notice of the later incarnation, or the next one if either names none. */
+    LeaveNotice ofLaterIncarnation(LeaveNotice next) {
+      boolean bothNamed = incarnation.isPresent() && next.incarnation.isPresent();
+      return bothNamed && incarnation.getAsLong() > next.incarnation.getAsLong() ? this : next;
+    }
+
     boolean isAfter(SoftRecord.OfUpstream record) {
       return incarnation.isPresent() && incarnation.getAsLong() > record.upstream().incarnation();
     }
--- a/src/test/java/org/ragwortpick/sync/FarewellTest.java
+++ b/src/test/java/org/ragwortpick/sync/FarewellTest.java
@@ -101,4 +101,14 @@
     assertEquals(record.upstream().incarnation(), 8);
     assertEquals(record.upstream().state(), UpstreamState.READY);
   }
+
+  /** Guards against a late notice of an earlier incarnation that replaces a pending one. */
+  @Test
+  public void lateLeaveNoticeDoesNotReplaceOneOfLaterIncarnation() {
+    home.leave("u1", OptionalLong.of(8));
+    home.leave("u1", OptionalLong.of(7));
+    table.mergeFromSource(new SoftRecord.OfUpstream(announcement(8, 1), "vm-2", 1, false));
+    home.tick();
+    assertEquals(state(), UpstreamState.LEAVING);
+  }
 }
