--- a/src/test/java/org/ragwortpick/logging/RecordedLines.java
+++ b/src/test/java/org/ragwortpick/logging/RecordedLines.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.jboss.logging.MDC;
@@ -16,11 +17,14 @@
   private final Handler handler = new Recorder();
   private final Logger logger;
   private final String decision;
+  private final Level levelBefore;
 
   /** Starts to record the lines about one decision. */
   public RecordedLines(String loggerName, String decision) {
     this.logger = Logger.getLogger(loggerName);
     this.decision = decision;
+    this.levelBefore = logger.getLevel();
+    logger.setLevel(Level.INFO);
     logger.addHandler(handler);
   }
 
@@ -32,6 +36,7 @@
   @Override
   public void close() {
     logger.removeHandler(handler);
+    logger.setLevel(levelBefore);
   }
 
   private final class Recorder extends Handler {
--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.proto.SyncResponse;
 import org.ragwortpick.sync.FakeLeader;
@@ -28,6 +30,14 @@
   private static final long MIN_ELECTION_MS = 520;
   private static final long CHECK_QUORUM_MS = 1_000;
 
+  /** Simulated VMs would write their changes of data centres a hundred thousand times. */
+  private static final Logger CHANGE_LOG =
+      Logger.getLogger("org.ragwortpick.sync.view.DataCentreChangeLog");
+
+  static {
+    CHANGE_LOG.setLevel(Level.WARNING);
+  }
+
   private final Random random;
   private final List<Vm> vms = new ArrayList<>();
   private final List<Vm> controls = new ArrayList<>();
