Poll the present source again after a failed try of the leader

What operators would see: a control VM that cannot reach the leader it knows polled nothing but that leader, every 50 ms, so its view and those of the VMs that poll it grew old although another control VM answered.

Cause: since a failed try of the leader counts no failed poll, and the leader is tried again as long as none is counted.

Evidence: SourceSelectorTest.sourceBeforeFailedTrialOfLeaderIsPolledNext failed before (round 1).

Fix: a try in place of a regular poll counts as a failed poll until the present source has answered.

--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -149,6 +149,10 @@
     extraPoll = false;
     if (source.equals(trial) && !source.equals(current)) {
       trial = null;
+      if (!wasExtraPoll) {
+        // The leader is tried again only after a poll of the present source.
+        failedPolls++;
+      }
       return !wasExtraPoll;
     }
     trial = null;
--- a/src/test/java/org/ragwortpick/sync/rpc/SourceSelectorTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SourceSelectorTest.java
@@ -91,4 +91,34 @@
     assertFalse(selector.recordSuccess(fresh, SourceQuality.FRESH));
     assertEquals(selector.nextSource(), fresh);
   }
+
+  /** Guards against a control VM that polls nothing but a leader that it cannot reach. */
+  @Test
+  public void sourceBeforeFailedTrialOfLeaderIsPolledNext() {
+    leader.setLeadership(false, 1, "c1");
+    SourceSelector ofControlVm =
+        new SourceSelector(
+            new SyncIdentity(
+                "c2",
+                1,
+                "dc2",
+                HostPort.NONE,
+                address(2),
+                List.of(
+                    new ControlVm("c1", "dc1", address(1)),
+                    new ControlVm("c2", "dc2", address(2)),
+                    new ControlVm("c3", "dc3", address(3))),
+                List.of(),
+                0),
+            leader,
+            List::of);
+    assertEquals(ofControlVm.nextSource(), address(1));
+    ofControlVm.recordFailure(address(1));
+    for (int round = 0; round < 3; round++) {
+      assertEquals(ofControlVm.nextSource(), address(3), "round " + round);
+      ofControlVm.recordSuccess(address(3), SourceQuality.FRESH);
+      assertEquals(ofControlVm.nextSource(), address(1), "round " + round);
+      ofControlVm.recordFailure(address(1));
+    }
+  }
 }
