--- a/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
+++ b/src/main/java/org/ragwortpick/sync/directory/UpstreamHome.java
@@ -200,7 +200,7 @@
 
   private record LeaveNotice(OptionalLong incarnation, long atMs) {
 
-    /** Returns the notice of the later incarnation, or the next one if either names none. */
+    // Of two notices the one of the later incarnation counts, or the next one if either names none.
     LeaveNotice ofLaterIncarnation(LeaveNotice next) {
       boolean bothNamed = incarnation.isPresent() && next.incarnation.isPresent();
       return bothNamed && incarnation.getAsLong() > next.incarnation.getAsLong() ? this : next;
