Count the deadline of a request from when it can have been sent

What callers saw: after a VM had been frozen it ran requests that had lain in its sockets, with their whole deadline, though their callers had given up or left seconds before. A booking that its caller had written off was made.

A process that was suspended, or got no processor time, reads all at once what waited for it. A close behind a request showed only after the I/O thread had handled the other connections, when the request was already at an upstream.

Fix: ReadDelay bounds how long what is read now can have waited, by the rounds of the I/O thread. A run whose caller has left is no longer started.

--- a/src/main/java/org/ragwortpick/entry/http/CallerConnection.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerConnection.java
@@ -55,6 +55,20 @@
     }
   }
 
+  /**
+   * Detects a close that has arrived already. Otherwise it shows only after the I/O thread has
+   * handled what it read from other connections. Must run on the I/O thread, after {@link #watch}.
+   *
+   * @param exchange exchange of the request
+   */
+  public static void detectClose(HttpServerExchange exchange) {
+    if (exchange.getConnection() instanceof AbstractServerConnection tcp
+        && tcp.isOpen()
+        && tcp.getExtraBytes() == null) {
+      probe(tcp, tcp.getChannel().getSourceChannel());
+    }
+  }
+
   private static void probe(AbstractServerConnection tcp, ConduitStreamSourceChannel source) {
     tcp.getOriginalSourceConduit().suspendReads();
     PooledByteBuffer buffer = tcp.getByteBufferPool().allocate();
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -6,6 +6,7 @@
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.limit.UpstreamLoads;
@@ -30,6 +31,7 @@
  * @param retryBudgets retry budget of each service
  * @param timers timers on the I/O thread
  * @param clock monotonic clock
+ * @param readDelay bounds how long a request waited until it was read
  * @param accepting whether new requests are accepted
  * @param keepsConnections whether connections of callers stay open after a response
  * @param remainingMs time until a stop aborts requests in flight in milliseconds; {@link
@@ -52,6 +54,7 @@
     RetryBudgets retryBudgets,
     Timers timers,
     Clock clock,
+    ReadDelay readDelay,
     BooleanSupplier accepting,
     BooleanSupplier keepsConnections,
     LongSupplier remainingMs,
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -95,7 +95,12 @@
       refuse(exchange, Refusal.NO_REQUEST_ID);
       return;
     }
-    long timeoutMs = timeoutMs(headers, route);
+    long waitedMs = dependencies.readDelay().maxMs();
+    long timeoutMs = timeoutMs(headers, route) - waitedMs;
+    if (timeoutMs <= 0) {
+      refuse(exchange, Refusal.DEADLINE_PASSED);
+      return;
+    }
     if (!dependencies.endsBeforeStop(timeoutMs)) {
       refuse(exchange, Refusal.STOPPING);
       return;
@@ -119,7 +124,7 @@
                   table.number(),
                   arrivedAtMs,
                   arrivedAtMs + timeoutMs);
-          start(exchange, table, request);
+          start(exchange, table, request, waitedMs);
         },
         fault ->
             refuse(
@@ -147,7 +152,8 @@
     return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
   }
 
-  private void start(HttpServerExchange exchange, RoutingTable table, CallerRequest request) {
+  private void start(
+      HttpServerExchange exchange, RoutingTable table, CallerRequest request, long waitedMs) {
     // The stop may have begun while the body arrived.
     if (!dependencies.endsBeforeStop(request.deadlineAtMs() - dependencies.clock().millis())) {
       refuse(exchange, Refusal.STOPPING);
@@ -156,6 +162,9 @@
     String service = drawService(request.route());
     ForwardRun run = new ForwardRun(dependencies, exchange, request, service);
     CallerConnection.watch(exchange, run::onCallerDisconnected);
+    if (waitedMs > 0) {
+      CallerConnection.detectClose(exchange);
+    }
     run.start(table);
   }
 
@@ -183,6 +192,7 @@
         .with(
             "revisionAgeMs",
             dependencies.clock().millis() - dependencies.configuration().confirmedAtMs())
+        .with("waitedMs", dependencies.readDelay().maxMs())
         .info(LOG);
     RefusalWriter.write(exchange, refusal);
   }
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -91,11 +91,15 @@
   }
 
   /**
-   * Starts the stages, or the first attempt if the request has none.
+   * Starts the stages, or the first attempt if the request has none. Has no effect if the caller
+   * has disconnected already.
    *
    * @param table routing table that was matched
    */
   void start(RoutingTable table) {
+    if (ended) {
+      return;
+    }
     dependencies.retryBudgets().of(service).recordFirstAttempt();
     if (refuseIfHeld()) {
       return;
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -27,6 +27,7 @@
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.forward.ForwardDependencies;
 import org.ragwortpick.forward.ForwardHandler;
@@ -99,6 +100,7 @@
   private final UpstreamNotices notices;
   private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
+  private final ReadDelay readDelay;
   private final EntryServer server;
   private final Undertow readiness;
   private final XnioIoThread ioThread;
@@ -174,6 +176,7 @@
             ioThread,
             timers,
             clock);
+    this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
         new EntryServer(
             role.callerAddress().host(),
@@ -277,6 +280,7 @@
         retryBudgets(role),
         timers,
         clock,
+        readDelay,
         this::acceptsRequests,
         () -> sync.lifeCycle().state() == VmState.READY,
         remainingMs,
@@ -331,6 +335,7 @@
 
   /** Starts to listen and to expire load estimates. */
   void start() {
+    readDelay.start();
     server.start();
     readiness.start();
     ioThread.executeAtInterval(retryConstant::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.ragwortpick.batch.StageRunner;
@@ -29,6 +31,7 @@
 import org.ragwortpick.config.Rules;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.limit.ColdRateShare;
@@ -119,6 +122,7 @@
             () -> List.of("vm"));
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
     WorkCounter work = new WorkCounter();
+    ReadDelay readDelay = new ReadDelay(worker.getIoThread(), clock);
     server =
         new EntryServer(
             "127.0.0.1",
@@ -145,6 +149,7 @@
                     service -> budget,
                     new IoThreadTimers(worker.getIoThread()),
                     clock,
+                    readDelay,
                     () -> accepting,
                     () -> true,
                     () -> remainingMs,
@@ -152,6 +157,7 @@
                     new ForwardMetrics(registry)),
                 random),
             work);
+    readDelay.start();
     server.start();
   }
 
@@ -203,6 +209,30 @@
         .sum();
   }
 
+  /**
+   * Keeps the server from running for a while, as a process that is suspended or gets no processor
+   * time. Returns when it has begun.
+   */
+  void stall(long durationMs) throws InterruptedException {
+    CountDownLatch begun = new CountDownLatch(1);
+    worker
+        .getIoThread()
+        .execute(
+            () -> {
+              begun.countDown();
+              sleep(durationMs);
+            });
+    begun.await();
+  }
+
+  private static void sleep(long durationMs) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(durationMs);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Begins a stop that aborts requests after a time. */
   void stopAfter(long timeoutMs) {
     remainingMs = timeoutMs;
