Do not count an upstream that was not asked as unreachable

What callers saw: after a data centre had been taken out and returned, its sound upstreams got no requests for the cooldown of an unreachable upstream, and requests went to another data centre, or were refused where there is none.

Cause: a permit that is refused right before the first byte ended as NOT_REACHED, which records a failure and starts the cooldown, as if a connection could not be opened.

Fix: such an attempt has an outcome of its own, which says nothing about the upstream. It is limited like unreached attempts, so that a request cannot try without end.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -344,7 +344,7 @@
   @Override
   public void onFailed(AttemptOutcome outcome) {
     switch (outcome) {
-      case NOT_RUN, NOT_REACHED ->
+      case NOT_RUN, NOT_REACHED, NOT_PERMITTED ->
           refuse(
               Refusal.unavailable(
                   "the upstreams of service " + service + " did not run the request",
--- a/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
+++ b/src/main/java/org/ragwortpick/forward/RepeatPolicy.java
@@ -81,7 +81,7 @@
   }
 
   private RepeatDecision decide(AttemptOutcome outcome, boolean suspected) {
-    if (outcome == AttemptOutcome.NOT_REACHED) {
+    if (outcome == AttemptOutcome.NOT_REACHED || outcome == AttemptOutcome.NOT_PERMITTED) {
       unreachedAttempts++;
       return unreachedAttempts < MAX_UNREACHED_ATTEMPTS
           ? RepeatDecision.UNREACHED
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.upstream.BodyFraming;
+import org.ragwortpick.entry.upstream.CallFailure;
 import org.ragwortpick.entry.upstream.HttpCall;
 import org.ragwortpick.entry.upstream.HttpEnd;
 import org.ragwortpick.entry.upstream.HttpHead;
@@ -229,6 +230,9 @@
   }
 
   private AttemptOutcome outcomeOf(HttpEnd end) {
+    if (end instanceof CallFailure.NotPermitted) {
+      return AttemptOutcome.NOT_PERMITTED;
+    }
     if (end.nothingSent()) {
       return AttemptOutcome.NOT_REACHED;
     }
@@ -238,6 +242,10 @@
 
   private void recordFailure(AttemptOutcome outcome, HttpEnd end) {
     dependencies.metrics().attemptEnded(upstream.service(), outcome.name());
+    if (outcome == AttemptOutcome.NOT_PERMITTED) {
+      LOG.debugf("request %s: upstream %s was not asked", request.id(), upstream.id());
+      return;
+    }
     if (outcome == AttemptOutcome.NOT_REACHED) {
       dependencies.loads().recordUnreached(upstream.id());
     } else if (outcome != AttemptOutcome.NOT_RUN || !UpstreamNotices.requestsPause(head)) {
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -225,7 +225,7 @@
     begun.await();
   }
 
-  private static void sleep(long durationMs) {
+  static void sleep(long durationMs) {
     try {
       TimeUnit.MILLISECONDS.sleep(durationMs);
     } catch (InterruptedException e) {
@@ -238,22 +238,47 @@
     remainingMs = timeoutMs;
   }
 
+  /** Sends a request with a stage, and waits until the stage is submitted. */
+  CompletableFuture<HttpResponse<String>> sendStaged(String id) throws InterruptedException {
+    HttpRequest request =
+        request("/staged/x", id)
+            .header("Parts", "1")
+            .POST(HttpRequest.BodyPublishers.ofString("body"))
+            .build();
+    int submittedBefore = submissions.get();
+    CompletableFuture<HttpResponse<String>> response = sendAsync(request);
+    for (int i = 0; i < 200 && submissions.get() == submittedBefore; i++) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    return response;
+  }
+
   /** Ends the last submitted stage with a result. */
   void produceStages() {
     worker.getIoThread().execute(() -> produceStages.run());
   }
 
-  /** Ends the last submitted stage, and takes a data centre out before the attempt is written. */
-  void produceStagesAndTakeOut(String dataCentre) {
+  /** Ends the last submitted stage, and does something before the attempt is written. */
+  void produceStagesAndBeforeWrite(Runnable action) {
     worker
         .getIoThread()
         .execute(
             () -> {
               produceStages.run();
-              configuration = withoutDataCentre(dataCentre);
+              action.run();
             });
   }
 
+  /** Ends the last submitted stage, and takes a data centre out before the attempt is written. */
+  void produceStagesAndTakeOut(String dataCentre) {
+    produceStagesAndBeforeWrite(() -> configuration = withoutDataCentre(dataCentre));
+  }
+
+  /** Returns all data centres to service. */
+  void returnDataCentres() {
+    configuration = configuration();
+  }
+
   private static Configuration withoutDataCentre(String dataCentre) {
     Rules rules = new Rules(List.of(), List.of(), 0, Map.of(dataCentre, DataCentreState.OUT));
     return new Configuration(2, Inventory.EMPTY, rules, Map.of(), configuration().routing());
