Look at the deadline again right before the first byte of an attempt

What callers saw: a request whose deadline had passed while its VM did not run, or while a connection was being opened, was still sent to an upstream. Its caller got 504, as if the upstream had been too slow, and could not know that the work would run.

Cause: the deadline and the time left that is handed on were taken when the upstream was chosen. The first byte may come much later, and nothing looked at the clock again. When the process resumes, a connection that is ready is handled beside the timer of the deadline, in any order.

Evidence: DelayedWriteTest, 2 of 2 cases failed before: the upstream got a request 300 ms after its deadline, and was handed 694 ms of 450.

Fix: the permit asks for the deadline, and the headers of a call are asked for when it is written. A request that was not written when its deadline passes is refused as not run (503), which is certain, as the permit fails from then on.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -149,8 +149,9 @@
   private ClientRequest clientRequest() {
     ClientRequest http = new ClientRequest().setMethod(request.method()).setPath(request.path());
     HeaderMap headers = http.getRequestHeaders();
-    request.headers().forEach(header -> headers.putAll(header.getHeaderName(), header));
-    if (request.body().length > 0 || request.headers().contains(Headers.CONTENT_LENGTH)) {
+    HeaderMap requested = request.headers().get();
+    requested.forEach(header -> headers.putAll(header.getHeaderName(), header));
+    if (request.body().length > 0 || requested.contains(Headers.CONTENT_LENGTH)) {
       headers.put(Headers.CONTENT_LENGTH, request.body().length);
     }
     return http;
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpRequest.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpRequest.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.ragwortpick.common.HostPort;
 
 /**
@@ -11,7 +12,8 @@
  * @param address address of the upstream
  * @param method HTTP method
  * @param path path with the query string
- * @param headers headers; Content-Length is set from the body
+ * @param headers headers, asked for immediately before the request is written; Content-Length is
+ *     set from the body
  * @param body body; empty for none
  * @param freshConnection whether no pooled connection may be used
  * @param limits limits of the response
@@ -21,7 +23,7 @@
     HostPort address,
     HttpString method,
     String path,
-    HeaderMap headers,
+    Supplier<HeaderMap> headers,
     byte[] body,
     boolean freshConnection,
     ResponseLimits limits,
--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamApiCall.java
@@ -50,7 +50,7 @@
                 request.address(),
                 Methods.POST,
                 request.path(),
-                headers(),
+                this::headers,
                 request.body(),
                 request.freshConnection(),
                 ResponseLimits.withoutTotalTimeout(request.progressTimeoutMs(), maxResponseBytes),
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -60,6 +60,7 @@
   private List<String> inputs = List.of();
   private long sentAtMs;
   private long firstByteMs;
+  private boolean attemptWritten;
   private boolean trial;
   private boolean ended;
 
@@ -161,9 +162,8 @@
     if (failed.cause() != SubmissionEnd.Cause.OVERLOADED) {
       return RETRY_AFTER_MS;
     }
-    long remainingMs = request.deadlineAtMs() - dependencies.clock().millis();
     long drainMs = Math.max(MIN_QUEUE_DRAIN_MS, QUEUE_DRAIN_FACTOR * failed.waitMs());
-    return Math.max(RETRY_AFTER_MS, Math.min(drainMs, remainingMs / RETRY_DEADLINE_DIVISOR));
+    return Math.max(RETRY_AFTER_MS, Math.min(drainMs, remainingMs() / RETRY_DEADLINE_DIVISOR));
   }
 
   /** Refuses the request if its prompt has a part that is held back. */
@@ -185,6 +185,10 @@
     if (refuseIfHeld()) {
       return;
     }
+    if (remainingMs() <= 0) {
+      refuse(Refusal.DEADLINE_PASSED, "deadline");
+      return;
+    }
     if (!endsBeforeStop()) {
       refuse(Refusal.STOPPING, "stopping");
       return;
@@ -212,6 +216,7 @@
     triedUpstreams.add(upstream.id());
     repeatPolicy.onAttemptStarted();
     sentAtMs = dependencies.clock().millis();
+    attemptWritten = false;
     log.attemptStarted(upstream, dependencies.configuration());
     UpstreamAttempt nextAttempt =
         new UpstreamAttempt(
@@ -233,10 +238,8 @@
    * route decides; without one it is begun.
    */
   private boolean endsBeforeStop() {
-    long untilDeadlineMs = request.deadlineAtMs() - dependencies.clock().millis();
     return dependencies.endsBeforeStop(
-        Math.min(
-            untilDeadlineMs, dependencies.responseTimes().longTotalMs(request.route().name())));
+        Math.min(remainingMs(), dependencies.responseTimes().longTotalMs(request.route().name())));
   }
 
   private void refuseWithoutUpstream() {
@@ -250,6 +253,19 @@
   }
 
   private HttpRequest httpRequest(Upstream upstream) {
+    long progressTimeoutMs = Math.max(1, remainingMs()) + DEADLINE_MARGIN_MS;
+    return new HttpRequest(
+        upstream.address(),
+        request.method(),
+        request.target(),
+        () -> headersFor(upstream),
+        request.body(),
+        false,
+        ResponseLimits.withoutTotalTimeout(progressTimeoutMs, MAX_RESPONSE_BYTES),
+        () -> mayWrite(upstream));
+  }
+
+  private HeaderMap headersFor(Upstream upstream) {
     RoutingHeaders names = dependencies.headers();
     HeaderMap headers = new HeaderMap();
     for (HeaderValues values : request.headers()) {
@@ -261,8 +277,7 @@
         headers.putAll(values.getHeaderName(), values);
       }
     }
-    long remainingMs = Math.max(1, request.deadlineAtMs() - dependencies.clock().millis());
-    headers.put(names.deadlineMs(), remainingMs);
+    headers.put(names.deadlineMs(), Math.max(1, remainingMs()));
     headers.put(names.expectedUpstream(), upstream.id());
     request.workspace().ifPresent(owner -> headers.put(names.workspace(), owner.name()));
     if (!inputs.isEmpty()) {
@@ -272,15 +287,11 @@
     if (request.body().length > 0 || hasLength) {
       headers.put(Headers.CONTENT_LENGTH, request.body().length);
     }
-    return new HttpRequest(
-        upstream.address(),
-        request.method(),
-        request.target(),
-        headers,
-        request.body(),
-        false,
-        ResponseLimits.withoutTotalTimeout(remainingMs + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
-        () -> mayWrite(upstream));
+    return headers;
+  }
+
+  private long remainingMs() {
+    return request.deadlineAtMs() - dependencies.clock().millis();
   }
 
   /**
@@ -290,11 +301,13 @@
   private boolean mayWrite(Upstream upstream) {
     boolean permitted =
         !ended
+            && remainingMs() > 0
             && dependencies.viewIsCurrent().getAsBoolean()
             && dependencies.chooser().mayTakeWork(upstream);
     if (!permitted) {
       return false;
     }
+    attemptWritten = true;
     log.attemptWritten();
     return true;
   }
@@ -364,7 +377,7 @@
       finish("deadline_in_answer");
       relay.abort();
     } else {
-      refuse(attempt.isPresent() ? Refusal.TIMED_OUT : Refusal.DEADLINE_PASSED, "deadline");
+      refuse(attemptWritten ? Refusal.TIMED_OUT : Refusal.DEADLINE_PASSED, "deadline");
     }
   }
 
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -97,7 +97,7 @@
             upstream.address(),
             Methods.POST,
             path,
-            headers,
+            () -> headers,
             body,
             false,
             new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -76,7 +76,7 @@
             address,
             Methods.GET,
             "/",
-            headers,
+            () -> headers,
             new byte[0],
             false,
             ResponseLimits.withoutTotalTimeout(PROGRESS_TIMEOUT_MS, MAX_BODY_BYTES),
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/DelayedWriteTest.java
@@ -0,0 +1,59 @@
+package org.ragwortpick.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.ragwortpick.entry.http.RawUpstream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against an attempt that is written long after it was chosen, as if nothing had changed. */
+public final class DelayedWriteTest extends ForwardServerFixture {
+
+  /** Timeout that the requests of the server state. */
+  private static final long TIMEOUT_MS = 700;
+
+  private final AtomicLong receivedTimeLeftMs = new AtomicLong();
+  private RawUpstream first;
+
+  @BeforeMethod(dependsOnMethods = "startServer")
+  public void startUpstreams() throws Exception {
+    first = upstream();
+    server().announceIn("dc", "u1", first.address());
+  }
+
+  private RawUpstream upstream() throws IOException {
+    return new RawUpstream(
+        (connection, number, request) -> {
+          receivedTimeLeftMs.set(Long.parseLong(request.get("time-left-ms")));
+          return RawUpstream.response(request, "", "done");
+        });
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopUpstreams() throws IOException {
+    first.close();
+  }
+
+  @Test
+  public void requestWhoseDeadlinePassedBeforeTheFirstByteIsNotRun() throws Exception {
+    CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
+    server().produceStagesAndBeforeWrite(() -> ForwardTestServer.sleep(TIMEOUT_MS + 300));
+    assertEquals(response.get().statusCode(), 503);
+    assertEquals(first.workRequests(), 0);
+  }
+
+  @Test
+  public void upstreamIsHandedTheTimeThatIsLeftAtTheFirstByte() throws Exception {
+    long delayMs = 250;
+    CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
+    server().produceStagesAndBeforeWrite(() -> ForwardTestServer.sleep(delayMs));
+    assertEquals(response.get().statusCode(), 200);
+    assertTrue(receivedTimeLeftMs.get() <= TIMEOUT_MS - delayMs, "left " + receivedTimeLeftMs);
+  }
+}
