Ask for the upstream itself again right before the first byte

What callers saw: a request was sent to an upstream that had left, had been replaced at its address, had turned cold or had asked for a pause since it was chosen, and ended with a rejection, a reset or a late answer, though another upstream was free.

Cause: the permit before the first byte asked only whether the data centre is in service. All else that was known of the upstream was as old as the choice, by the time a connection takes to open or for which the process did not run.

Evidence: three cases of DelayedWriteTest (left, replaced, paused) and UpstreamChooserTest (turned cold) failed before; the old upstream was asked.

Fix: the permit asks for the record by which the upstream was chosen: same start, address and data centre, still announced, not paused, and not cold if it was chosen as warm and cold ones have a rate. Another one is chosen otherwise; a later start under the same id may be.

Not asked for: whether it said in a response that it is leaving. It serves on for a second at least, and is chosen so as the last resort.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -58,6 +58,7 @@
   private Optional<UpstreamAttempt> attempt = Optional.empty();
   private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
+  private String upstreamId = "";
   private long sentAtMs;
   private long firstByteMs;
   private boolean attemptWritten;
@@ -213,7 +214,8 @@
       return;
     }
     Upstream upstream = chosen.get();
-    triedUpstreams.add(upstream.id());
+    upstreamId = upstream.id();
+    triedUpstreams.add(upstreamId);
     repeatPolicy.onAttemptStarted();
     sentAtMs = dependencies.clock().millis();
     attemptWritten = false;
@@ -325,6 +327,10 @@
 
   @Override
   public void onRepeat(AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.NOT_PERMITTED) {
+      // It was not asked, so a later start under the same id may be.
+      triedUpstreams.remove(upstreamId);
+    }
     log.repeating(outcome, repeatPolicy.lastDecision());
     startAttempt();
   }
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -81,11 +81,37 @@
   /**
    * Tells whether an upstream that was chosen may still take work.
    *
-   * @param upstream the upstream
-   * @return false if its data centre was taken out of service since
+   * @param chosen record by which the upstream was chosen
+   * @return false if since then its data centre was taken out of service, or it left, started
+   *     again, turned cold or requested a pause
    */
-  public boolean mayTakeWork(Upstream upstream) {
-    return configuration.get().takesWork(upstream.dataCentre());
+  public boolean mayTakeWork(Upstream chosen) {
+    return configuration.get().takesWork(chosen.dataCentre())
+        && !pauses.isPaused(chosen)
+        && upstreamsOf.apply(chosen.service()).stream()
+            .anyMatch(current -> isUnchanged(chosen, current));
+  }
+
+  private boolean isUnchanged(Upstream chosen, Upstream current) {
+    return current.id().equals(chosen.id())
+        && current.incarnation() == chosen.incarnation()
+        && current.address().equals(chosen.address())
+        && current.dataCentre().equals(chosen.dataCentre())
+        && !(chosen.state() == UpstreamState.READY && needsColdShare(current));
+  }
+
+  /** Without a rate for cold upstreams, they are selected like warm ones. */
+  private boolean needsColdShare(Upstream upstream) {
+    return upstream.state() == UpstreamState.COLD && coldRate(upstream.service()) > 0;
+  }
+
+  private double coldRate(String service) {
+    return configuration
+        .get()
+        .routingTable()
+        .flatMap(table -> table.service(service))
+        .map(ServiceProfile::coldRequestsPerSecond)
+        .orElse(0.0);
   }
 
   /**
@@ -134,14 +160,7 @@
         available(service).stream().filter(upstream -> !pauses.isPaused(upstream)).toList();
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
-    double coldRate =
-        configuration
-            .get()
-            .routingTable()
-            .flatMap(table -> table.service(service))
-            .map(ServiceProfile::coldRequestsPerSecond)
-            .orElse(0.0);
-    // Without a rate for cold upstreams, they are selected like warm ones.
+    double coldRate = coldRate(service);
     List<Upstream> selectable =
         available.stream()
             .filter(upstream -> coldRate == 0 || upstream.state() == UpstreamState.READY)
--- a/src/test/java/org/ragwortpick/forward/DelayedWriteTest.java
+++ b/src/test/java/org/ragwortpick/forward/DelayedWriteTest.java
@@ -12,7 +12,9 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Guards against an attempt that is written long after it was chosen, as if nothing had changed. */
+/**
+ * Guards against an attempt that is written long after it was chosen, as if nothing had changed.
+ */
 public final class DelayedWriteTest extends ForwardServerFixture {
 
   /** Timeout that the requests of the server state. */
@@ -20,10 +22,12 @@
 
   private final AtomicLong receivedTimeLeftMs = new AtomicLong();
   private RawUpstream first;
+  private RawUpstream second;
 
   @BeforeMethod(dependsOnMethods = "startServer")
   public void startUpstreams() throws Exception {
     first = upstream();
+    second = upstream();
     server().announceIn("dc", "u1", first.address());
   }
 
@@ -38,6 +42,7 @@
   @AfterMethod(alwaysRun = true)
   public void stopUpstreams() throws IOException {
     first.close();
+    second.close();
   }
 
   @Test
@@ -56,4 +61,33 @@
     assertEquals(response.get().statusCode(), 200);
     assertTrue(receivedTimeLeftMs.get() <= TIMEOUT_MS - delayMs, "left " + receivedTimeLeftMs);
   }
+
+  @Test
+  public void upstreamThatLeftBeforeTheFirstByteIsNotAsked() throws Exception {
+    server().announceIn("dc2", "u2", second.address());
+    CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
+    server().produceStagesAndBeforeWrite(() -> server().withdraw("u1"));
+    assertEquals(response.get().statusCode(), 200);
+    assertEquals(first.workRequests(), 0);
+    assertEquals(second.workRequests(), 1);
+  }
+
+  @Test
+  public void upstreamThatWasReplacedBeforeTheFirstByteIsAskedAtItsNewAddress() throws Exception {
+    CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
+    server().produceStagesAndBeforeWrite(() -> server().announceAgain("u1", 2, second.address()));
+    assertEquals(response.get().statusCode(), 200);
+    assertEquals(first.workRequests(), 0);
+    assertEquals(second.workRequests(), 1);
+  }
+
+  @Test
+  public void upstreamThatRequestedAPauseBeforeTheFirstByteIsNotAsked() throws Exception {
+    server().announceIn("dc2", "u2", second.address());
+    CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
+    server().produceStagesAndBeforeWrite(() -> server().requestPause("u1"));
+    assertEquals(response.get().statusCode(), 200);
+    assertEquals(first.workRequests(), 0);
+    assertEquals(second.workRequests(), 1);
+  }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -86,10 +86,13 @@
   /** Duration of a call for the stage of the staged route. */
   static final double STAGE_MS = 100;
 
+  private static final long PAUSE_MS = 5_000;
+
   private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
   private final XnioWorker worker;
   private final HttpCallClient callClient;
+  private final RequestedPauses pauses;
   private final EntryServer server;
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -108,7 +111,7 @@
     UpstreamLoads loads = new UpstreamLoads(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
-    RequestedPauses pauses = new RequestedPauses(clock, random);
+    pauses = new RequestedPauses(clock, random);
     UpstreamChooser chooser =
         new UpstreamChooser(
             () -> configuration,
@@ -333,6 +336,11 @@
             first.checksFencing()));
   }
 
+  /** Records that an upstream requested a pause in a response. */
+  void requestPause(String id) {
+    pauses.record(upstreams.get(id), PAUSE_MS);
+  }
+
   void withdraw(String id) {
     upstreams.remove(id);
   }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -0,0 +1,79 @@
+package org.ragwortpick.forward;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.config.Configuration;
+import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Rules;
+import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.routing.RoutingFixture;
+import org.ragwortpick.routing.ServiceProfile;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.testng.annotations.Test;
+
+/** Guards against requests to an upstream that turned cold after it was chosen as a warm one. */
+public final class UpstreamChooserTest {
+
+  private static final double COLD_REQUESTS_PER_SECOND = 5;
+  private static final Upstream WARM = TestUpstreams.upstream("u1", 1, 1, UpstreamState.READY, 0);
+
+  private static Configuration configuration(double coldRequestsPerSecond) {
+    RoutingConfiguration routing =
+        new RoutingConfiguration(
+            1,
+            List.of(RoutingFixture.route("r", "h", "/", WARM.service())),
+            List.of(new ServiceProfile(WARM.service(), coldRequestsPerSecond, null)),
+            List.of(),
+            null,
+            "");
+    return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Map.of(), Optional.of(routing));
+  }
+
+  private static UpstreamChooser chooser(double coldRequestsPerSecond, Upstream current) {
+    ManualClock clock = new ManualClock();
+    Random random = new Random(1);
+    Configuration configuration = configuration(coldRequestsPerSecond);
+    return new UpstreamChooser(
+        () -> configuration,
+        service -> List.of(current),
+        new LeastLoadedSelector("dc", random),
+        new UpstreamLoads(clock),
+        new LeavingUpstreams(clock),
+        new RequestedPauses(clock, random),
+        new ColdRateShare("vm", clock),
+        () -> List.of("vm"));
+  }
+
+  private static Upstream withState(UpstreamState state) {
+    return TestUpstreams.upstream("u1", 1, 2, state, 0);
+  }
+
+  @Test
+  public void upstreamThatTurnedColdMayTakeNoWork() {
+    Upstream cold = withState(UpstreamState.COLD);
+    assertFalse(chooser(COLD_REQUESTS_PER_SECOND, cold).mayTakeWork(WARM));
+    assertTrue(chooser(0, cold).mayTakeWork(WARM));
+  }
+
+  @Test
+  public void upstreamChosenAsColdOrStillWarmMayTakeWork() {
+    Upstream cold = withState(UpstreamState.COLD);
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, cold).mayTakeWork(cold));
+    Upstream warm = withState(UpstreamState.READY);
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).mayTakeWork(WARM));
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).mayTakeWork(cold));
+  }
+}
