--- a/src/test/java/org/ragwortpick/process/DeploymentUnderTest.java
+++ b/src/test/java/org/ragwortpick/process/DeploymentUnderTest.java
@@ -11,7 +11,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -32,6 +34,10 @@
   private static final long POLL_NANOS = 50_000_000L;
   private static final String[] DATA_CENTRES = {"a", "b", "c"};
 
+  /** Folder of settings, logs and data, which stay after a failure. */
+  private static final Path FOLDERS = Path.of("target", "deployments").toAbsolutePath();
+
+  private final Path folder;
   private final List<VmUnderTest> vms = new ArrayList<>();
   private final List<UpstreamSpec> specs = new ArrayList<>();
   private final MonotonicClock clock = new MonotonicClock();
@@ -43,7 +49,8 @@
   private final StandInProcess standIns;
 
   DeploymentUnderTest() throws IOException, InterruptedException {
-    Path folder = Files.createTempDirectory("deployment");
+    Files.createDirectories(FOLDERS);
+    folder = Files.createTempDirectory(FOLDERS, "deployment");
     for (int i = 0; i < 5; i++) {
       vms.add(createVm(folder, i));
     }
@@ -138,11 +145,19 @@
     return get(vm.adminAddress(), "/admin/v1/state").body();
   }
 
+  private Map<String, JsonNode> states() {
+    Map<String, JsonNode> states = new LinkedHashMap<>();
+    vms.forEach(vm -> states.put(vm.name(), state(vm)));
+    return states;
+  }
+
   void await(String expectation, long timeoutMs, BooleanSupplier condition) {
     long endMs = clock.millis() + timeoutMs;
     while (!condition.getAsBoolean()) {
       if (clock.millis() > endMs) {
-        throw new AssertionError("not reached within " + timeoutMs + " ms: " + expectation);
+        throw new AssertionError(
+            "not reached within %d ms: %s; logs in %s, states: %s"
+                .formatted(timeoutMs, expectation, folder, states()));
       }
       LockSupport.parkNanos(POLL_NANOS);
     }
