Name the current revision when an order for a data centre is redirected

What callers saw: an operator whose order went to a VM that had stalled within the last second, or on a kept connection, followed the redirect and got 503, though it was the only one to give orders. It had to send the order again to another VM.

Cause: the redirect named the revision that the VM knew. Where that lags, the order before it, which another VM had acknowledged a moment ago, counts as a later one, and the leader refuses the followed redirect.

Fix: the VM reads the revision through the leader before it redirects. An order that is acknowledged after the redirect still counts as later. It costs one more call for an order that is redirected, and nothing for the others.

--- a/src/main/java/org/ragwortpick/edge/ControlOperations.java
+++ b/src/main/java/org/ragwortpick/edge/ControlOperations.java
@@ -48,6 +48,13 @@
    */
   long knownRevision();
 
+  /**
+   * Reads the current revision of the configuration, confirmed by a quorum during the call.
+   *
+   * @return the revision, or the reason for which it could not be read
+   */
+  CompletionStage<Either<AdministrationError, Long>> readRevision();
+
   /**
    * Takes a data centre out: its upstreams receive no new work.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -20,6 +20,7 @@
 import org.ragwortpick.control.AcceptedChange;
 import org.ragwortpick.control.Administration;
 import org.ragwortpick.control.AdministrationError;
+import org.ragwortpick.control.ConfigurationVersion;
 import org.ragwortpick.control.RemoteAdministration;
 import org.ragwortpick.control.ReturnRequest;
 import org.ragwortpick.control.TakeOutRequest;
@@ -158,6 +159,13 @@
     return Math.max(viewRevision, replica.map(ControlReplica::revision).orElse(0L));
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, Long>> readRevision() {
+    return administration
+        .read(CALL_TIMEOUT_MS)
+        .thenApply(result -> result.map(ConfigurationVersion::revision));
+  }
+
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> takeOut(
       String dataCentre, long baseRevision) {
