--- a/src/main/java/org/ragwortpick/entry/http/ReadDelay.java
+++ b/src/main/java/org/ragwortpick/entry/http/ReadDelay.java
@@ -42,7 +42,7 @@
 
   private void startRound() {
     long nowMs = clock.millis();
-    // Calls that were missed are made up for at once, within one round.
+    // Two calls within one round are no two rounds.
     if (nowMs - roundAtMs >= ROUND_INTERVAL_MS / 2) {
       previousRoundAtMs = roundAtMs;
       roundAtMs = nowMs;
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -121,8 +121,7 @@
     UpstreamChooser chooser =
         new UpstreamChooser(
             () -> configuration,
-            service ->
-                upstreams.values().stream().filter(u -> u.service().equals(service)).toList(),
+            this::upstreamsOf,
             new LeastLoadedSelector("dc", random),
             loads,
             leaving,
@@ -170,6 +169,10 @@
     server.start();
   }
 
+  private List<Upstream> upstreamsOf(String service) {
+    return upstreams.values().stream().filter(u -> u.service().equals(service)).toList();
+  }
+
   private static Configuration configuration() {
     RoutingConfiguration routing =
         new RoutingConfiguration(
