Answer the orders in flight when a control process stops

Cause: the stop of a control process waited for nothing, although an order waits for the disks of a quorum. Class of fault: a stop that counts one kind of work and forgets the others.

Why it works: requests in flight are counted from their head to the last byte of the response, and the process stays until there are none, 950 ms at most, which is longer than any call to the leader; what is read after the signal is refused with 503, not carried out. For 200 ms it also reads what was sent before the signal and still lay in a socket.

--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -12,8 +12,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
@@ -27,6 +31,7 @@
 import org.ragwortpick.edge.ControlOperations;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.edge.EntryAddressSource;
+import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.routing.RoutingConfiguration;
@@ -47,6 +52,12 @@
   /** Shorter than the second after which operators try another VM. */
   private static final long CALL_TIMEOUT_MS = 850;
 
+  /** Time in which requests that were sent before a stop are read. */
+  private static final long MIN_DRAIN_MS = 200;
+
+  /** Time in which all orders in flight are answered: that of a call, and that to write its end. */
+  static final long MAX_DRAIN_MS = CALL_TIMEOUT_MS + 100;
+
   /** Short, so that callers stop using a leaving VM well before its grace time ends. */
   static final long ADDRESS_VALIDITY_SECONDS = 1;
 
@@ -54,6 +65,9 @@
   private final SyncNode sync;
   private final Administration administration;
   private final Clock clock;
+  private final WorkCounter work = new WorkCounter();
+  private final DrainingHandler operatorHandler;
+  private final DrainingHandler directoryHandler;
   private final OperatorListener operators;
   private final Undertow directory;
 
@@ -85,9 +99,10 @@
     this.sync = sync;
     this.clock = clock;
     this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
-    this.operators =
-        new OperatorListener(
-            role.operatorAddress(), MetricsHandler.wrap(registry, protocol.control(this)), clock);
+    this.operatorHandler =
+        new DrainingHandler(MetricsHandler.wrap(registry, protocol.control(this)), work);
+    this.directoryHandler = new DrainingHandler(protocol.directory(this), work);
+    this.operators = new OperatorListener(role.operatorAddress(), operatorHandler, clock);
     this.directory =
         Undertow.builder()
             .setIoThreads(IO_THREADS)
@@ -96,7 +111,7 @@
             .addHttpListener(
                 role.directoryAddress().port(),
                 role.directoryAddress().host(),
-                protocol.directory(this))
+                directoryHandler)
             .build();
   }
 
@@ -228,6 +243,31 @@
     return ADDRESS_VALIDITY_SECONDS;
   }
 
+  /**
+   * Waits for the responses to requests that were read, and refuses further ones. Orders wait for
+   * the disks of other VMs, which therefore must still be reachable.
+   *
+   * @param timeoutMs longest wait in milliseconds
+   */
+  void drain(long timeoutMs) {
+    LOG.infof("%d requests of operators and upstreams in flight at the stop", work.count());
+    CompletableFuture<Void> idle =
+        CompletableFuture.allOf(
+            operatorHandler.drain().toCompletableFuture(),
+            directoryHandler.drain().toCompletableFuture());
+    try {
+      // What was sent before the stop may still lie in a socket.
+      TimeUnit.MILLISECONDS.sleep(MIN_DRAIN_MS);
+      idle.get(timeoutMs - MIN_DRAIN_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warnf("%d requests of operators and upstreams are cut off by the stop", work.count());
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("waiting for requests in flight failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     operators.close();
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -43,6 +43,9 @@
   private static final long LEAVING_MS =
       ADDRESS_USE_FACTOR * ForwardingControl.ADDRESS_VALIDITY_SECONDS * 1_000 + ADDRESS_SPREAD_MS;
 
+  /** Wait for orders in flight after the stop of an entry role, which leaves little time. */
+  private static final long ENTRY_DRAIN_MS = 300;
+
   private final ForwardingSettings settings;
   private final AtomicReference<List<HostPort>> seeds;
   private final PeerChannels channels = new PeerChannels();
@@ -170,8 +173,8 @@
 
   @Override
   public void requestStop() {
-    // Without the entry role there is nothing to wait for: operators use another control VM at
-    // once.
+    // Without the entry role only orders in flight are waited for, in close(): operators use another
+    // control VM at once.
     stop.request(settings.entry().map(ForwardingSettings.EntryRole::stopTimeoutMs).orElse(0L));
   }
 
@@ -182,6 +185,8 @@
 
   @Override
   public void close() throws IOException {
+    long drainTimeoutMs = entry.isPresent() ? ENTRY_DRAIN_MS : ForwardingControl.MAX_DRAIN_MS;
+    control.ifPresent(role -> role.drain(drainTimeoutMs));
     entry.ifPresent(ForwardingEntry::close);
     sync.close();
     if (control.isPresent()) {
