Answer the requests in flight when the stop of an entry process ends

Cause: at the stop timeout the process closed the connections to its upstreams, on which each request gets its 502, and at the same time the worker that writes it. Class of fault: two steps of an end that run concurrently although one needs the other.

Evidence: StoppedProcessTest$Entry, 20 requests at an upstream that hangs, real processes. Before: some of the 20 closed without a response, the others 502, in 2 of 2 runs (and with one request in 1 of 3). After: all 502, in 2 of 2. Requests that wait for a stage were refused with 503 before and after it: their stage ends when its collector leaves.

Why it works: the process first answers each request whose response has not started, with 503 where no byte was sent to an upstream and 502 otherwise, waits until the responses are written (200 ms at most) and then closes. The log states how many were answered and how many were cut off.

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -37,6 +37,7 @@
  * @param remainingMs time until a stop aborts requests in flight in milliseconds; {@link
  *     Long#MAX_VALUE} without a stop
  * @param workCounter counter of the requests in flight
+ * @param runsInFlight requests in flight that a stop answers
  * @param metrics counters and histograms
  */
 public record ForwardDependencies(
@@ -59,6 +60,7 @@
     BooleanSupplier keepsConnections,
     LongSupplier remainingMs,
     WorkCounter workCounter,
+    RunsInFlight runsInFlight,
     ForwardMetrics metrics) {
 
   /** Time that a stop needs beyond the end of a request, to write the end of its response. */
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -102,6 +102,7 @@
     if (ended) {
       return;
     }
+    dependencies.runsInFlight().add(this);
     dependencies.retryBudgets().of(service).recordFirstAttempt();
     if (refuseIfHeld()) {
       return;
@@ -377,7 +378,7 @@
     if (ended) {
       return;
     }
-    boolean responseStarted = attempt.filter(UpstreamAttempt::responseStarted).isPresent();
+    boolean responseStarted = isResponseStarted();
     attempt.ifPresent(UpstreamAttempt::abort);
     if (responseStarted) {
       finish("deadline_in_answer");
@@ -387,6 +388,21 @@
     }
   }
 
+  /**
+   * Returns whether the head of the response was passed to the caller.
+   *
+   * @return whether the response has started
+   */
+  boolean isResponseStarted() {
+    return attempt.filter(UpstreamAttempt::responseStarted).isPresent();
+  }
+
+  /** Answers the request because the process ends. Must not be called after its response started. */
+  void onStop() {
+    attempt.ifPresent(UpstreamAttempt::abort);
+    refuse(attemptWritten ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING, "stopped");
+  }
+
   /** Aborts the run when the caller has disconnected. */
   void onCallerDisconnected() {
     if (!ended) {
@@ -412,6 +428,7 @@
       return;
     }
     ended = true;
+    dependencies.runsInFlight().remove(this);
     deadline.cancel();
     stages.ifPresent(StageGraphRun::abandon);
     log.ended(end, repeatPolicy.attempts(), repeatPolicy.lastDecision());
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/RunsInFlight.java
@@ -0,0 +1,34 @@
+package org.ragwortpick.forward;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Forwarded requests without a complete response. Confined to the I/O thread. */
+public final class RunsInFlight {
+
+  private final Set<ForwardRun> runs = new LinkedHashSet<>();
+
+  /** Creates an instance without requests. */
+  public RunsInFlight() {}
+
+  void add(ForwardRun run) {
+    runs.add(run);
+  }
+
+  void remove(ForwardRun run) {
+    runs.remove(run);
+  }
+
+  /**
+   * Answers all requests whose response has not started, because the process ends.
+   *
+   * @return number of requests that were answered
+   */
+  public int answerAtStop() {
+    List<ForwardRun> unanswered =
+        runs.stream().filter(run -> !run.isResponseStarted()).toList();
+    unanswered.forEach(ForwardRun::onStop);
+    return unanswered.size();
+  }
+}
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -14,9 +14,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
@@ -36,6 +40,7 @@
 import org.ragwortpick.forward.IoThreadTimers;
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
+import org.ragwortpick.forward.RunsInFlight;
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.forward.UpstreamNotices;
 import org.ragwortpick.peer.PeerChannels;
@@ -68,6 +73,8 @@
  */
 final class ForwardingEntry implements AutoCloseable {
 
+  private static final Logger LOG = Logger.getLogger(ForwardingEntry.class);
+
   private static final int BUFFER_SIZE_BYTES = 16 * 1024;
   private static final long CONNECT_TIMEOUT_MS = 300;
 
@@ -78,6 +85,9 @@
   private static final long OBSERVE_INTERVAL_MS = 500;
   private static final long CLOSE_TIMEOUT_MS = 500;
 
+  /** Time in which the responses to requests in flight are written at the end of a stop. */
+  private static final long ANSWER_TIMEOUT_MS = 200;
+
   /**
    * Load, as a fraction of the slots, by which the engine of a prefix may exceed the least loaded
    * one.
@@ -101,6 +111,8 @@
   private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
   private final ReadDelay readDelay;
+  private final RunsInFlight runsInFlight = new RunsInFlight();
+  private final WorkCounter work;
   private final EntryServer server;
   private final Undertow readiness;
   private final XnioIoThread ioThread;
@@ -132,6 +144,7 @@
     ForwardingSettings.EntryRole role = settings.entry().orElseThrow();
     this.sync = sync;
     this.clock = clock;
+    this.work = work;
     this.worker = createWorker();
     this.ioThread = worker.getIoThread();
     this.timers = new IoThreadTimers(ioThread);
@@ -285,6 +298,7 @@
         () -> sync.lifeCycle().state() == VmState.READY,
         remainingMs,
         work,
+        runsInFlight,
         new ForwardMetrics(registry));
   }
 
@@ -348,8 +362,29 @@
     pauses.expire();
   }
 
+  /** Answers the requests that are still in flight, and waits until the responses are written. */
+  private void answerRequestsInFlight() {
+    CompletableFuture<Void> answered =
+        CompletableFuture.supplyAsync(runsInFlight::answerAtStop, ioThread)
+            .thenCompose(
+                count -> {
+                  LOG.infof("%d requests were answered because the process ends", count);
+                  return work.whenIdle();
+                });
+    try {
+      answered.get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warnf("%d requests are cut off by the end of the process", work.count());
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("answering requests in flight failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
+    answerRequestsInFlight();
     server.stop();
     readiness.stop();
     httpCallClient.close();
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -162,6 +162,7 @@
                     () -> true,
                     () -> remainingMs,
                     work,
+                    new RunsInFlight(),
                     new ForwardMetrics(registry)),
                 random),
             work);
