Keep all VMs together to the request rate that an upstream names

Cause: nothing read the notice. Class of fault: a bound that only the sum of all VMs keeps, and that no one knows of.

How it works: the head of each response tells the limit of one start of its upstream (streams, batches, rejections and errors alike; not 421). A change is a record of the soft state that all VMs share, with a version, so that news win over older notices; a response to a request that was sent before the last change became known can only lower the rate. The first VMs in rendezvous order may send, one for each request a second at most, each at its part of 0.9 of the rate; for a stage service its collector. The permit is taken right before the first byte. Everybody else uses other upstreams at once, and if all are limited the request is refused as not run, with a retry time from the limits, before its stages run. Results at a limited upstream are not released; they expire. Its end is noticed because the VMs that may send always send again. RequestRateShare now divides the rate of cold upstreams too, in place of ColdRateShare.

--- a/src/main/java/org/ragwortpick/batch/CallTrackers.java
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
@@ -13,15 +14,18 @@
 final class CallTrackers {
 
   private final RequestedPauses requestedPauses;
+  private final NamedLimits limits;
   private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
 
   /**
    * Creates an instance without trackers.
    *
    * @param requestedPauses pauses that upstreams requested
+   * @param limits limits that upstreams named
    */
-  CallTrackers(RequestedPauses requestedPauses) {
+  CallTrackers(RequestedPauses requestedPauses, NamedLimits limits) {
     this.requestedPauses = requestedPauses;
+    this.limits = limits;
   }
 
   /**
@@ -71,25 +75,29 @@
   /**
    * Returns whether a call could be sent if it found result capacity.
    *
-   * @param limits batch profile of the service
+   * @param profile batch profile of the service
    * @param nowMs monotonic time in milliseconds
    * @return whether an upstream is free, or none is known yet
    */
-  boolean mayHaveFree(BatchProfile limits, long nowMs) {
+  boolean mayHaveFree(BatchProfile profile, long nowMs) {
     return byUpstream.isEmpty()
-        || byUpstream.values().stream().anyMatch(tracker -> tracker.isFree(limits, nowMs));
+        || byUpstream.values().stream().anyMatch(tracker -> mayCall(tracker, profile, nowMs));
+  }
+
+  private boolean mayCall(CallTracker tracker, BatchProfile profile, long nowMs) {
+    return tracker.isFree(profile, nowMs) && limits.isAvailable(tracker.upstream());
   }
 
   /**
    * Lists the free upstreams, the fastest first.
    *
-   * @param limits batch profile of the service
+   * @param profile batch profile of the service
    * @param nowMs monotonic time in milliseconds
    * @return trackers of the free upstreams
    */
-  List<CallTracker> free(BatchProfile limits, long nowMs) {
+  List<CallTracker> free(BatchProfile profile, long nowMs) {
     return byUpstream.values().stream()
-        .filter(tracker -> tracker.isFree(limits, nowMs))
+        .filter(tracker -> mayCall(tracker, profile, nowMs))
         .sorted(Comparator.comparingDouble(CallTracker::slowdown))
         .toList();
   }
@@ -111,12 +119,12 @@
   /**
    * Returns the expected wait behind queued pieces.
    *
-   * @param limits batch profile of the service
+   * @param profile batch profile of the service
    * @param piecesAhead pieces that go first
    * @param nowMs monotonic time in milliseconds
    * @return time in milliseconds; 0 if no upstream was used yet
    */
-  long expectedWaitMs(BatchProfile limits, long piecesAhead, long nowMs) {
+  long expectedWaitMs(BatchProfile profile, long piecesAhead, long nowMs) {
     if (byUpstream.isEmpty()) {
       return 0;
     }
@@ -126,7 +134,7 @@
     long freeAtMs = Long.MAX_VALUE;
     for (CallTracker tracker : byUpstream.values()) {
       boolean counts = allPaused || !tracker.hasRequestedPause(nowMs);
-      piecesPerMs += counts ? tracker.piecesPerMs(limits) : 0;
+      piecesPerMs += counts ? tracker.piecesPerMs(profile) : 0;
       freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
     }
     return Math.max(0, freeAtMs - nowMs) + (long) (piecesAhead / piecesPerMs);
--- a/src/main/java/org/ragwortpick/batch/PausingTransport.java
+++ b/src/main/java/org/ragwortpick/batch/PausingTransport.java
@@ -3,17 +3,20 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.ragwortpick.entry.Timers;
+import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.Upstream;
 
 /**
- * Delays the release of results while their upstream is paused. Batches are passed on, because the
- * collector selects upstreams that are not paused.
+ * Delays the release of results while their upstream is paused, and leaves it out while the
+ * upstream takes few requests: results expire by themselves. Batches are passed on, because the
+ * collector selects upstreams that are not paused and take one.
  */
 public final class PausingTransport implements BatchTransport {
 
   private final BatchTransport transport;
   private final RequestedPauses pauses;
+  private final NamedLimits limits;
   private final Timers timers;
 
   /**
@@ -21,11 +24,14 @@
    *
    * @param transport calls the upstreams
    * @param pauses pauses that upstreams requested
+   * @param limits limits that upstreams named
    * @param timers timers on the thread of the collector
    */
-  public PausingTransport(BatchTransport transport, RequestedPauses pauses, Timers timers) {
+  public PausingTransport(
+      BatchTransport transport, RequestedPauses pauses, NamedLimits limits, Timers timers) {
     this.transport = transport;
     this.pauses = pauses;
+    this.limits = limits;
     this.timers = timers;
   }
 
@@ -37,6 +43,9 @@
 
   @Override
   public void release(Upstream upstream, List<String> handles, Runnable whenReleased) {
+    if (limits.isLimited(upstream)) {
+      return;
+    }
     long remainingMs = pauses.remainingMs(List.of(upstream));
     if (remainingMs == 0) {
       transport.release(upstream, handles, whenReleased);
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -14,6 +14,7 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.logging.DecisionLine;
+import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
@@ -73,6 +74,7 @@
    * @param role decides for which VMs the local VM may collect pieces
    * @param transport sends calls to upstreams
    * @param requestedPauses pauses that upstreams requested
+   * @param limits limits that upstreams named
    * @param inputReleaser releases results of other services
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
@@ -85,6 +87,7 @@
       CollectorRole role,
       BatchTransport transport,
       RequestedPauses requestedPauses,
+      NamedLimits limits,
       ResultReleaser inputReleaser,
       Timers timers,
       Clock clock) {
@@ -93,8 +96,8 @@
     this.upstreams = upstreams;
     this.revision = revision;
     this.role = role;
-    this.transport = new PausingTransport(transport, requestedPauses, timers);
-    this.trackers = new CallTrackers(requestedPauses);
+    this.transport = new PausingTransport(transport, requestedPauses, limits, timers);
+    this.trackers = new CallTrackers(requestedPauses, limits);
     this.inputReleaser = inputReleaser;
     this.timers = timers;
     this.clock = clock;
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -120,7 +120,8 @@
       startAttempt();
       return;
     }
-    if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()) {
+    if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()
+        || dependencies.chooser().isBeyondLimits(service)) {
       refuseWithoutUpstream();
       return;
     }
@@ -246,13 +247,19 @@
   }
 
   private void refuseWithoutUpstream() {
+    boolean limited = dependencies.chooser().limitIntervalMs(service) > 0;
     refuse(
         Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
-        "no_upstream");
+        limited ? "upstream_limits" : "no_upstream");
   }
 
   private long retryAfterPauseMs() {
-    return Math.max(RETRY_AFTER_MS, dependencies.chooser().pauseRemainingMs(service));
+    long pauseMs = dependencies.chooser().pauseRemainingMs(service);
+    long limitMs =
+        Math.min(
+            dependencies.chooser().limitIntervalMs(service),
+            remainingMs() / RETRY_DEADLINE_DIVISOR);
+    return Math.max(RETRY_AFTER_MS, Math.max(pauseMs, limitMs));
   }
 
   private HttpRequest httpRequest(Upstream upstream) {
@@ -306,7 +313,7 @@
         !ended
             && remainingMs() > 0
             && dependencies.viewIsCurrent().getAsBoolean()
-            && dependencies.chooser().mayTakeWork(upstream);
+            && dependencies.chooser().tryPermit(upstream);
     if (!permitted) {
       return false;
     }
@@ -397,7 +404,9 @@
     return attempt.filter(UpstreamAttempt::responseStarted).isPresent();
   }
 
-  /** Answers the request because the process ends. Must not be called after its response started. */
+  /**
+   * Answers the request because the process ends. Must not be called after its response started.
+   */
   void onStop() {
     attempt.ifPresent(UpstreamAttempt::abort);
     refuse(attemptWritten ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING, "stopped");
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -6,6 +6,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -40,6 +41,7 @@
   private final RoutingHeaders names;
   private final UpstreamNotices notices;
   private final Predicate<Upstream> mayTakeWork;
+  private final Clock clock;
   private final RecentHandles recentHandles = new RecentHandles();
 
   /**
@@ -51,18 +53,21 @@
    * @param notices reads what upstreams state about themselves
    * @param mayTakeWork whether an upstream may take work, evaluated immediately before each call is
    *     written
+   * @param clock monotonic clock
    */
   public HttpBatchTransport(
       HttpCallClient callClient,
       BatchProtocol protocol,
       RoutingHeaders names,
       UpstreamNotices notices,
-      Predicate<Upstream> mayTakeWork) {
+      Predicate<Upstream> mayTakeWork,
+      Clock clock) {
     this.callClient = callClient;
     this.protocol = protocol;
     this.names = names;
     this.notices = notices;
     this.mayTakeWork = mayTakeWork;
+    this.clock = clock;
   }
 
   @Override
@@ -109,6 +114,7 @@
   private abstract class Response implements HttpListener {
 
     private final Upstream upstream;
+    private final long sentAtMs = clock.millis();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private boolean notExecuted;
@@ -121,7 +127,7 @@
     public boolean onHead(HttpHead head) {
       status = head.status();
       notExecuted = head.headers().contains(names.notExecuted());
-      notices.onHead(upstream, head);
+      notices.onHead(upstream, head, sentAtMs);
       return true;
     }
 
--- a/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -15,6 +15,7 @@
  * @param notExecuted present in a response if the upstream did not run the request
  * @param load running requests, waiting requests and slots of the responding upstream
  * @param leaving 1 in all responses of an upstream that is leaving
+ * @param limit requests a second that the responding upstream takes from all VMs together
  * @param prefixes parts of the prompt as id and number of tokens, the request's own part last
  * @param pieceCount number of pieces of each stage
  * @param pieceKey key of the pieces of stages without inputs, passed to their upstreams unchanged
@@ -30,6 +31,7 @@
     HttpString notExecuted,
     HttpString load,
     HttpString leaving,
+    HttpString limit,
     HttpString prefixes,
     HttpString pieceCount,
     HttpString pieceKey,
--- a/src/main/java/org/ragwortpick/forward/RunsInFlight.java
+++ b/src/main/java/org/ragwortpick/forward/RunsInFlight.java
@@ -26,8 +26,7 @@
    * @return number of requests that were answered
    */
   public int answerAtStop() {
-    List<ForwardRun> unanswered =
-        runs.stream().filter(run -> !run.isResponseStarted()).toList();
+    List<ForwardRun> unanswered = runs.stream().filter(run -> !run.isResponseStarted()).toList();
     unanswered.forEach(ForwardRun::onStop);
     return unanswered.size();
   }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -46,6 +46,7 @@
   private PendingResponse pending;
   private HttpCall call;
   private HttpHead head = new HttpHead(0, new HeaderMap(), BodyFraming.NONE);
+  private long startedAtMs;
   private int refusalBytes;
   private boolean notRun;
   private boolean mismatched;
@@ -87,6 +88,7 @@
    */
   void start(HttpRequest httpRequest) {
     long usualMs = dependencies.responseTimes().usualMs(request.route());
+    startedAtMs = dependencies.clock().millis();
     pending = dependencies.loads().recordStart(upstream.id(), usualMs);
     call = dependencies.callClient().send(httpRequest, this);
   }
@@ -120,7 +122,7 @@
           request.id(), upstream.id(), echoed);
       return false;
     }
-    dependencies.notices().onHead(upstream, head);
+    dependencies.notices().onHead(upstream, head, startedAtMs);
     LoadReport.parse(head.headers().getFirst(names.load()))
         .ifPresent(load -> dependencies.loads().recordReport(upstream.id(), load.totalRequests()));
     if (!notRun) {
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -9,9 +9,12 @@
 import org.ragwortpick.policy.Candidate;
 import org.ragwortpick.policy.SelectionRequest;
 import org.ragwortpick.policy.UpstreamSelector;
-import org.ragwortpick.policy.limit.ColdRateShare;
+import org.ragwortpick.policy.limit.DividedRate;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.NamedLimits;
+import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.SenderRank;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
@@ -29,7 +32,9 @@
   private final UpstreamLoads loads;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
-  private final ColdRateShare coldShare;
+  private final NamedLimits limits;
+  private final RequestRateShare coldShare;
+  private final String vm;
   private final Supplier<List<String>> entryVms;
 
   /**
@@ -41,7 +46,9 @@
    * @param loads load of upstreams
    * @param leaving upstreams that stated that they are leaving
    * @param pauses pauses that upstreams requested
+   * @param limits limits that upstreams named
    * @param coldShare the local VM's share of the request rate of cold upstreams
+   * @param vm name of the local VM
    * @param entryVms names of the VMs that serve callers
    */
   public UpstreamChooser(
@@ -51,7 +58,9 @@
       UpstreamLoads loads,
       LeavingUpstreams leaving,
       RequestedPauses pauses,
-      ColdRateShare coldShare,
+      NamedLimits limits,
+      RequestRateShare coldShare,
+      String vm,
       Supplier<List<String>> entryVms) {
     this.configuration = configuration;
     this.upstreamsOf = upstreamsOf;
@@ -59,7 +68,9 @@
     this.loads = loads;
     this.leaving = leaving;
     this.pauses = pauses;
+    this.limits = limits;
     this.coldShare = coldShare;
+    this.vm = vm;
     this.entryVms = entryVms;
   }
 
@@ -79,13 +90,18 @@
   }
 
   /**
-   * Tells whether an upstream that was chosen may still take work.
+   * Takes the permit to send work to an upstream that was chosen, immediately before its first
+   * byte.
    *
    * @param chosen record by which the upstream was chosen
    * @return false if since then its data centre was taken out of service, or it left, started
-   *     again, turned cold or requested a pause
+   *     again, turned cold or requested a pause, or if its limit leaves no permit
    */
-  public boolean mayTakeWork(Upstream chosen) {
+  public boolean tryPermit(Upstream chosen) {
+    return mayTakeWork(chosen) && limits.tryTake(chosen);
+  }
+
+  private boolean mayTakeWork(Upstream chosen) {
     return configuration.get().takesWork(chosen.dataCentre())
         && !pauses.isPaused(chosen)
         && upstreamsOf.apply(chosen.service()).stream()
@@ -125,6 +141,28 @@
     return pauses.remainingMs(available(service));
   }
 
+  /**
+   * Returns whether the upstreams of a service have limits that leave the local VM no part.
+   *
+   * @param service name of the service
+   * @return false if an upstream may take a request of the local VM at some time, or there are none
+   */
+  boolean isBeyondLimits(String service) {
+    List<Upstream> upstreams = available(service);
+    return !upstreams.isEmpty() && upstreams.stream().noneMatch(limits::hasPart);
+  }
+
+  /**
+   * Returns the time in which the upstreams of a service together take one more request, if all of
+   * them have limits.
+   *
+   * @param service name of the service
+   * @return time in milliseconds; 0 if an upstream is not limited, or there are none
+   */
+  long limitIntervalMs(String service) {
+    return limits.intervalMs(available(service));
+  }
+
   /**
    * Returns the data centre of the upstream that would be chosen now, without reserving it.
    *
@@ -157,7 +195,10 @@
   Optional<Upstream> choose(
       String service, PromptPrefix prefix, String dataCentre, Set<String> tried) {
     List<Upstream> available =
-        available(service).stream().filter(upstream -> !pauses.isPaused(upstream)).toList();
+        available(service).stream()
+            .filter(upstream -> !pauses.isPaused(upstream))
+            .filter(limits::isAvailable)
+            .toList();
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate = coldRate(service);
@@ -173,7 +214,14 @@
                 available.stream()
                     .filter(upstream -> upstream.state() == UpstreamState.COLD)
                     .filter(upstream -> !tried.contains(upstream.id()))
-                    .filter(upstream -> coldShare.tryTake(upstream.id(), coldRate, entryVms.get()))
+                    .filter(upstream -> takesColdShare(upstream, coldRate))
                     .findFirst());
   }
+
+  private boolean takesColdShare(Upstream upstream, double coldRate) {
+    return coldShare.tryTake(
+        upstream.id(),
+        DividedRate.ofColdUpstream(coldRate),
+        SenderRank.byRendezvous(upstream.id(), vm, entryVms.get()));
+  }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
@@ -1,9 +1,13 @@
 package org.ragwortpick.forward;
 
 import io.undertow.util.StatusCodes;
+import java.util.OptionalDouble;
+import org.jboss.logging.Logger;
 import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.entry.upstream.RetryAfterHeader;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.Upstream;
 
@@ -13,12 +17,14 @@
  */
 public final class UpstreamNotices {
 
+  private static final Logger LOG = Logger.getLogger(UpstreamNotices.class);
   private static final int MISDIRECTED_REQUEST = 421;
   private static final String IS_LEAVING = "1";
 
   private final RoutingHeaders names;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
+  private final NamedLimits limits;
 
   /**
    * Creates an instance.
@@ -26,9 +32,12 @@
    * @param names names of headers
    * @param leaving receives the upstreams that are leaving
    * @param pauses receives the pauses that upstreams request
+   * @param limits receives the limits that upstreams name
    */
-  public UpstreamNotices(RoutingHeaders names, LeavingUpstreams leaving, RequestedPauses pauses) {
+  public UpstreamNotices(
+      RoutingHeaders names, LeavingUpstreams leaving, RequestedPauses pauses, NamedLimits limits) {
     this.names = names;
+    this.limits = limits;
     this.leaving = leaving;
     this.pauses = pauses;
   }
@@ -38,8 +47,9 @@
    *
    * @param upstream record of the upstream to which the request was sent
    * @param head head of the response
+   * @param sentAtMs monotonic time in milliseconds at which the request was sent, or before it
    */
-  void onHead(Upstream upstream, HttpHead head) {
+  void onHead(Upstream upstream, HttpHead head, long sentAtMs) {
     if (head.status() == MISDIRECTED_REQUEST) {
       // Another upstream has responded, which uses the address of the expected one.
       return;
@@ -47,6 +57,15 @@
     if (IS_LEAVING.equals(head.headers().getFirst(names.leaving()))) {
       leaving.record(upstream);
     }
+    OptionalDouble limit = LimitHeader.parse(head.headers(), names.limit());
+    if (limit.isPresent()) {
+      limits.record(upstream, limit.getAsDouble(), sentAtMs);
+    } else {
+      DecisionLine.of("limit of upstream cannot be read and is ignored")
+          .with("upstream", upstream.id())
+          .with("value", head.headers().getFirst(names.limit()))
+          .info(LOG);
+    }
     if (requestsPause(head)) {
       pauses.record(upstream, RetryAfterHeader.delayMs(head.headers()));
     }
--- a/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
+++ b/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
@@ -62,6 +62,9 @@
     if (record instanceof SoftRecord.OfCrashEvidence crashes) {
       return isObsolete(crashes.evidence());
     }
+    if (record instanceof SoftRecord.OfUpstreamLimit limit) {
+      return table.find(SoftRecord.OfUpstream.keyOf(limit.limit().upstreamId())).isEmpty();
+    }
     SoftRecord.Flag flag = (SoftRecord.Flag) record;
     String subject =
         flag.kind() == SoftRecord.Flag.Kind.VM_LOST
--- a/src/main/java/org/ragwortpick/sync/directory/SoftRecord.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SoftRecord.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.ragwortpick.sync.CrashEvidence;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamLimit;
 import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmRecord;
 
@@ -144,6 +145,35 @@
     }
   }
 
+  /**
+   * Request rate that an upstream named.
+   *
+   * @param limit the limit
+   */
+  record OfUpstreamLimit(UpstreamLimit limit) implements SoftRecord {
+
+    /**
+     * Returns the key of the limit of an upstream.
+     *
+     * @param id identity of the upstream
+     * @return the key
+     */
+    public static String keyOf(String id) {
+      return "r/" + id;
+    }
+
+    @Override
+    public String key() {
+      return keyOf(limit.upstreamId());
+    }
+
+    @Override
+    public SoftRecord mergedInto(SoftRecord current) {
+      UpstreamLimit known = ((OfUpstreamLimit) current).limit();
+      return known.merge(limit).equals(known) ? current : this;
+    }
+  }
+
   /**
    * Record of an upstream with its home VM.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -9,12 +9,14 @@
 import org.ragwortpick.proto.FlagMessage;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
+import org.ragwortpick.proto.UpstreamLimitMessage;
 import org.ragwortpick.proto.UpstreamMessage;
 import org.ragwortpick.proto.VmMessage;
 import org.ragwortpick.sync.ConfigurationDelta;
 import org.ragwortpick.sync.Crash;
 import org.ragwortpick.sync.CrashEvidence;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamLimit;
 import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.VmState;
@@ -25,6 +27,9 @@
 /** Conversion of configuration deltas and records to and from protobuf messages. */
 public final class SyncCodec {
 
+  /** Rate on the wire of an upstream that names no limit any more. */
+  private static final double NO_LIMIT = -1;
+
   private SyncCodec() {}
 
   /**
@@ -74,6 +79,8 @@
         records.addUpstreams(encode(upstream));
       } else if (record instanceof SoftRecord.OfCrashEvidence crashes) {
         records.addCrashEvidence(encode(crashes.evidence(), nowMs));
+      } else if (record instanceof SoftRecord.OfUpstreamLimit limit) {
+        records.addLimits(encode(limit.limit()));
       } else {
         records.addFlags(encode((SoftRecord.Flag) record));
       }
@@ -153,6 +160,31 @@
     return message.build();
   }
 
+  private static UpstreamLimitMessage encode(UpstreamLimit limit) {
+    return UpstreamLimitMessage.newBuilder()
+        .setUpstream(limit.upstreamId())
+        .setIncarnation(limit.incarnation())
+        .setRequestsPerSecond(limit.isInForce() ? limit.requestsPerSecond() : NO_LIMIT)
+        .setVersion(limit.version())
+        .build();
+  }
+
+  /**
+   * Decodes the limit of an upstream.
+   *
+   * @param message the message
+   * @return the record
+   */
+  public static SoftRecord decode(UpstreamLimitMessage message) {
+    double rate = message.getRequestsPerSecond();
+    return new SoftRecord.OfUpstreamLimit(
+        new UpstreamLimit(
+            message.getUpstream(),
+            message.getIncarnation(),
+            rate < 0 ? UpstreamLimit.NONE : rate,
+            message.getVersion()));
+  }
+
   /**
    * Decodes evidence about a prompt part.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -207,6 +207,7 @@
     records
         .getCrashEvidenceList()
         .forEach(message -> merger.accept(SyncCodec.decode(message, nowMs)));
+    records.getLimitsList().forEach(message -> merger.accept(SyncCodec.decode(message)));
     boolean complete = true;
     for (LoadMessage load : records.getLoadsList()) {
       complete &= mergeLoad(load, merger);
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.sync.SyncIdentity;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamDirectory;
+import org.ragwortpick.sync.UpstreamLimitTable;
 import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.VmDirectory;
 import org.ragwortpick.sync.VmLifeCycle;
@@ -214,6 +215,15 @@
     return state.crashEvidence();
   }
 
+  /**
+   * Returns the request rates that upstreams named.
+   *
+   * @return the limits
+   */
+  public UpstreamLimitTable upstreamLimits() {
+    return state.upstreamLimits();
+  }
+
   /**
    * Returns the life cycle of the local VM.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -9,6 +9,7 @@
 import org.ragwortpick.sync.directory.SoftTable;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.ragwortpick.sync.directory.SyncedUpstreamDirectory;
+import org.ragwortpick.sync.directory.SyncedUpstreamLimits;
 import org.ragwortpick.sync.directory.SyncedVmDirectory;
 import org.ragwortpick.sync.directory.UpstreamHome;
 import org.ragwortpick.sync.directory.VmHeartbeats;
@@ -36,6 +37,7 @@
   private final RecordRetention retention;
   private final LeasedColdAllowances allowances;
   private final SyncedCrashEvidence crashEvidence;
+  private final SyncedUpstreamLimits upstreamLimits;
   private long lastRetentionAtMs;
 
   /**
@@ -44,7 +46,7 @@
    * @param identity identity of the local VM
    * @param clock monotonic clock
    * @param pollTrigger called to poll early, when a request found no free share of a cold upstream
-   *     or there is new evidence about crashes
+   *     or there is new evidence about crashes or limits
    */
   public SyncState(SyncIdentity identity, Clock clock, Runnable pollTrigger) {
     this.identity = identity;
@@ -59,6 +61,7 @@
         new LeasedColdAllowances(
             identity.vm(), identity.incarnation(), clock, warmFlags, pollTrigger);
     this.crashEvidence = new SyncedCrashEvidence(identity.vm(), table, pollTrigger);
+    this.upstreamLimits = new SyncedUpstreamLimits(identity.vm(), table, pollTrigger);
     this.retention = new RecordRetention(clock, table, vms);
   }
 
@@ -153,6 +156,15 @@
     return crashEvidence;
   }
 
+  /**
+   * Returns the request rates that upstreams named.
+   *
+   * @return the limits
+   */
+  public SyncedUpstreamLimits upstreamLimits() {
+    return upstreamLimits;
+  }
+
   /**
    * Returns the flags of warm upstreams.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -109,9 +109,7 @@
             .setWorkerThreads(1)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .addHttpListener(
-                role.directoryAddress().port(),
-                role.directoryAddress().host(),
-                directoryHandler)
+                role.directoryAddress().port(), role.directoryAddress().host(), directoryHandler)
             .build();
   }
 
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -21,6 +21,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
+import org.ragwortpick.batch.CollectorPlacement;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
@@ -47,9 +48,11 @@
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.budget.SharedRetryConstant;
-import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.NamedLimits;
+import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.SenderRank;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -107,6 +110,7 @@
   private final UpstreamLoads loads;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
+  private final NamedLimits limits;
   private final UpstreamNotices notices;
   private final PartQuarantine quarantine;
   private final RemoteStageRunner stages;
@@ -154,7 +158,13 @@
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
-    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses);
+    this.limits =
+        new NamedLimits(
+            sync.upstreamLimits(),
+            new RequestRateShare(clock),
+            upstream -> rankAmongSenders(settings.peerAddress().toString(), upstream),
+            clock);
+    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits);
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
     this.retryConstant =
@@ -178,7 +188,12 @@
             sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
     HttpBatchTransport transport =
         new HttpBatchTransport(
-            httpCallClient, protocol.batches(), protocol.headers(), notices, this::mayTakeWork);
+            httpCallClient,
+            protocol.batches(),
+            protocol.headers(),
+            notices,
+            this::tryPermit,
+            clock);
     this.stages =
         new RemoteStageRunner(
             settings.peerAddress(),
@@ -210,7 +225,9 @@
         loads,
         leaving,
         pauses,
-        new ColdRateShare(settings.peerAddress().toString(), clock),
+        limits,
+        new RequestRateShare(clock),
+        settings.peerAddress().toString(),
         this::entryVmNames);
   }
 
@@ -231,6 +248,11 @@
         .help("Upstreams that get no requests because they requested a pause in a response")
         .callback(callback -> callback.call(pauses.count()))
         .register(registry);
+    GaugeWithCallback.builder()
+        .name("ragwortpick_limited_upstreams")
+        .help("Upstreams that named in a response how many requests a second they take")
+        .callback(callback -> callback.call(limits.count()))
+        .register(registry);
     HttpHandler handler =
         new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
     return Undertow.builder()
@@ -267,6 +289,7 @@
         collectorRole,
         transport,
         pauses,
+        limits,
         this::release,
         timers,
         clock);
@@ -306,9 +329,35 @@
     return sync.configurationView().current();
   }
 
-  /** Tells whether an upstream may take work by a view that is not older than a suspension. */
-  private boolean mayTakeWork(Upstream upstream) {
-    return freshness.isConfirmedSinceResume() && chooser.mayTakeWork(upstream);
+  /** Takes the permit to send work by a view that is not older than a suspension. */
+  private boolean tryPermit(Upstream upstream) {
+    return freshness.isConfirmedSinceResume() && chooser.tryPermit(upstream);
+  }
+
+  /** While an upstream of a stage service is limited, only the preferred collector calls it. */
+  private SenderRank rankAmongSenders(String vm, Upstream upstream) {
+    boolean isStage =
+        configuration()
+            .routingTable()
+            .flatMap(table -> table.service(upstream.service()))
+            .flatMap(ServiceProfile::batching)
+            .isPresent();
+    if (isStage) {
+      return SenderRank.in(
+          vm,
+          CollectorPlacement.order(upstream.service(), sync.vmDirectory().vms()).stream()
+              .map(VmRecord::vm)
+              .limit(1)
+              .toList());
+    }
+    return SenderRank.byRendezvous(upstream.id(), vm, readyEntryVmNames());
+  }
+
+  private List<String> readyEntryVmNames() {
+    return sync.vmDirectory().vms().stream()
+        .filter(vm -> vm.servesCallers() && vm.state() == VmState.READY)
+        .map(VmRecord::vm)
+        .toList();
   }
 
   private List<String> entryVmNames() {
@@ -360,6 +409,7 @@
     loads.expire();
     leaving.expire();
     pauses.expire();
+    limits.expire();
   }
 
   /** Answers the requests that are still in flight, and waits until the responses are written. */
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -173,7 +173,8 @@
 
   @Override
   public void requestStop() {
-    // Without the entry role only orders in flight are waited for, in close(): operators use another
+    // Without the entry role only orders in flight are waited for, in close(): operators use
+    // another
     // control VM at once.
     stop.request(settings.entry().map(ForwardingSettings.EntryRole::stopTimeoutMs).orElse(0L));
   }
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
@@ -49,6 +50,7 @@
             new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
             transport,
             pauses,
+            LimitsFixture.ofSingleVm(time.clock()),
             (service, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.RoutingFixture;
@@ -60,6 +61,7 @@
             new CollectorRole("vm", () -> vms, () -> true, () -> viewAgeMs, time.clock()),
             transport,
             new RequestedPauses(time.clock(), new Random(1)),
+            LimitsFixture.ofSingleVm(time.clock()),
             (service, handles) -> inputsReleased.addAll(handles),
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -10,6 +10,7 @@
 import java.util.function.ToDoubleFunction;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.RoutingFixture;
@@ -150,6 +151,7 @@
             new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
             service,
             new RequestedPauses(time.clock(), new Random(1)),
+            LimitsFixture.ofSingleVm(time.clock()),
             (other, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -34,8 +34,10 @@
 import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
-import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.LimitsFixture;
+import org.ragwortpick.policy.limit.NamedLimits;
+import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
@@ -73,6 +75,7 @@
           HttpString.tryFromString("Untouched"),
           HttpString.tryFromString("Work-Load"),
           HttpString.tryFromString("Going-Away"),
+          HttpString.tryFromString("Takes-Per-Second"),
           HttpString.tryFromString("Prefixes"),
           HttpString.tryFromString("Parts"),
           HttpString.tryFromString("Part-Seed"),
@@ -118,6 +121,7 @@
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
     pauses = new RequestedPauses(clock, random);
+    NamedLimits limits = LimitsFixture.ofSingleVm(clock);
     UpstreamChooser chooser =
         new UpstreamChooser(
             () -> configuration,
@@ -126,7 +130,9 @@
             loads,
             leaving,
             pauses,
-            new ColdRateShare("vm", clock),
+            limits,
+            new RequestRateShare(clock),
+            "vm",
             () -> List.of("vm"));
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
     WorkCounter work = new WorkCounter();
@@ -144,7 +150,7 @@
                     chooser,
                     () -> true,
                     loads,
-                    new UpstreamNotices(HEADERS, leaving, pauses),
+                    new UpstreamNotices(HEADERS, leaving, pauses, limits),
                     new PartQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -22,6 +22,8 @@
 import org.ragwortpick.entry.http.RawUpstream;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.LimitsFixture;
+import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -45,6 +47,8 @@
   private HttpCallClient callClient;
   private LeavingUpstreams leaving;
   private RequestedPauses pauses;
+  private MonotonicClock clock;
+  private NamedLimits limits;
   private final Set<String> takenOut = ConcurrentHashMap.newKeySet();
 
   @BeforeMethod
@@ -53,6 +57,8 @@
         Xnio.getInstance()
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     takenOut.clear();
+    clock = new MonotonicClock();
+    limits = LimitsFixture.ofSingleVm(clock);
     leaving = new LeavingUpstreams(new MonotonicClock());
     pauses = new RequestedPauses(new MonotonicClock(), new Random(1));
     callClient =
@@ -71,8 +77,9 @@
         callClient,
         protocol,
         ForwardTestServer.HEADERS,
-        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses),
-        upstream -> !takenOut.contains(upstream.dataCentre()));
+        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses, limits),
+        upstream -> !takenOut.contains(upstream.dataCentre()) && limits.tryTake(upstream),
+        clock);
   }
 
   @DataProvider
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -17,6 +17,7 @@
 import org.ragwortpick.entry.http.RawUpstream;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -56,8 +57,10 @@
             new UpstreamNotices(
                 ForwardTestServer.HEADERS,
                 new LeavingUpstreams(clock),
-                new RequestedPauses(clock, new SplittableRandom(1))),
-            upstream -> true);
+                new RequestedPauses(clock, new SplittableRandom(1)),
+                LimitsFixture.ofSingleVm(clock)),
+            upstream -> true,
+            clock);
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -11,8 +11,9 @@
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.Inventory;
 import org.ragwortpick.config.Rules;
-import org.ragwortpick.policy.limit.ColdRateShare;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.LimitsFixture;
+import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -53,7 +54,9 @@
         new UpstreamLoads(clock),
         new LeavingUpstreams(clock),
         new RequestedPauses(clock, random),
-        new ColdRateShare("vm", clock),
+        LimitsFixture.ofSingleVm(clock),
+        new RequestRateShare(clock),
+        "vm",
         () -> List.of("vm"));
   }
 
@@ -64,16 +67,16 @@
   @Test
   public void upstreamThatTurnedColdMayTakeNoWork() {
     Upstream cold = withState(UpstreamState.COLD);
-    assertFalse(chooser(COLD_REQUESTS_PER_SECOND, cold).mayTakeWork(WARM));
-    assertTrue(chooser(0, cold).mayTakeWork(WARM));
+    assertFalse(chooser(COLD_REQUESTS_PER_SECOND, cold).tryPermit(WARM));
+    assertTrue(chooser(0, cold).tryPermit(WARM));
   }
 
   @Test
   public void upstreamChosenAsColdOrStillWarmMayTakeWork() {
     Upstream cold = withState(UpstreamState.COLD);
-    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, cold).mayTakeWork(cold));
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, cold).tryPermit(cold));
     Upstream warm = withState(UpstreamState.READY);
-    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).mayTakeWork(WARM));
-    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).mayTakeWork(cold));
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).tryPermit(WARM));
+    assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).tryPermit(cold));
   }
 }
--- a/src/test/java/org/ragwortpick/policy/limit/ColdRateShareTest.java
+++ b/src/test/java/org/ragwortpick/policy/limit/RequestRateShareTest.java
@@ -14,7 +14,7 @@
  * Guards against VMs that stay within the rate of a cold upstream individually but exceed it
  * together.
  */
-public final class ColdRateShareTest {
+public final class RequestRateShareTest {
 
   private static final long SEED = 20_261_204;
 
@@ -24,11 +24,14 @@
   private static int maxRequestsInAnySecond(int vmCount, double requestsPerSecond) {
     ManualClock clock = new ManualClock();
     List<String> names = new ArrayList<>();
-    List<ColdRateShare> shares = new ArrayList<>();
+    List<RequestRateShare> shares = new ArrayList<>();
     for (int i = 0; i < vmCount; i++) {
       names.add("vm-" + i);
-      shares.add(new ColdRateShare("vm-" + i, clock));
+      shares.add(new RequestRateShare(clock));
     }
+    DividedRate rate = DividedRate.ofColdUpstream(requestsPerSecond);
+    List<SenderRank> ranks =
+        names.stream().map(name -> SenderRank.byRendezvous("u1", name, names)).toList();
     Random random = new Random(SEED);
     Deque<Long> sent = new ArrayDeque<>();
     int maxRequests = 0;
@@ -36,7 +39,7 @@
       clock.advanceMs(random.nextInt(3));
       long nowMs = clock.millis();
       int vm = random.nextInt(vmCount);
-      if (shares.get(vm).tryTake("u1", requestsPerSecond, names)) {
+      if (shares.get(vm).tryTake("u1", rate, ranks.get(vm))) {
         sent.add(nowMs);
       }
       while (!sent.isEmpty() && nowMs - sent.peek() >= 1_000) {
