--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -106,6 +106,7 @@
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
+  private volatile int senderRank;
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
   private volatile Runnable produceStages = () -> {};
@@ -121,7 +122,7 @@
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
     pauses = new RequestedPauses(clock, random);
-    NamedLimits limits = LimitsFixture.ofSingleVm(clock);
+    NamedLimits limits = LimitsFixture.ofVm(clock, () -> senderRank);
     UpstreamChooser chooser =
         new UpstreamChooser(
             () -> configuration,
@@ -252,6 +253,11 @@
     }
   }
 
+  /** Sets the rank of the server among the VMs that may send to a limited upstream. */
+  void setSenderRank(int rank) {
+    senderRank = rank;
+  }
+
   /** Begins a stop that aborts requests after a time. */
   void stopAfter(long timeoutMs) {
     remainingMs = timeoutMs;
