Refuse stage work at once where limits leave its collector no part

A collector that had no part of the limits of all upstreams of its service queued pieces until their deadline, and the expected wait counted limited upstreams with their full throughput (390 ms for eight pieces at 0.5 calls a second). A collector without a part says so, and the sender asks the next one; the wait counts the calls that the limit allows.

--- a/src/main/java/org/ragwortpick/batch/CallTrackers.java
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -13,6 +13,11 @@
 /** Trackers of all upstreams of one stage service. Confined to the thread of the collector. */
 final class CallTrackers {
 
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  /** Wait in a queue that no upstream shortens, longer than any deadline. */
+  private static final long MAX_WAIT_MS = 3_600_000;
+
   private final RequestedPauses requestedPauses;
   private final NamedLimits limits;
   private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
@@ -134,9 +139,17 @@
     long freeAtMs = Long.MAX_VALUE;
     for (CallTracker tracker : byUpstream.values()) {
       boolean counts = allPaused || !tracker.hasRequestedPause(nowMs);
-      piecesPerMs += counts ? tracker.piecesPerMs(profile) : 0;
+      piecesPerMs += counts ? piecesPerMs(tracker, profile) : 0;
       freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
     }
+    if (piecesPerMs == 0) {
+      return MAX_WAIT_MS;
+    }
     return Math.max(0, freeAtMs - nowMs) + (long) (piecesAhead / piecesPerMs);
   }
+
+  private double piecesPerMs(CallTracker tracker, BatchProfile profile) {
+    double callsPerMs = limits.ownRequestsPerSecond(tracker.upstream()) / MS_PER_SECOND;
+    return Math.min(tracker.piecesPerMs(profile), callsPerMs * profile.maxPieces());
+  }
 }
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -59,6 +59,7 @@
   private final Timers timers;
   private final Clock clock;
   private final PieceQueue queue = new PieceQueue();
+  private final NamedLimits namedLimits;
   private final CallTrackers trackers;
   private Timers.Timer redispatch = () -> {};
   private long redispatchAtMs = Long.MAX_VALUE;
@@ -97,6 +98,7 @@
     this.revision = revision;
     this.role = role;
     this.transport = new PausingTransport(transport, requestedPauses, limits, timers);
+    this.namedLimits = limits;
     this.trackers = new CallTrackers(requestedPauses, limits);
     this.inputReleaser = inputReleaser;
     this.timers = timers;
@@ -115,13 +117,13 @@
     Submission submission = new Submission(work, viewAgeMs, clock.millis(), whenEnded);
     Optional<BatchProfile> limits = profile.get();
     List<Upstream> available = role.mayCollectFor(viewAgeMs, 0) ? upstreams.get() : List.of();
-    if (limits.isEmpty() || available.isEmpty()) {
+    if (limits.isEmpty() || available.stream().noneMatch(namedLimits::hasPart)) {
       LOG.infof(
           "request %s: stage %d refused, service %s has %s; the sender's view is %d ms old",
           work.requestId(),
           work.stage(),
           service,
-          limits.isEmpty() ? "no batch profile" : "no upstream, or this VM may not collect",
+          limits.isEmpty() ? "no batch profile" : "no upstream for this VM",
           viewAgeMs);
       submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE, 0));
       return () -> {};
--- a/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
+++ b/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
@@ -130,13 +130,25 @@
    * @return whether it is not limited, or the local VM has a part of the limit
    */
   public boolean hasPart(Upstream upstream) {
+    return ownRequestsPerSecond(upstream) > 0;
+  }
+
+  /**
+   * Returns the rate at which the local VM may send to an upstream.
+   *
+   * @param upstream the upstream
+   * @return requests per second; {@link UpstreamLimit#NONE} if it is not limited, 0 if the local VM
+   *     has no part of the limit
+   */
+  public double ownRequestsPerSecond(Upstream upstream) {
     return limitOf(upstream)
         .map(
             limit -> {
               SenderRank own = rank.apply(upstream);
-              return division(limit, own).hasPart(own);
+              DividedRate division = division(limit, own);
+              return division.hasPart(own) ? division.requestsPerSecond() : 0;
             })
-        .orElse(true);
+        .orElse(UpstreamLimit.NONE);
   }
 
   /**
