Let the bytes of headers alone bound their number

The listener had a limit of 64 headers that no configuration names. Headers of 16 KiB cannot be more than 4,096, which is the limit now. ForwardFaultsTest.requestWithManyShortHeadersIsServed failed before.

--- a/src/main/java/org/ragwortpick/entry/http/EntryServer.java
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -21,7 +21,8 @@
   /** Bounds the memory that the request headers of one connection can occupy. */
   private static final int MAX_HEADER_BYTES = 16 * 1024;
 
-  private static final int MAX_HEADERS = 64;
+  /** As many as fit into the limit of bytes, which alone bounds them. */
+  private static final int MAX_HEADERS = MAX_HEADER_BYTES / 4;
 
   /** The limit of bodies is part of the configuration, so the handlers apply it. */
   private static final long LIMITED_BY_HANDLER = -1;
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -21,6 +21,7 @@
  */
 public final class ForwardFaultsTest extends ForwardServerFixture {
 
+  private static final int MANY_HEADERS = 500;
   private static final HostPort UNREACHABLE = new HostPort("127.0.0.1", 1);
 
   private static String notExecutedResponse(Map<String, String> request) {
@@ -226,4 +227,20 @@
       }
     }
   }
+
+  /** Guards against a limit of the number of headers below the limit of their bytes. */
+  @Test
+  public void requestWithManyShortHeadersIsServed() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((c, r, request) -> RawUpstream.response(request, "", "done"))) {
+      server().announce("u1", upstream.address());
+      StringBuilder headers = new StringBuilder();
+      for (int i = 0; i < MANY_HEADERS; i++) {
+        headers.append("X").append(i).append(": 1\r\n");
+      }
+      RawCaller.Response response =
+          RawCaller.send(server().address(), "HTTP/1.1", "/safe/x", headers.toString());
+      assertTrue(response.text().startsWith("HTTP/1.1 200"), response.text());
+    }
+  }
 }
