Give each request that the end of a process cuts off an end in the log

A stream that a stop cut off was logged as "caller_left", because closing the connection looks like that.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -412,6 +412,13 @@
     refuse(attemptWritten ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING, "stopped");
   }
 
+  /** Ends the request in the middle of its response because the process ends. */
+  void cutOffAtStop() {
+    attempt.ifPresent(UpstreamAttempt::abort);
+    finish("stopped_in_answer");
+    relay.abort();
+  }
+
   /** Aborts the run when the caller has disconnected. */
   void onCallerDisconnected() {
     if (!ended) {
--- a/src/main/java/org/ragwortpick/forward/RunsInFlight.java
+++ b/src/main/java/org/ragwortpick/forward/RunsInFlight.java
@@ -20,6 +20,17 @@
     runs.remove(run);
   }
 
+  /**
+   * Ends all requests, also in the middle of their responses, because the process ends.
+   *
+   * @return number of requests that were cut off
+   */
+  public int cutOffAtStop() {
+    List<ForwardRun> cutOff = List.copyOf(runs);
+    cutOff.forEach(ForwardRun::cutOffAtStop);
+    return cutOff.size();
+  }
+
   /**
    * Answers all requests whose response has not started, because the process ends.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -424,7 +424,11 @@
     try {
       answered.get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
-      LOG.warnf("%d requests are cut off by the end of the process", work.count());
+      ioThread.execute(
+          () ->
+              LOG.warnf(
+                  "%d requests are cut off by the end of the process",
+                  runsInFlight.cutOffAtStop()));
     } catch (ExecutionException e) {
       throw new IllegalStateException("answering requests in flight failed", e);
     } catch (InterruptedException e) {
