Slow an upstream down for a caller that reads slowly

Cause: the relay buffered without a limit on the sender, so it could only give up. Above 256 KiB of waiting bytes the connection of the upstream is not read until they are written; the deadline still ends both.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -36,6 +36,8 @@
   private UpstreamConnection connection;
   private HeaderMap responseHeaders;
   private BodyTracker body;
+  private StreamSourceChannel responseChannel;
+  private boolean paused;
   private boolean ended;
   private boolean bodyWriteStarted;
   private boolean mayReuseConnection;
@@ -184,15 +186,31 @@
       fail(CallFailure.Broken.Sign.UNUSABLE, "the response belongs to another request");
       return;
     }
-    StreamSourceChannel channel = exchange.getResponseChannel();
-    channel.getReadSetter().set(this::read);
-    read(channel);
+    responseChannel = exchange.getResponseChannel();
+    responseChannel.getReadSetter().set(this::read);
+    read(responseChannel);
+  }
+
+  /**
+   * Stops to read the response body because its receiver cannot take more. The timeouts go on. Must
+   * be called on the I/O thread.
+   */
+  public void pauseBody() {
+    paused = true;
+  }
+
+  /** Goes on to read the response body. Must be called on the I/O thread. */
+  public void resumeBody() {
+    if (paused) {
+      paused = false;
+      ioThread.execute(() -> read(responseChannel));
+    }
   }
 
   private void read(StreamSourceChannel channel) {
     try (PooledByteBuffer pooled = dependencies.buffers().allocate()) {
       ByteBuffer buffer = pooled.getBuffer();
-      while (!ended) {
+      while (!ended && !paused) {
         buffer.clear();
         int count = channel.read(buffer);
         if (count < 0) {
@@ -214,6 +232,9 @@
           fail(CallFailure.Broken.Sign.UNUSABLE, "the listener rejected the response body");
         }
       }
+      if (paused) {
+        channel.suspendReads();
+      }
     } catch (IOException e) {
       failAsBroken(e);
     }
--- a/src/main/java/org/ragwortpick/forward/ResponseRelay.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseRelay.java
@@ -41,12 +41,13 @@
           Headers.EXPECT,
           HttpString.tryFromString("Proxy-Connection"));
 
-  /** Maximum number of bytes buffered for a caller that reads slowly. */
-  private static final int MAX_PENDING_BYTES = 1024 * 1024;
+  /** Number of bytes buffered for a caller that reads slowly at which its upstream must wait. */
+  private static final int MAX_PENDING_BYTES = 256 * 1024;
 
   private final HttpServerExchange exchange;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
   private StreamSinkChannel channel;
+  private Runnable onDrained = () -> {};
   private int pendingBytes;
   private boolean endsWithConnection;
   private boolean finished;
@@ -121,7 +122,7 @@
    * Copies bytes into the buffer and writes as much of it as the connection accepts.
    *
    * @param bytes bytes of the body
-   * @return false if the buffer limit is exceeded or the caller has disconnected
+   * @return false if the caller has disconnected
    */
   boolean write(ByteBuffer bytes) {
     byte[] copy = new byte[bytes.remaining()];
@@ -129,7 +130,19 @@
     pending.add(ByteBuffer.wrap(copy));
     pendingBytes += copy.length;
     flush();
-    return pendingBytes <= MAX_PENDING_BYTES && exchange.getConnection().isOpen();
+    return exchange.getConnection().isOpen();
+  }
+
+  /**
+   * Returns whether so many bytes wait for the caller that no more should be written.
+   *
+   * @param drained action to run once, when the buffer is empty again
+   * @return whether the action will run
+   */
+  boolean isFull(Runnable drained) {
+    boolean full = pendingBytes > MAX_PENDING_BYTES;
+    onDrained = full ? drained : () -> {};
+    return full;
   }
 
   /** Ends a complete response. */
@@ -158,6 +171,12 @@
     }
   }
 
+  private void notifyDrained() {
+    Runnable action = onDrained;
+    onDrained = () -> {};
+    action.run();
+  }
+
   private void flush() {
     if (exchange.isComplete()) {
       return;
@@ -172,6 +191,7 @@
         }
         pending.remove();
       }
+      notifyDrained();
       if (finished) {
         channel.shutdownWrites();
       }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -150,7 +150,7 @@
     }
     evidence.onBytes();
     if (relaying) {
-      return relay.write(bytes);
+      return relayBytes(bytes);
     }
     if (notRun) {
       // The head says all; the connection is kept if the body ends soon.
@@ -162,11 +162,20 @@
     buffered.writeBytes(copy);
     if (buffered.size() > MAX_BUFFERED_BYTES) {
       startRelay();
-      return relay.write(ByteBuffer.wrap(buffered.toByteArray()));
+      return relayBytes(ByteBuffer.wrap(buffered.toByteArray()));
     }
     return true;
   }
 
+  /** A caller that reads slowly slows its upstream down. */
+  private boolean relayBytes(ByteBuffer bytes) {
+    boolean open = relay.write(bytes);
+    if (relay.isFull(call::resumeBody)) {
+      call.pauseBody();
+    }
+    return open;
+  }
+
   @Override
   public boolean isIdentified() {
     return request.id().equals(head.headers().getFirst(dependencies.headers().requestId()));
