Split what had grown in the entry role and its test server

Waiting for a stage with a bound, registering gauges and creating limits and stages are methods and small classes of their own; no behaviour changes. The drain of a control process waits for one counter after its 200 ms, in place of two futures that were taken before it.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -169,7 +169,6 @@
     return Math.max(RETRY_AFTER_MS, Math.min(drainMs, remainingMs() / RETRY_DEADLINE_DIVISOR));
   }
 
-  /** Refuses the request if its prompt has a part that is held back. */
   private boolean refuseIfHeld() {
     if (trial) {
       return false;
@@ -254,12 +253,10 @@
   }
 
   private long retryAfterPauseMs() {
-    long pauseMs = dependencies.chooser().pauseRemainingMs(service);
+    UpstreamChooser chooser = dependencies.chooser();
     long limitMs =
-        Math.min(
-            dependencies.chooser().limitIntervalMs(service),
-            remainingMs() / RETRY_DEADLINE_DIVISOR);
-    return Math.max(RETRY_AFTER_MS, Math.max(pauseMs, limitMs));
+        Math.min(chooser.limitIntervalMs(service), remainingMs() / RETRY_DEADLINE_DIVISOR);
+    return Math.max(RETRY_AFTER_MS, Math.max(chooser.pauseRemainingMs(service), limitMs));
   }
 
   private HttpRequest httpRequest(Upstream upstream) {
--- a/src/main/java/org/ragwortpick/forward/RunsInFlight.java
+++ b/src/main/java/org/ragwortpick/forward/RunsInFlight.java
@@ -12,10 +12,20 @@
   /** Creates an instance without requests. */
   public RunsInFlight() {}
 
+  /**
+   * Adds a request that begins.
+   *
+   * @param run the request
+   */
   void add(ForwardRun run) {
     runs.add(run);
   }
 
+  /**
+   * Removes a request that has ended; no effect if it never began.
+   *
+   * @param run the request
+   */
   void remove(ForwardRun run) {
     runs.remove(run);
   }
--- a/src/main/java/org/ragwortpick/vm/DrainingHandler.java
+++ b/src/main/java/org/ragwortpick/vm/DrainingHandler.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
-import java.util.concurrent.CompletionStage;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.BodyDiscarder;
 
@@ -45,13 +44,8 @@
     BodyDiscarder.discard(exchange, exchange::endExchange);
   }
 
-  /**
-   * Refuses further requests.
-   *
-   * @return completion stage that completes when no request is in flight
-   */
-  CompletionStage<Void> drain() {
+  /** Refuses further requests. */
+  void drain() {
     draining = true;
-    return work.whenIdle();
   }
 }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -0,0 +1,37 @@
+package org.ragwortpick.vm;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.IntSupplier;
+
+/** Registers the gauges of the entry role. */
+final class EntryGauges {
+
+  private static final String PREFIX = "ragwortpick_";
+
+  private final PrometheusRegistry registry;
+
+  /**
+   * Creates an instance.
+   *
+   * @param registry receives the gauges
+   */
+  EntryGauges(PrometheusRegistry registry) {
+    this.registry = registry;
+  }
+
+  /**
+   * Registers a gauge.
+   *
+   * @param name name without the prefix of the product
+   * @param help what it counts
+   * @param value supplies its value when the metrics are read
+   */
+  void register(String name, String help, IntSupplier value) {
+    GaugeWithCallback.builder()
+        .name(PREFIX + name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsInt()))
+        .register(registry);
+  }
+}
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -12,12 +12,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
@@ -249,21 +246,17 @@
    */
   void drain(long timeoutMs) {
     LOG.infof("%d requests of operators and upstreams in flight at the stop", work.count());
-    CompletableFuture<Void> idle =
-        CompletableFuture.allOf(
-            operatorHandler.drain().toCompletableFuture(),
-            directoryHandler.drain().toCompletableFuture());
+    operatorHandler.drain();
+    directoryHandler.drain();
     try {
       // What was sent before the stop may still lie in a socket.
       TimeUnit.MILLISECONDS.sleep(MIN_DRAIN_MS);
-      idle.get(timeoutMs - MIN_DRAIN_MS, TimeUnit.MILLISECONDS);
-    } catch (TimeoutException e) {
-      LOG.warnf("%d requests of operators and upstreams are cut off by the stop", work.count());
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("waiting for requests in flight failed", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    if (!BoundedWait.completes(work.whenIdle(), timeoutMs - MIN_DRAIN_MS)) {
+      LOG.warnf("%d requests of operators and upstreams are cut off by the stop", work.count());
+    }
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -1,7 +1,6 @@
 package org.ragwortpick.vm;
 
 import io.grpc.BindableService;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.Undertow;
 import io.undertow.connector.ByteBufferPool;
@@ -15,9 +14,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -158,12 +155,7 @@
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
-    this.limits =
-        new NamedLimits(
-            sync.upstreamLimits(),
-            new RequestRateShare(clock),
-            upstream -> rankAmongSenders(settings.peerAddress().toString(), upstream),
-            clock);
+    this.limits = createLimits(settings.peerAddress().toString());
     this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits);
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
@@ -186,24 +178,7 @@
     this.quarantine =
         new PartQuarantine(
             sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
-    HttpBatchTransport transport =
-        new HttpBatchTransport(
-            httpCallClient,
-            protocol.batches(),
-            protocol.headers(),
-            notices,
-            this::tryPermit,
-            clock);
-    this.stages =
-        new RemoteStageRunner(
-            settings.peerAddress(),
-            sync.vmDirectory()::vms,
-            new StageCollectors(service -> createCollector(service, transport)),
-            freshness::ageMs,
-            channels,
-            ioThread,
-            timers,
-            clock);
+    this.stages = createStages(settings, protocol, channels);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
         new EntryServer(
@@ -216,6 +191,35 @@
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
+  private NamedLimits createLimits(String vm) {
+    return new NamedLimits(
+        sync.upstreamLimits(),
+        new RequestRateShare(clock),
+        upstream -> rankAmongSenders(vm, upstream),
+        clock);
+  }
+
+  private RemoteStageRunner createStages(
+      ForwardingSettings settings, EdgeProtocol protocol, PeerChannels channels) {
+    HttpBatchTransport transport =
+        new HttpBatchTransport(
+            httpCallClient,
+            protocol.batches(),
+            protocol.headers(),
+            notices,
+            this::tryPermit,
+            clock);
+    return new RemoteStageRunner(
+        settings.peerAddress(),
+        sync.vmDirectory()::vms,
+        new StageCollectors(service -> createCollector(service, transport)),
+        freshness::ageMs,
+        channels,
+        ioThread,
+        timers,
+        clock);
+  }
+
   private UpstreamChooser createChooser(ForwardingSettings settings, RandomGenerator random) {
     return new UpstreamChooser(
         this::configuration,
@@ -233,26 +237,23 @@
 
   private Undertow createReadinessServer(
       ForwardingSettings.EntryRole role, EdgeProtocol protocol, PrometheusRegistry registry) {
-    GaugeWithCallback.builder()
-        .name("ragwortpick_held_prompt_parts")
-        .help("Prompt parts that are held back because upstreams ended under them")
-        .callback(callback -> callback.call(quarantine.held().size()))
-        .register(registry);
-    GaugeWithCallback.builder()
-        .name("ragwortpick_leaving_upstreams")
-        .help("Upstreams excluded because they stated in a response that they are leaving")
-        .callback(callback -> callback.call(leaving.count()))
-        .register(registry);
-    GaugeWithCallback.builder()
-        .name("ragwortpick_paused_upstreams")
-        .help("Upstreams that get no requests because they requested a pause in a response")
-        .callback(callback -> callback.call(pauses.count()))
-        .register(registry);
-    GaugeWithCallback.builder()
-        .name("ragwortpick_limited_upstreams")
-        .help("Upstreams that named in a response how many requests a second they take")
-        .callback(callback -> callback.call(limits.count()))
-        .register(registry);
+    EntryGauges gauges = new EntryGauges(registry);
+    gauges.register(
+        "held_prompt_parts",
+        "Prompt parts that are held back because upstreams ended under them",
+        () -> quarantine.held().size());
+    gauges.register(
+        "leaving_upstreams",
+        "Upstreams excluded because they stated in a response that they are leaving",
+        leaving::count);
+    gauges.register(
+        "paused_upstreams",
+        "Upstreams that get no requests because they requested a pause in a response",
+        pauses::count);
+    gauges.register(
+        "limited_upstreams",
+        "Upstreams that named in a response how many requests a second they take",
+        limits::count);
     HttpHandler handler =
         new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
     return Undertow.builder()
@@ -421,18 +422,12 @@
                   LOG.infof("%d requests were answered because the process ends", count);
                   return work.whenIdle();
                 });
-    try {
-      answered.get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-    } catch (TimeoutException e) {
+    if (!BoundedWait.completes(answered, ANSWER_TIMEOUT_MS)) {
       ioThread.execute(
           () ->
               LOG.warnf(
                   "%d requests are cut off by the end of the process",
                   runsInFlight.cutOffAtStop()));
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("answering requests in flight failed", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -123,18 +124,7 @@
     Random random = new Random(7);
     pauses = new RequestedPauses(clock, random);
     NamedLimits limits = LimitsFixture.ofVm(clock, () -> senderRank);
-    UpstreamChooser chooser =
-        new UpstreamChooser(
-            () -> configuration,
-            this::upstreamsOf,
-            new LeastLoadedSelector("dc", random),
-            loads,
-            leaving,
-            pauses,
-            limits,
-            new RequestRateShare(clock),
-            "vm",
-            () -> List.of("vm"));
+    UpstreamChooser chooser = chooser(random, loads, leaving, limits, clock);
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
     WorkCounter work = new WorkCounter();
     ReadDelay readDelay = new ReadDelay(worker.getIoThread(), clock);
@@ -177,6 +167,25 @@
     server.start();
   }
 
+  private UpstreamChooser chooser(
+      Random random,
+      UpstreamLoads loads,
+      LeavingUpstreams leaving,
+      NamedLimits limits,
+      Clock clock) {
+    return new UpstreamChooser(
+        () -> configuration,
+        this::upstreamsOf,
+        new LeastLoadedSelector("dc", random),
+        loads,
+        leaving,
+        pauses,
+        limits,
+        new RequestRateShare(clock),
+        "vm",
+        () -> List.of("vm"));
+  }
+
   private List<Upstream> upstreamsOf(String service) {
     return upstreams.values().stream().filter(u -> u.service().equals(service)).toList();
   }
