--- a/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
+++ b/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
@@ -158,13 +158,7 @@
    * @return whether it is not limited, or the local VM has a permit left
    */
   public boolean isAvailable(Upstream upstream) {
-    return limitOf(upstream)
-        .map(
-            limit -> {
-              SenderRank own = rank.apply(upstream);
-              return share.isAvailable(upstream.id(), division(limit, own), own);
-            })
-        .orElse(true);
+    return isPermitted(upstream, share::isAvailable);
   }
 
   /**
@@ -174,11 +168,15 @@
    * @return whether the request may be sent
    */
   public boolean tryTake(Upstream upstream) {
+    return isPermitted(upstream, share::tryTake);
+  }
+
+  private boolean isPermitted(Upstream upstream, PermitCheck check) {
     return limitOf(upstream)
         .map(
             limit -> {
               SenderRank own = rank.apply(upstream);
-              return share.tryTake(upstream.id(), division(limit, own), own);
+              return check.test(upstream.id(), division(limit, own), own);
             })
         .orElse(true);
   }
@@ -220,5 +218,10 @@
     learned.keySet().removeIf(id -> table.find(id).isEmpty());
   }
 
+  /** Looks at the permits of a limited upstream, or takes one. */
+  private interface PermitCheck {
+    boolean test(String upstreamId, DividedRate rate, SenderRank own);
+  }
+
   private record Learned(UpstreamLimit limit, long atMs) {}
 }
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -7,8 +7,6 @@
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
 
-  private static final String PREFIX = "ragwortpick_";
-
   private final PrometheusRegistry registry;
 
   /**
@@ -23,13 +21,13 @@
   /**
    * Registers a gauge.
    *
-   * @param name name without the prefix of the product
+   * @param name full name, by which operators find it
    * @param help what it counts
    * @param value supplies its value when the metrics are read
    */
   void register(String name, String help, IntSupplier value) {
     GaugeWithCallback.builder()
-        .name(PREFIX + name)
+        .name(name)
         .help(help)
         .callback(callback -> callback.call(value.getAsInt()))
         .register(registry);
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -239,19 +239,19 @@
       ForwardingSettings.EntryRole role, EdgeProtocol protocol, PrometheusRegistry registry) {
     EntryGauges gauges = new EntryGauges(registry);
     gauges.register(
-        "held_prompt_parts",
+        "ragwortpick_held_prompt_parts",
         "Prompt parts that are held back because upstreams ended under them",
         () -> quarantine.held().size());
     gauges.register(
-        "leaving_upstreams",
+        "ragwortpick_leaving_upstreams",
         "Upstreams excluded because they stated in a response that they are leaving",
         leaving::count);
     gauges.register(
-        "paused_upstreams",
+        "ragwortpick_paused_upstreams",
         "Upstreams that get no requests because they requested a pause in a response",
         pauses::count);
     gauges.register(
-        "limited_upstreams",
+        "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
     HttpHandler handler =
