Log which requests are the same whatever their ids

A caller that sends a request again uses another id and may reach another VM, so the log could not tell one request under which upstreams end from a service that fails by itself. The lines of requests that were not answered, and of repeats, now have a hash of what an upstream gets to run.

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -49,6 +49,7 @@
   private final CallerRequest request;
   private final String service;
   private final PromptPrefix prefix;
+  private final RequestFingerprint fingerprint;
   private final ResponseRelay relay;
   private final RequestLog log;
   private final RepeatPolicy repeatPolicy;
@@ -84,7 +85,9 @@
     this.service = service;
     this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
     this.relay = new ResponseRelay(exchange);
-    this.log = new RequestLog(request, prefix, dependencies.clock(), dependencies.metrics());
+    this.fingerprint = new RequestFingerprint(request);
+    this.log =
+        new RequestLog(request, prefix, fingerprint, dependencies.clock(), dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
     this.deadline =
         dependencies
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -18,6 +18,7 @@
 
   private final CallerRequest request;
   private final PromptPrefix prefix;
+  private final RequestFingerprint fingerprint;
   private final Clock clock;
   private final ForwardMetrics metrics;
   private String upstream = "-";
@@ -38,12 +39,19 @@
    *
    * @param request the request
    * @param prefix prefix that its prompt shares with other requests
+   * @param fingerprint fingerprint of the request
    * @param clock monotonic clock
    * @param metrics counters and histograms
    */
-  RequestLog(CallerRequest request, PromptPrefix prefix, Clock clock, ForwardMetrics metrics) {
+  RequestLog(
+      CallerRequest request,
+      PromptPrefix prefix,
+      RequestFingerprint fingerprint,
+      Clock clock,
+      ForwardMetrics metrics) {
     this.request = request;
     this.prefix = prefix;
+    this.fingerprint = fingerprint;
     this.clock = clock;
     this.metrics = metrics;
   }
@@ -87,6 +95,7 @@
   void repeating(AttemptOutcome outcome, RepeatDecision decision) {
     DecisionLine.of("request sent again")
         .with("request", request.id())
+        .with("content", fingerprint.value())
         .with("outcome", outcome)
         .with("upstream", upstream)
         .with("dataCentre", dataCentre)
@@ -139,7 +148,7 @@
     metrics.requestEnded(request.route().name(), end);
     DecisionLine line = DecisionLine.of("request ended");
     if (!end.equals("answered")) {
-      line.with("parts", String.join(",", prefix.parts()));
+      line.with("parts", String.join(",", prefix.parts())).with("content", fingerprint.value());
     }
     line.with("request", request.id())
         .with("end", end)
