--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -2,8 +2,6 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +9,6 @@
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.upstream.HttpEnd;
-import org.ragwortpick.entry.upstream.HttpRequest;
-import org.ragwortpick.entry.upstream.ResponseLimits;
 import org.ragwortpick.policy.quarantine.PartDecision;
 import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
@@ -21,29 +17,6 @@
 /** Forwards one request, from its body to the end of its response. Confined to the I/O thread. */
 final class ForwardRun implements AttemptListener {
 
-  /** Retry time for callers that were refused because no upstream was free; one may be by then. */
-  private static final long RETRY_AFTER_MS = 300;
-
-  /**
-   * Time in which a queue drains, as a multiple of the wait of its last piece, while new work keeps
-   * arriving.
-   */
-  private static final long QUEUE_DRAIN_FACTOR = 4;
-
-  private static final long MIN_QUEUE_DRAIN_MS = 1_000;
-
-  /**
-   * Margin by which the progress timeout of an attempt exceeds the deadline, so that an attempt
-   * without a response is ended by the deadline timer and not by its progress timeout.
-   */
-  private static final long DEADLINE_MARGIN_MS = 100;
-
-  /** Limit of the body of a response, which callers of a pipeline or a service stay far below. */
-  private static final long MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-
-  /** The longest retry time is the remaining time of the caller divided by this number. */
-  private static final long RETRY_DEADLINE_DIVISOR = 4;
-
   private final ForwardDependencies dependencies;
   private final HttpServerExchange exchange;
   private final CallerRequest request;
@@ -53,6 +26,8 @@
   private final ResponseRelay relay;
   private final RequestLog log;
   private final RepeatPolicy repeatPolicy;
+  private final AttemptRequests attemptRequests;
+  private final RetryTimes retryTimes;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final Timers.Timer deadline;
   private Optional<StageGraphRun> stages = Optional.empty();
@@ -89,6 +64,9 @@
     this.log =
         new RequestLog(request, prefix, fingerprint, dependencies.clock(), dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
+    this.attemptRequests =
+        new AttemptRequests(request, dependencies.headers(), dependencies.clock());
+    this.retryTimes = new RetryTimes(dependencies.chooser());
     this.deadline =
         dependencies
             .timers()
@@ -150,7 +128,8 @@
     }
     if (end instanceof SubmissionEnd.Failed failed) {
       refuse(
-          Refusal.unavailable("a stage ended with " + failed.cause(), retryAfterMs(failed)),
+          Refusal.unavailable(
+              "a stage ended with " + failed.cause(), retryTimes.afterStage(failed, remainingMs())),
           "stage_" + failed.cause());
       return;
     }
@@ -159,19 +138,6 @@
     startAttempt();
   }
 
-  /**
-   * A caller that retries during the same burst would be refused again, so the retry time gives the
-   * queue time to drain, and is short enough that the request can still be served before its
-   * deadline.
-   */
-  private long retryAfterMs(SubmissionEnd.Failed failed) {
-    if (failed.cause() != SubmissionEnd.Cause.OVERLOADED) {
-      return RETRY_AFTER_MS;
-    }
-    long drainMs = Math.max(MIN_QUEUE_DRAIN_MS, QUEUE_DRAIN_FACTOR * failed.waitMs());
-    return Math.max(RETRY_AFTER_MS, Math.min(drainMs, remainingMs() / RETRY_DEADLINE_DIVISOR));
-  }
-
   private boolean refuseIfHeld() {
     if (trial) {
       return false;
@@ -180,7 +146,7 @@
     trial = decision instanceof PartDecision.Trial;
     if (decision instanceof PartDecision.Held held) {
       long retryAfterMs = held.part().trialAtMs() - dependencies.clock().millis();
-      refuse(Refusal.heldPart(held.part(), Math.max(retryAfterMs, RETRY_AFTER_MS)), "part_held");
+      refuse(Refusal.heldPart(held.part(), Math.max(retryAfterMs, RetryTimes.MIN_MS)), "part_held");
       return true;
     }
     return false;
@@ -235,7 +201,7 @@
             new AttemptEvidence(
                 dependencies.quarantine(), prefix.parts(), upstream, dependencies.clock()));
     attempt = Optional.of(nextAttempt);
-    nextAttempt.start(httpRequest(upstream));
+    nextAttempt.start(attemptRequests.to(upstream, inputs, () -> mayWrite(upstream)));
   }
 
   /**
@@ -251,55 +217,12 @@
   private void refuseWithoutUpstream() {
     boolean limited = dependencies.chooser().limitIntervalMs(service) > 0;
     refuse(
-        Refusal.unavailable("service " + service + " has no free upstream", retryAfterPauseMs()),
+        Refusal.unavailable(
+            "service " + service + " has no free upstream",
+            retryTimes.withoutUpstream(service, remainingMs())),
         limited ? "upstream_limits" : "no_upstream");
   }
 
-  private long retryAfterPauseMs() {
-    UpstreamChooser chooser = dependencies.chooser();
-    long limitMs =
-        Math.min(chooser.limitIntervalMs(service), remainingMs() / RETRY_DEADLINE_DIVISOR);
-    return Math.max(RETRY_AFTER_MS, Math.max(chooser.pauseRemainingMs(service), limitMs));
-  }
-
-  private HttpRequest httpRequest(Upstream upstream) {
-    long progressTimeoutMs = Math.max(1, remainingMs()) + DEADLINE_MARGIN_MS;
-    return new HttpRequest(
-        upstream.address(),
-        request.method(),
-        request.target(),
-        () -> headersFor(upstream),
-        request.body(),
-        false,
-        ResponseLimits.withoutTotalTimeout(progressTimeoutMs, MAX_RESPONSE_BYTES),
-        () -> mayWrite(upstream));
-  }
-
-  private HeaderMap headersFor(Upstream upstream) {
-    RoutingHeaders names = dependencies.headers();
-    HeaderMap headers = new HeaderMap();
-    for (HeaderValues values : request.headers()) {
-      boolean forwarded =
-          !names.reserved().contains(values.getHeaderName())
-              && !ResponseRelay.CONNECTION_HEADERS.contains(values.getHeaderName())
-              && !values.getHeaderName().equals(Headers.CONTENT_LENGTH);
-      if (forwarded) {
-        headers.putAll(values.getHeaderName(), values);
-      }
-    }
-    headers.put(names.deadlineMs(), Math.max(1, remainingMs()));
-    headers.put(names.expectedUpstream(), upstream.id());
-    request.workspace().ifPresent(owner -> headers.put(names.workspace(), owner.name()));
-    if (!inputs.isEmpty()) {
-      headers.put(names.inputs(), String.join(",", inputs));
-    }
-    boolean hasLength = request.headers().contains(Headers.CONTENT_LENGTH);
-    if (request.body().length > 0 || hasLength) {
-      headers.put(Headers.CONTENT_LENGTH, request.body().length);
-    }
-    return headers;
-  }
-
   private long remainingMs() {
     return request.deadlineAtMs() - dependencies.clock().millis();
   }
@@ -375,7 +298,7 @@
           refuse(
               Refusal.unavailable(
                   "the upstreams of service " + service + " did not run the request",
-                  retryAfterPauseMs()),
+                  retryTimes.withoutUpstream(service, remainingMs())),
               "not_run");
       default -> refuse(Refusal.OUTCOME_UNKNOWN, "lost");
     }
--- /dev/null
+++ b/src/main/java/org/ragwortpick/forward/RetryTimes.java
@@ -0,0 +1,61 @@
+package org.ragwortpick.forward;
+
+import org.ragwortpick.batch.SubmissionEnd;
+
+/** Decides when the caller of a refused request should send it again. */
+final class RetryTimes {
+
+  /** Retry time for callers that were refused because no upstream was free; one may be by then. */
+  static final long MIN_MS = 300;
+
+  /**
+   * Time in which a queue drains, as a multiple of the wait of its last piece, while new work keeps
+   * arriving.
+   */
+  private static final long QUEUE_DRAIN_FACTOR = 4;
+
+  private static final long MIN_QUEUE_DRAIN_MS = 1_000;
+
+  /** The longest retry time is the remaining time of the caller divided by this number. */
+  private static final long DEADLINE_DIVISOR = 4;
+
+  private final UpstreamChooser chooser;
+
+  /**
+   * Creates the retry times.
+   *
+   * @param chooser tells pauses and limits of upstreams
+   */
+  RetryTimes(UpstreamChooser chooser) {
+    this.chooser = chooser;
+  }
+
+  /**
+   * Returns the retry time after a stage that failed. A caller that retries during the same burst
+   * would be refused again, so it gives the queue time to drain, and is short enough that the
+   * request can still be served before its deadline.
+   *
+   * @param failed end of the stage
+   * @param remainingMs time that is left to the caller in milliseconds
+   * @return time in milliseconds
+   */
+  long afterStage(SubmissionEnd.Failed failed, long remainingMs) {
+    if (failed.cause() != SubmissionEnd.Cause.OVERLOADED) {
+      return MIN_MS;
+    }
+    long drainMs = Math.max(MIN_QUEUE_DRAIN_MS, QUEUE_DRAIN_FACTOR * failed.waitMs());
+    return Math.max(MIN_MS, Math.min(drainMs, remainingMs / DEADLINE_DIVISOR));
+  }
+
+  /**
+   * Returns the retry time while no upstream may be asked.
+   *
+   * @param service name of the service
+   * @param remainingMs time that is left to the caller in milliseconds
+   * @return time in milliseconds
+   */
+  long withoutUpstream(String service, long remainingMs) {
+    long limitMs = Math.min(chooser.limitIntervalMs(service), remainingMs / DEADLINE_DIVISOR);
+    return Math.max(MIN_MS, Math.max(chooser.pauseRemainingMs(service), limitMs));
+  }
+}
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -18,7 +18,6 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
-import org.ragwortpick.batch.CollectorPlacement;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
@@ -49,7 +48,6 @@
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.SenderRank;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.PartQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -58,7 +56,6 @@
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.ViewFreshness;
-import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.VmState;
 import org.ragwortpick.sync.rpc.SyncNode;
 import org.xnio.OptionMap;
@@ -98,6 +95,7 @@
   private final XnioWorker worker;
   private final HttpCallClient httpCallClient;
   private final SyncNode sync;
+  private final EntryVms entryVms;
   private final Clock clock;
   private final ViewFreshness freshness;
   private final SharedRetryConstant retryConstant;
@@ -144,6 +142,7 @@
       throws IOException {
     ForwardingSettings.EntryRole role = settings.entry().orElseThrow();
     this.sync = sync;
+    this.entryVms = new EntryVms(sync.vmDirectory(), this::configuration);
     this.clock = clock;
     this.work = work;
     this.worker = createWorker();
@@ -163,7 +162,7 @@
         new SharedRetryConstant(
             role.retryConstant(),
             settings.peerAddress().toString(),
-            this::entryVmNames,
+            entryVms::names,
             freshness::ageMs,
             suspensions::resumedAtMs,
             clock);
@@ -177,7 +176,7 @@
     this.chooser = createChooser(settings, random);
     this.quarantine =
         new PartQuarantine(
-            sync.crashEvidence(), settings.peerAddress().toString(), this::entryVmNames, clock);
+            sync.crashEvidence(), settings.peerAddress().toString(), entryVms::names, clock);
     this.stages = createStages(settings, protocol, channels);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
@@ -195,7 +194,7 @@
     return new NamedLimits(
         sync.upstreamLimits(),
         new RequestRateShare(clock),
-        upstream -> rankAmongSenders(vm, upstream),
+        upstream -> entryVms.rankAmongSenders(vm, upstream),
         clock);
   }
 
@@ -232,12 +231,25 @@
         limits,
         new RequestRateShare(clock),
         settings.peerAddress().toString(),
-        this::entryVmNames);
+        entryVms::names);
   }
 
   private Undertow createReadinessServer(
       ForwardingSettings.EntryRole role, EdgeProtocol protocol, PrometheusRegistry registry) {
-    EntryGauges gauges = new EntryGauges(registry);
+    registerGauges(new EntryGauges(registry));
+    HttpHandler handler =
+        new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
+    return Undertow.builder()
+        .setWorker(worker)
+        .setByteBufferPool(buffers)
+        .addHttpListener(
+            role.readinessAddress().port(),
+            role.readinessAddress().host(),
+            MetricsHandler.wrap(registry, handler))
+        .build();
+  }
+
+  private void registerGauges(EntryGauges gauges) {
     gauges.register(
         "ragwortpick_held_prompt_parts",
         "Prompt parts that are held back because upstreams ended under them",
@@ -254,16 +266,6 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
-    HttpHandler handler =
-        new HeldPartsHandler(quarantine, clock, protocol.readiness(this::isReady));
-    return Undertow.builder()
-        .setWorker(worker)
-        .setByteBufferPool(buffers)
-        .addHttpListener(
-            role.readinessAddress().port(),
-            role.readinessAddress().host(),
-            MetricsHandler.wrap(registry, handler))
-        .build();
   }
 
   private static XnioWorker createWorker() throws IOException {
@@ -335,39 +337,6 @@
     return freshness.isConfirmedSinceResume() && chooser.tryPermit(upstream);
   }
 
-  /** While an upstream of a stage service is limited, only the preferred collector calls it. */
-  private SenderRank rankAmongSenders(String vm, Upstream upstream) {
-    boolean isStage =
-        configuration()
-            .routingTable()
-            .flatMap(table -> table.service(upstream.service()))
-            .flatMap(ServiceProfile::batching)
-            .isPresent();
-    if (isStage) {
-      return SenderRank.in(
-          vm,
-          CollectorPlacement.order(upstream.service(), sync.vmDirectory().vms()).stream()
-              .map(VmRecord::vm)
-              .limit(1)
-              .toList());
-    }
-    return SenderRank.byRendezvous(upstream.id(), vm, readyEntryVmNames());
-  }
-
-  private List<String> readyEntryVmNames() {
-    return sync.vmDirectory().vms().stream()
-        .filter(vm -> vm.servesCallers() && vm.state() == VmState.READY)
-        .map(VmRecord::vm)
-        .toList();
-  }
-
-  private List<String> entryVmNames() {
-    return sync.vmDirectory().vms().stream()
-        .filter(VmRecord::servesCallers)
-        .map(VmRecord::vm)
-        .toList();
-  }
-
   private ForwardDependencies.RetryBudgets retryBudgets(ForwardingSettings.EntryRole role) {
     Map<String, RetryBudget> budgets = new HashMap<>();
     return service ->
