Keep what is held back when all processes end at once

What callers saw: after a kill of all processes a request that was held back ended three more upstreams before it was held again.

Cause: evidence of crashes is soft state of the processes; when all end, none is left to tell the others. Class: a decision outlives the process that knows why only as long as another one runs.

Evidence: HeldRequestAfterRestartTest with real processes failed: 3 ends before the kill, 6 after it.

--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -3,6 +3,7 @@
 import io.grpc.BindableService;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -17,6 +18,7 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.common.ReportingScheduler;
+import org.ragwortpick.consensus.storage.FileDisk;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.peer.PeerChannels;
@@ -53,6 +55,7 @@
       new ReportingScheduler(TIMER_THREADS, Thread::new);
   private final WorkCounter work = new WorkCounter();
   private final SyncNode sync;
+  private final Optional<CrashEvidenceFile> evidenceFile;
   private final Optional<ForwardingControl> control;
   private final Optional<ForwardingEntry> entry;
   private final PeerServer peerServer;
@@ -81,6 +84,7 @@
             channels,
             work::count,
             LEAVING_MS);
+    this.evidenceFile = evidenceFile(settings, sync, clock);
     this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler, clock);
     this.control =
         settings
@@ -110,6 +114,16 @@
     this.peerServer = new PeerServer(settings.peerAddress(), services);
   }
 
+  private static Optional<CrashEvidenceFile> evidenceFile(
+      ForwardingSettings settings, SyncNode sync, Clock clock) throws IOException {
+    Optional<Path> folder = settings.control().flatMap(ForwardingSettings.ControlRole::dataFolder);
+    return folder.isEmpty()
+        ? Optional.empty()
+        : Optional.of(
+            new CrashEvidenceFile(
+                new FileDisk(folder.get()), sync.crashEvidence(), clock, Clock.systemUTC()));
+  }
+
   private static SyncIdentity identity(ForwardingSettings settings, boolean isVoter) {
     String vm = settings.peerAddress().toString();
     Set<HostPort> controlVms = new LinkedHashSet<>(settings.seeds());
@@ -158,6 +172,7 @@
 
   @Override
   public void start() throws IOException {
+    evidenceFile.ifPresent(CrashEvidenceFile::start);
     peerServer.start();
     control.ifPresent(ForwardingControl::start);
     sync.start();
@@ -190,6 +205,7 @@
     control.ifPresent(role -> role.drain(drainTimeoutMs));
     entry.ifPresent(ForwardingEntry::close);
     sync.close();
+    evidenceFile.ifPresent(CrashEvidenceFile::close);
     if (control.isPresent()) {
       control.get().close();
     }
