Let the VMs near a limited upstream send to it, and use a permit that lay unused

What callers saw: an upstream that had named a limit got none of the requests that the limit allowed, and none after its end, until it started again, while others were asked in its place.

Where the two differ the part is never used, and nothing tells of the end of the limit. Class: two rules that choose the same thing and do not know of each other.

LimitOfOneUpstreamTest (nine VMs, three data centres, seven upstreams, limits of 0, 0.5, 1 and 4 a second) failed in 21 of 28 cases, with 0 and 1 requests.

The VMs of the data centre come first in the order, and a VM whose permit lay unused for 2 s sends there before it asks the selector, which holds for any selector. 28 of 28 pass; NamedLimitsOfAllVmsTest and NamedLimitTest still hold the limit.

--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -206,9 +206,10 @@
         available.stream()
             .filter(upstream -> coldRate == 0 || upstream.state() == UpstreamState.READY)
             .toList();
-    return selector
-        .select(request, loads.describe(selectable))
-        .map(Candidate::upstream)
+    return selectable.stream()
+        .filter(upstream -> !tried.contains(upstream.id()) && limits.isOverdue(upstream))
+        .findFirst()
+        .or(() -> selector.select(request, loads.describe(selectable)).map(Candidate::upstream))
         .or(
             () ->
                 available.stream()
--- a/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
+++ b/src/main/java/org/ragwortpick/policy/limit/NamedLimits.java
@@ -16,9 +16,9 @@
  * Request rates that upstreams named in their responses, and the part of the local VM in them.
  * Confined to one thread.
  *
- * <p>A limit holds for one start of an upstream, on all VMs, until a response no longer names it.
- * The VMs that may send always send again at some time, so the end of a limit is noticed and no
- * limit needs to expire.
+ * <p>A limit holds for one start of an upstream, on all VMs, until a response no longer names it. A
+ * VM with a part of a limit sends to the upstream before it asks others if it has not done so for a
+ * while, so the end of a limit is noticed and no limit needs to expire.
  */
 public final class NamedLimits {
 
@@ -29,11 +29,17 @@
 
   private static final double MS_PER_SECOND = 1_000.0;
 
+  /** Time without a request of the local VM after which a limited upstream goes before others. */
+  private static final long OVERDUE_AFTER_MS = 2_000;
+
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
   private final UpstreamLimitTable table;
   private final RequestRateShare share;
   private final Function<Upstream, SenderRank> rank;
   private final Clock clock;
   private final Map<String, Learned> learned = new HashMap<>();
+  private final Map<String, Long> lastTakenAtMs = new HashMap<>();
 
   /**
    * Creates an instance.
@@ -161,6 +167,21 @@
     return isPermitted(upstream, share::isAvailable);
   }
 
+  /**
+   * Returns whether a limited upstream should get the next request of the local VM. Otherwise a VM
+   * that prefers others would never learn that the limit has ended.
+   *
+   * @param upstream the upstream
+   * @return whether the local VM has a permit that it has not used for a while
+   */
+  public boolean isOverdue(Upstream upstream) {
+    return limitOf(upstream)
+        .filter(limit -> ageMs(limit) >= OVERDUE_AFTER_MS && isAvailable(upstream))
+        .map(limit -> clock.millis() - lastTakenAtMs.getOrDefault(upstream.id(), NEVER_MS))
+        .filter(sinceMs -> sinceMs >= OVERDUE_AFTER_MS)
+        .isPresent();
+  }
+
   /**
    * Takes the permit to send one request, immediately before its first byte.
    *
@@ -168,7 +189,11 @@
    * @return whether the request may be sent
    */
   public boolean tryTake(Upstream upstream) {
-    return isPermitted(upstream, share::tryTake);
+    boolean taken = isPermitted(upstream, share::tryTake);
+    if (taken && isLimited(upstream)) {
+      lastTakenAtMs.put(upstream.id(), clock.millis());
+    }
+    return taken;
   }
 
   private boolean isPermitted(Upstream upstream, PermitCheck check) {
@@ -216,6 +241,7 @@
   /** Drops the times of limits whose records are gone. */
   public void expire() {
     learned.keySet().removeIf(id -> table.find(id).isEmpty());
+    lastTakenAtMs.keySet().removeIf(id -> table.find(id).isEmpty());
   }
 
   /** Looks at the permits of a limited upstream, or takes one. */
--- a/src/main/java/org/ragwortpick/vm/EntryVms.java
+++ b/src/main/java/org/ragwortpick/vm/EntryVms.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.vm;
 
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.ragwortpick.batch.CollectorPlacement;
 import org.ragwortpick.config.Configuration;
@@ -37,16 +38,17 @@
     return directory.vms().stream().filter(VmRecord::servesCallers).map(VmRecord::vm).toList();
   }
 
-  private List<String> readyNames() {
+  private List<String> readyNames(Predicate<VmRecord> condition) {
     return directory.vms().stream()
         .filter(vm -> vm.servesCallers() && vm.state() == VmState.READY)
+        .filter(condition)
         .map(VmRecord::vm)
         .toList();
   }
 
   /**
-   * Ranks a VM among those that may send to a limited upstream. Only the preferred collector calls
-   * an upstream of a stage service.
+   * Ranks a VM among those that may send to a limited upstream: first those of its data centre,
+   * which prefer it. Only the preferred collector calls an upstream of a stage service.
    *
    * @param vm name of the VM
    * @param upstream the upstream
@@ -68,6 +70,10 @@
               .limit(1)
               .toList());
     }
-    return SenderRank.byRendezvous(upstream.id(), vm, readyNames());
+    return SenderRank.nearFirst(
+        upstream.id(),
+        vm,
+        readyNames(member -> member.dataCentre().equals(upstream.dataCentre())),
+        readyNames(member -> !member.dataCentre().equals(upstream.dataCentre())));
   }
 }
