--- a/src/test/java/org/ragwortpick/sync/rpc/CrashingFleet.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/CrashingFleet.java
@@ -23,7 +23,14 @@
  */
 final class CrashingFleet {
 
+  /** Time until the VMs of a new fleet know each other. */
+  static final long START_MS = 4_000;
+
   private static final int CONTROL_VMS = 3;
+
+  /** Rate of sound requests at each VM. */
+  private static final double SOUND_PER_SECOND = 2;
+
   private static final long RESTART_MS = 4_000;
   private static final long MAX_CRASH_DELAY_MS = 250;
   private static final long SOUND_AFTER_MS = 500;
@@ -55,6 +62,21 @@
     }
   }
 
+  /** Creates a fleet and lets it run until its VMs know each other. */
+  static CrashingFleet started(long seed, int entryCount, boolean quarantined) {
+    CrashingFleet fleet = new CrashingFleet(seed, entryCount, quarantined);
+    fleet.runFor(START_MS, () -> {});
+    return fleet;
+  }
+
+  /** Runs for a while under sound requests, with an action after each step. */
+  void runFor(long durationMs, Runnable eachStep) {
+    for (long endMs = vms.nowMs() + durationMs; vms.nowMs() < endMs; ) {
+      step(SOUND_PER_SECOND);
+      eachStep.run();
+    }
+  }
+
   LinkedVms vms() {
     return vms;
   }
--- a/src/test/java/org/ragwortpick/sync/rpc/CrashingPartRunsTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/CrashingPartRunsTest.java
@@ -18,10 +18,8 @@
 public final class CrashingPartRunsTest {
 
   private static final String HARMFUL = "bad";
-  private static final long START_MS = 4_000;
   private static final long RUN_MS = 30_000;
   private static final int MAX_ARRIVALS_AFTER_FIFTH = 3;
-  private static final double SOUND_PER_SECOND = 2;
   private static final double HARMFUL_PER_SECOND = 1.5;
 
   @DataProvider
@@ -49,19 +47,6 @@
     }
   }
 
-  private static CrashingFleet started(long seed, int entryCount, boolean quarantined) {
-    CrashingFleet fleet = new CrashingFleet(seed, entryCount, quarantined);
-    runFor(fleet, START_MS, () -> {});
-    return fleet;
-  }
-
-  private static void runFor(CrashingFleet fleet, long durationMs, Runnable eachStep) {
-    for (long endMs = fleet.vms().nowMs() + durationMs; fleet.vms().nowMs() < endMs; ) {
-      fleet.step(SOUND_PER_SECOND);
-      eachStep.run();
-    }
-  }
-
   /** Sends harmful requests to random VMs at a rate over all VMs. */
   private static Runnable harmful(CrashingFleet fleet, String service, List<String> parts) {
     return () -> {
@@ -80,8 +65,8 @@
         seed -> {
           CrashingFleet.Statistics with = runWithHarmfulPart(seed, entryCount, true);
           CrashingFleet.Statistics without = runWithHarmfulPart(seed, entryCount, false);
-          CrashingFleet calm = started(seed, entryCount, true);
-          runFor(calm, RUN_MS, () -> {});
+          CrashingFleet calm = CrashingFleet.started(seed, entryCount, true);
+          calm.runFor(RUN_MS, () -> {});
           if (seed == 0) {
             System.out.printf(
                 "%d VMs, seed 0: %d arrivals and %d crashes, sound served %.3f; without the"
@@ -107,9 +92,9 @@
 
   private static CrashingFleet.Statistics runWithHarmfulPart(
       long seed, int entryCount, boolean quarantined) {
-    CrashingFleet fleet = started(seed, entryCount, quarantined);
+    CrashingFleet fleet = CrashingFleet.started(seed, entryCount, quarantined);
     fleet.setHarmful(HARMFUL, true);
-    runFor(fleet, RUN_MS, () -> harmful(fleet, "s1", List.of(fleet.anyFirstPart(), HARMFUL)).run());
+    fleet.runFor(RUN_MS, () -> harmful(fleet, "s1", List.of(fleet.anyFirstPart(), HARMFUL)).run());
     if (quarantined) {
       assertEquals(fleet.held(), Set.of(HARMFUL), "seed " + seed);
     }
@@ -121,10 +106,9 @@
     forEachSeed(
         20,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmful(HARMFUL, true);
-          runFor(
-              fleet,
+          fleet.runFor(
               RUN_MS,
               () -> {
                 harmful(fleet, "s1", List.of(HARMFUL, fleet.anyFirstPart())).run();
@@ -142,11 +126,10 @@
     forEachSeed(
         20,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmful("bad1", true);
           fleet.setHarmful("bad2", true);
-          runFor(
-              fleet,
+          fleet.runFor(
               RUN_MS,
               () -> {
                 harmful(fleet, "s1", List.of(fleet.anyFirstPart(), "bad1")).run();
@@ -164,12 +147,12 @@
     forEachSeed(
         20,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmful(HARMFUL, true);
-          runFor(fleet, RUN_MS, harmful(fleet, "s1", List.of("rare", HARMFUL)));
+          fleet.runFor(RUN_MS, harmful(fleet, "s1", List.of("rare", HARMFUL)));
           assertTrue(fleet.held().contains(HARMFUL), "seed " + seed);
           fleet.entryVms().forEach(vm -> assertTrue(fleet.send(vm, "s1", List.of("rare", "b1"))));
-          runFor(fleet, RUN_MS, () -> {});
+          fleet.runFor(RUN_MS, () -> {});
           assertEquals(fleet.held(), Set.of(HARMFUL), "seed " + seed);
         });
   }
@@ -179,9 +162,8 @@
     forEachSeed(
         Integer.getInteger("crash.seeds", 40),
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
-          runFor(
-              fleet,
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
+          fleet.runFor(
               2 * RUN_MS,
               () -> {
                 if (fleet.vms().chance(0.25)) {
@@ -200,14 +182,14 @@
     forEachSeed(
         20,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmful(HARMFUL, true);
-          runFor(fleet, RUN_MS, harmful(fleet, "s1", List.of(fleet.anyFirstPart(), HARMFUL)));
+          fleet.runFor(RUN_MS, harmful(fleet, "s1", List.of(fleet.anyFirstPart(), HARMFUL)));
           LinkedVms.Vm vm = fleet.entryVms().get(0);
           vm.kill();
           vm.start();
           int arrivals = fleet.statistics().harmfulArrivals();
-          runFor(fleet, START_MS, () -> fleet.send(vm, "s1", List.of("a0", HARMFUL)));
+          fleet.runFor(CrashingFleet.START_MS, () -> fleet.send(vm, "s1", List.of("a0", HARMFUL)));
           assertEquals(fleet.statistics().harmfulArrivals(), arrivals, "seed " + seed);
         });
   }
@@ -217,15 +199,15 @@
     forEachSeed(
         4,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmful(HARMFUL, true);
           Runnable requests = harmful(fleet, "s1", List.of("a0", HARMFUL));
-          runFor(fleet, RUN_MS, requests);
-          runFor(fleet, 1_200_000, requests);
+          fleet.runFor(RUN_MS, requests);
+          fleet.runFor(1_200_000, requests);
           int arrivals = fleet.statistics().arrivalsAfterFifthCrash();
           assertTrue(arrivals <= MAX_ARRIVALS_AFTER_FIFTH, "seed " + seed + ": " + arrivals);
           fleet.setHarmful(HARMFUL, false);
-          runFor(fleet, 4_200_000, requests);
+          fleet.runFor(4_200_000, requests);
           assertEquals(fleet.held(), Set.of(), "seed " + seed);
         });
   }
--- a/src/test/java/org/ragwortpick/sync/rpc/HarmfulRequestRunsTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/HarmfulRequestRunsTest.java
@@ -18,28 +18,13 @@
  */
 public final class HarmfulRequestRunsTest {
 
-  private static final long START_MS = 4_000;
   private static final long RUN_MS = 60_000;
-  private static final double SOUND_PER_SECOND = 2;
   private static final long CONTACT_MS = 3_000;
   private static final int ENDS = 3;
   private static final int TOLERATED = 3;
 
   private static final int SEEDS = Integer.getInteger("crash.seeds", 40);
 
-  private static CrashingFleet started(long seed, int entryCount, boolean quarantined) {
-    CrashingFleet fleet = new CrashingFleet(seed, entryCount, quarantined);
-    runFor(fleet, START_MS, () -> {});
-    return fleet;
-  }
-
-  private static void runFor(CrashingFleet fleet, long durationMs, Runnable eachStep) {
-    for (long endMs = fleet.vms().nowMs() + durationMs; fleet.vms().nowMs() < endMs; ) {
-      fleet.step(SOUND_PER_SECOND);
-      eachStep.run();
-    }
-  }
-
   private static LinkedVms.Vm anyVm(CrashingFleet fleet) {
     return fleet.entryVms().get(fleet.vms().random().nextInt(fleet.entryVms().size()));
   }
@@ -118,12 +103,11 @@
 
   private static long lateArrivalsOfOneRequest(
       long seed, int entryCount, double perSecond, boolean quarantined) {
-    CrashingFleet fleet = started(seed, entryCount, quarantined);
+    CrashingFleet fleet = CrashingFleet.started(seed, entryCount, quarantined);
     fleet.setHarmfulRequest("bad", true);
     Disruptions disruptions = new Disruptions(fleet);
     Runnable requests = repeated(fleet, "s1", "bad", perSecond);
-    runFor(
-        fleet,
+    fleet.runFor(
         RUN_MS,
         () -> {
           requests.run();
@@ -137,13 +121,11 @@
     CrashingPartRunsTest.forEachSeed(
         Integer.getInteger("crash.seeds", 20),
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           List<String> harmful = List.of("bad1", "bad2", "bad3");
           harmful.forEach(request -> fleet.setHarmfulRequest(request, true));
-          runFor(
-              fleet,
-              RUN_MS,
-              () -> harmful.forEach(request -> repeated(fleet, "s1", request, 2).run()));
+          fleet.runFor(
+              RUN_MS, () -> harmful.forEach(request -> repeated(fleet, "s1", request, 2).run()));
           Disruptions none = new Disruptions(fleet);
           for (String request : harmful) {
             long late = lateArrivals(fleet, none, request);
@@ -157,9 +139,9 @@
     CrashingPartRunsTest.forEachSeed(
         4,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmfulRequest("bad", true);
-          runFor(fleet, 12 * RUN_MS, repeated(fleet, "s1", "bad", 1 / 40.0));
+          fleet.runFor(12 * RUN_MS, repeated(fleet, "s1", "bad", 1 / 40.0));
           long late = lateArrivals(fleet, new Disruptions(fleet), "bad");
           assertTrue(late <= TOLERATED, "seed " + seed + ": " + late);
         });
@@ -170,9 +152,9 @@
     CrashingPartRunsTest.forEachSeed(
         2,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmfulRequest("bad", true);
-          runFor(fleet, 90 * RUN_MS, repeated(fleet, "s1", "bad", 0.5));
+          fleet.runFor(90 * RUN_MS, repeated(fleet, "s1", "bad", 0.5));
           long late = lateArrivals(fleet, new Disruptions(fleet), "bad");
           assertTrue(late <= TOLERATED, "seed " + seed + ": " + late);
         });
@@ -183,11 +165,10 @@
     CrashingPartRunsTest.forEachSeed(
         SEEDS,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           Runnable polls = repeated(fleet, "s1", "poll", 10);
           long[] freeAtMs = {0};
-          runFor(
-              fleet,
+          fleet.runFor(
               RUN_MS,
               () -> {
                 polls.run();
@@ -210,13 +191,13 @@
     CrashingPartRunsTest.forEachSeed(
         4,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmfulRequest("bad", true);
           Runnable requests = repeated(fleet, "s1", "bad", 2);
-          runFor(fleet, RUN_MS / 4, requests);
+          fleet.runFor(RUN_MS / 4, requests);
           assertEquals(fleet.held(), Set.of("request:bad"), "seed " + seed);
           fleet.setHarmfulRequest("bad", false);
-          runFor(fleet, 3 * RUN_MS, requests);
+          fleet.runFor(3 * RUN_MS, requests);
           assertEquals(heldRequests(fleet), Set.of(), "seed " + seed);
         });
   }
@@ -226,14 +207,14 @@
     CrashingPartRunsTest.forEachSeed(
         20,
         seed -> {
-          CrashingFleet fleet = started(seed, 9, true);
+          CrashingFleet fleet = CrashingFleet.started(seed, 9, true);
           fleet.setHarmfulRequest("bad", true);
-          runFor(fleet, RUN_MS / 4, repeated(fleet, "s1", "bad", 2));
+          fleet.runFor(RUN_MS / 4, repeated(fleet, "s1", "bad", 2));
           LinkedVms.Vm vm = fleet.entryVms().get(0);
           vm.kill();
           vm.start();
           int arrivals = fleet.statistics().harmfulArrivals();
-          runFor(fleet, START_MS, () -> fleet.send(vm, "s1", List.of(), "bad"));
+          fleet.runFor(CrashingFleet.START_MS, () -> fleet.send(vm, "s1", List.of(), "bad"));
           assertEquals(fleet.statistics().harmfulArrivals(), arrivals, "seed " + seed);
         });
   }
