Bound the evidence of single crashes on every VM

Each connection that breaks adds a record about its whole request since. Entry VMs bounded them, control VMs kept each for 11 minutes, and a VM that starts gets them all with its first poll. RecordRetentionTest: 10,001 records before, 2,048 and those of repeated crashes now; the oldest go first. No deployment was seen to suffer from it.

--- a/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
+++ b/src/main/java/org/ragwortpick/sync/directory/RecordRetention.java
@@ -1,8 +1,10 @@
 package org.ragwortpick.sync.directory;
 
 import java.time.Clock;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.ragwortpick.sync.CrashEvidence;
@@ -17,6 +19,9 @@
  */
 public final class RecordRetention {
 
+  /** Number of contents with at most one crash that counts. */
+  private static final int MAX_SINGLE_CRASH_RECORDS = 2_048;
+
   private final Clock clock;
   private final SoftTable table;
   private final SyncedVmDirectory vms;
@@ -49,6 +54,22 @@
       }
     }
     obsoleteSinceMs.keySet().retainAll(obsolete);
+    removeOldestSingleCrashes();
+  }
+
+  /** Each connection that breaks leaves such a record, and most never become more. */
+  private void removeOldestSingleCrashes() {
+    List<CrashEvidence> single =
+        table.all().stream()
+            .filter(SoftRecord.OfCrashEvidence.class::isInstance)
+            .map(record -> ((SoftRecord.OfCrashEvidence) record).evidence())
+            .filter(evidence -> !evidence.isOfService() && evidence.uncleared().size() <= 1)
+            .sorted(Comparator.comparingLong(CrashEvidence::lastCrashAtMs))
+            .toList();
+    single.stream()
+        .limit(Math.max(0, single.size() - MAX_SINGLE_CRASH_RECORDS))
+        .map(evidence -> SoftRecord.OfCrashEvidence.keyOf(evidence.service(), evidence.content()))
+        .forEach(table::remove);
   }
 
   private boolean isObsolete(SoftRecord record) {
