--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -109,7 +109,8 @@
   static Refusal heldContent(HeldContent held, long retryAfterMs) {
     String cause =
         held.isRequest()
-            ? " ended under this request, whatever its id; change it, or retry after the stated time"
+            ? " ended under this request, whatever its id; change it, or retry after the stated"
+                + " time"
             : " ended under requests with the prompt part "
                 + held.content()
                 + "; send the request without it, or retry after the stated time";
--- a/src/test/java/org/ragwortpick/sync/rpc/CrashingFleet.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/CrashingFleet.java
@@ -196,10 +196,21 @@
     }
   }
 
-  /** Arrival of a harmful request at an upstream. */
+  /**
+   * Arrival of a harmful request at an upstream.
+   *
+   * @param atMs time
+   * @param vm name of the VM that sent it
+   * @param fingerprint fingerprint of the request
+   */
   record Arrival(long atMs, String vm, String fingerprint) {}
 
-  /** End of an upstream under a harmful request. */
+  /**
+   * End of an upstream under a harmful request.
+   *
+   * @param atMs time
+   * @param fingerprint fingerprint of the request
+   */
   record End(long atMs, String fingerprint) {}
 
   /** Counts of one run. */
