Clear the crashes of upstreams that go on announcing themselves

Cause: a connection that breaks was taken for the end of its upstream until another response of the same incarnation showed the contrary; where nothing else is sent, nothing shows it. Class: absence of a sign taken for a sign.

Whoever receives the announcements clears a crash at the second one that arrives 1.5 s or more after it; an upstream that ended sends none, and one that was delayed is not two. At most 4 s pass.

--- a/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SyncedUpstreamDirectory.java
@@ -30,6 +30,7 @@
   private final SyncedVmDirectory vms;
   private final WarmFlags warmFlags;
   private final UpstreamHome home;
+  private final SurvivedCrashes survivedCrashes;
   private final Map<HomeKey, Long> lastAliveMs = new HashMap<>();
   private long refreshedAtMs;
   private volatile Snapshot snapshot = new Snapshot(-1, Map.of(), Map.of());
@@ -42,14 +43,21 @@
    * @param vms VM directory that tells which home VMs are alive
    * @param warmFlags warm upstreams
    * @param home home of the upstreams that announce themselves to the local VM
+   * @param survivedCrashes learns of the announcements
    */
   public SyncedUpstreamDirectory(
-      Clock clock, SoftTable table, SyncedVmDirectory vms, WarmFlags warmFlags, UpstreamHome home) {
+      Clock clock,
+      SoftTable table,
+      SyncedVmDirectory vms,
+      WarmFlags warmFlags,
+      UpstreamHome home,
+      SurvivedCrashes survivedCrashes) {
     this.clock = clock;
     this.table = table;
     this.vms = vms;
     this.warmFlags = warmFlags;
     this.home = home;
+    this.survivedCrashes = survivedCrashes;
   }
 
   @Override
@@ -83,7 +91,9 @@
 
   @Override
   public void announce(Upstream announcement) {
-    home.announce(announcement);
+    if (home.announce(announcement)) {
+      survivedCrashes.onAnnounced(announcement);
+    }
   }
 
   /**
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -7,6 +7,7 @@
 import org.ragwortpick.sync.directory.RecordRetention;
 import org.ragwortpick.sync.directory.SoftRecord;
 import org.ragwortpick.sync.directory.SoftTable;
+import org.ragwortpick.sync.directory.SurvivedCrashes;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.ragwortpick.sync.directory.SyncedUpstreamDirectory;
 import org.ragwortpick.sync.directory.SyncedUpstreamLimits;
@@ -56,11 +57,13 @@
     this.home = new UpstreamHome(identity.vm(), identity.incarnation(), clock, table);
     this.vms = new SyncedVmDirectory(table);
     this.warmFlags = new WarmFlags(table, view);
-    this.upstreams = new SyncedUpstreamDirectory(clock, table, vms, warmFlags, home);
+    this.crashEvidence = new SyncedCrashEvidence(identity.vm(), table, pollTrigger);
+    this.upstreams =
+        new SyncedUpstreamDirectory(
+            clock, table, vms, warmFlags, home, new SurvivedCrashes(crashEvidence, clock));
     this.allowances =
         new LeasedColdAllowances(
             identity.vm(), identity.incarnation(), clock, warmFlags, pollTrigger);
-    this.crashEvidence = new SyncedCrashEvidence(identity.vm(), table, pollTrigger);
     this.upstreamLimits = new SyncedUpstreamLimits(identity.vm(), table, pollTrigger);
     this.retention = new RecordRetention(clock, table, vms);
   }
