Keep the admin paths and names of held parts beside the new ones

What operators saw: since a script or an older command that asks /held-parts, or releases a part there, got the answer of the readiness check, since the paths and fields had been renamed. Cause: an interface was renamed with the classes behind it. The old paths answer with the old names again; HeldContentHandlerTest has the case, not run on the code before it.

--- a/src/main/java/org/ragwortpick/vm/HeldContentHandler.java
+++ b/src/main/java/org/ragwortpick/vm/HeldContentHandler.java
@@ -23,6 +23,11 @@
   private static final String LIST_PATH = "/held-content";
   private static final String RELEASE_PATH = "/held-content/release";
 
+  /** Paths, and below names, that operators knew before whole requests were held too. */
+  private static final String OLD_LIST_PATH = "/held-parts";
+
+  private static final String OLD_RELEASE_PATH = "/held-parts/release";
+
   private final ContentQuarantine quarantine;
   private final Clock clock;
   private final HttpHandler next;
@@ -43,23 +48,26 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) throws Exception {
     boolean get = exchange.getRequestMethod().equals(Methods.GET);
-    if (get && exchange.getRequestPath().equals(LIST_PATH)) {
-      send(exchange, StatusCodes.OK, list());
-    } else if (!get && exchange.getRequestPath().equals(RELEASE_PATH)) {
+    String path = exchange.getRequestPath();
+    if (get && path.equals(LIST_PATH)) {
+      send(exchange, StatusCodes.OK, list("heldContent", "content"));
+    } else if (get && path.equals(OLD_LIST_PATH)) {
+      send(exchange, StatusCodes.OK, list("heldParts", "part"));
+    } else if (!get && (path.equals(RELEASE_PATH) || path.equals(OLD_RELEASE_PATH))) {
       exchange.getRequestReceiver().receiveFullString(this::release);
     } else {
       next.handleRequest(exchange);
     }
   }
 
-  private ObjectNode list() {
+  private ObjectNode list(String listName, String idName) {
     ObjectNode body = Json.MESSAGES.createObjectNode();
-    ArrayNode contents = body.putArray("heldContent");
+    ArrayNode contents = body.putArray(listName);
     long nowMs = clock.millis();
     for (HeldContent held : quarantine.held()) {
       ObjectNode entry = contents.addObject();
       entry.put("service", held.service());
-      entry.put("content", held.content());
+      entry.put(idName, held.content());
       entry.set("companions", Json.MESSAGES.valueToTree(held.companions()));
       entry.put("crashes", held.crashes());
       entry.put("heldMs", nowMs - held.heldSinceMs());
@@ -73,7 +81,7 @@
     try {
       JsonNode body = Json.MESSAGES.readTree(text);
       String service = body.path("service").asText();
-      String content = body.path("content").asText();
+      String content = body.path("content").asText(body.path("part").asText());
       boolean released = quarantine.release(service, content);
       send(
           exchange,
--- a/src/test/java/org/ragwortpick/vm/HeldContentHandlerTest.java
+++ b/src/test/java/org/ragwortpick/vm/HeldContentHandlerTest.java
@@ -86,6 +86,19 @@
     assertEquals(held().size(), 0);
   }
 
+  @Test
+  public void pathsAndNamesOfEarlierReleasesStillWork() throws Exception {
+    HttpResponse<String> listed =
+        send(HttpRequest.newBuilder(URI.create(base + "/held-parts")).GET());
+    JsonNode parts = Json.MESSAGES.readTree(listed.body()).get("heldParts");
+    assertEquals(parts.get(0).get("part").asText(), "bad");
+    HttpRequest.Builder release =
+        HttpRequest.newBuilder(URI.create(base + "/held-parts/release"))
+            .POST(HttpRequest.BodyPublishers.ofString("{\"service\":\"s1\",\"part\":\"bad\"}"));
+    assertEquals(send(release).statusCode(), 200);
+    assertEquals(held().size(), 0);
+  }
+
   @Test
   public void otherPathsReachNextHandler() throws Exception {
     assertEquals(send(HttpRequest.newBuilder(URI.create(base + "/ready")).GET()).statusCode(), 418);
