Name VMs to callers in proportion to their processor

Cause: the directory named all VMs alike, so VMs with 0.27 and 0.9 of a core got the same number of callers.

Change: where the processors of the ready VMs differ, a VM is named to a caller with a probability in proportion to its processor (WeightedVmSample); an unknown processor counts like the average, and a control process on the VM takes 9 percent of a core (VmCapacities). Equal or unknown processors take the path of before.

Result (WeightedAddressesTest): over 1,000 callers with consecutive addresses the load per processor of each VM is within 20 of 100 of the mean for 66 VMs (0.27, 0.9, 0.96) and 94 VMs (0.36, 0.96), and over 8,000 callers for 400 VMs. A VM that leaves adds at most one address to a list and removes at most two.

--- a/src/main/java/org/ragwortpick/sync/AddressResponses.java
+++ b/src/main/java/org/ragwortpick/sync/AddressResponses.java
@@ -61,18 +61,29 @@
    * Lists ready VMs that serve callers, regardless of their data centre, for a deployment in which
    * only upstreams are taken out of service. If there are more VMs than the limit, each caller gets
    * a selection of its own, so that every VM is named to some callers, and one that changes little
-   * with the VMs, so that callers keep their connections.
+   * with the VMs, so that callers keep their connections. Where the processors of the VMs differ, a
+   * VM is named to callers in proportion to its processor.
    *
    * @param caller name or address of the caller
    * @param limit largest number of addresses
    * @return the addresses
    */
   public List<HostPort> anyReady(String caller, int limit) {
-    return vms.vms().stream()
-        .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
+    List<VmRecord> all = vms.vms();
+    List<VmRecord> ready =
+        all.stream().filter(vm -> vm.state() == VmState.READY && vm.servesCallers()).toList();
+    VmCapacities capacities = new VmCapacities(ready, all);
+    List<VmRecord> selected =
+        capacities.areEqual()
+            ? inCallerOrder(caller, ready, limit)
+            : WeightedVmSample.select(caller, ready, capacities::ofPercent, limit);
+    return selected.stream().map(VmRecord::callerAddress).toList();
+  }
+
+  private static List<VmRecord> inCallerOrder(String caller, List<VmRecord> ready, int limit) {
+    return ready.stream()
         .sorted(Comparator.comparingLong(vm -> callerOrder(caller, vm.vm())))
         .limit(limit)
-        .map(VmRecord::callerAddress)
         .toList();
   }
 
