Bound the memory that a VM holds for slow callers

Cause: each response could hold 256 KiB, without a bound over all of them: 1,000 slow callers need more than twice the heap of 112 MiB. A paused upstream went on only when its caller had taken everything, and bytes that waited for the caller of an incomplete response were dropped.

Change: ResponseMemory counts request bodies, buffered responses and bytes not yet taken by callers. Each response may hold what is left below the bound (a quarter of the heap, three quarters of that for responses), at most 256 KiB as before; so the upstreams of the slowest callers wait first, and a response that exceeds it while it is buffered is relayed. Upstreams go on when their caller takes 1 KiB or when the sum falls. Requests get 503 only if the bound itself would be exceeded. The pending bytes of an incomplete response are delivered before its connection is closed.

--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -211,7 +211,7 @@
     try (PooledByteBuffer pooled = dependencies.buffers().allocate()) {
       ByteBuffer buffer = pooled.getBuffer();
       while (!ended && !paused) {
-        buffer.clear();
+        buffer.clear().limit(Math.min(buffer.capacity(), listener.maxReadBytes()));
         int count = channel.read(buffer);
         if (count < 0) {
           // Undertow throws an exception if the body is shorter than its stated length.
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpListener.java
@@ -22,6 +22,15 @@
    */
   boolean onBytes(ByteBuffer bytes);
 
+  /**
+   * Returns how many bytes of the body may be read at once. Called before each read.
+   *
+   * @return positive number of bytes
+   */
+  default int maxReadBytes() {
+    return Integer.MAX_VALUE;
+  }
+
   /**
    * Returns whether a complete response certainly belongs to the request. Its connection is closed
    * otherwise, since the response to the request may still follow on it. Called before {@link
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -38,6 +38,7 @@
  *     Long#MAX_VALUE} without a stop
  * @param workCounter counter of the requests in flight
  * @param runsInFlight requests in flight that a stop answers
+ * @param responseMemory bounds the memory that requests hold for their callers
  * @param metrics counters and histograms
  */
 public record ForwardDependencies(
@@ -61,6 +62,7 @@
     LongSupplier remainingMs,
     WorkCounter workCounter,
     RunsInFlight runsInFlight,
+    ResponseMemory responseMemory,
     ForwardMetrics metrics) {
 
   /** Time that a stop needs beyond the end of a request, to write the end of its response. */
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -105,6 +105,11 @@
       refuse(exchange, Refusal.STOPPING);
       return;
     }
+    if (!dependencies.responseMemory().hasRoomFor(exchange.getRequestContentLength())) {
+      refuse(exchange, Refusal.NO_MEMORY);
+      return;
+    }
+    ResponseMemory.Share memory = openShare(exchange);
     Optional<RoutedWorkspace> owner = workspace;
     BodyReader.read(
         exchange,
@@ -112,6 +117,7 @@
         dependencies.timers(),
         timeoutMs,
         body -> {
+          memory.setRequestBytes(body.length);
           CallerRequest request =
               new CallerRequest(
                   id,
@@ -124,7 +130,7 @@
                   table.number(),
                   arrivedAtMs,
                   arrivedAtMs + timeoutMs);
-          start(exchange, table, request, waitedMs);
+          start(exchange, table, request, waitedMs, memory);
         },
         fault ->
             refuse(
@@ -134,6 +140,18 @@
                     : Refusal.INCOMPLETE_BODY));
   }
 
+  /** Counts what the request holds until the last byte of its response is written. */
+  private ResponseMemory.Share openShare(HttpServerExchange exchange) {
+    ResponseMemory.Share memory = dependencies.responseMemory().open();
+    memory.setRequestBytes(exchange.getRequestContentLength());
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          memory.close();
+          next.proceed();
+        });
+    return memory;
+  }
+
   private long timeoutMs(HeaderMap headers, Route route) {
     String value = headers.getFirst(dependencies.headers().deadlineMs());
     if (value == null) {
@@ -153,14 +171,18 @@
   }
 
   private void start(
-      HttpServerExchange exchange, RoutingTable table, CallerRequest request, long waitedMs) {
+      HttpServerExchange exchange,
+      RoutingTable table,
+      CallerRequest request,
+      long waitedMs,
+      ResponseMemory.Share memory) {
     // The stop may have begun while the body arrived.
     if (!dependencies.endsBeforeStop(request.deadlineAtMs() - dependencies.clock().millis())) {
       refuse(exchange, Refusal.STOPPING);
       return;
     }
     String service = drawService(request.route());
-    ForwardRun run = new ForwardRun(dependencies, exchange, request, service);
+    ForwardRun run = new ForwardRun(dependencies, exchange, request, service, memory);
     CallerConnection.watch(exchange, run::onCallerDisconnected);
     if (waitedMs > 0) {
       CallerConnection.detectClose(exchange);
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -24,6 +24,7 @@
   private final String service;
   private final PromptPrefix prefix;
   private final ContentGate gate;
+  private final ResponseMemory.Share memory;
   private final ResponseRelay relay;
   private final RequestLog log;
   private final RepeatPolicy repeatPolicy;
@@ -48,18 +49,21 @@
    * @param exchange exchange with the caller
    * @param request the request
    * @param service service that runs it
+   * @param memory counts what the request holds in memory
    */
   ForwardRun(
       ForwardDependencies dependencies,
       HttpServerExchange exchange,
       CallerRequest request,
-      String service) {
+      String service,
+      ResponseMemory.Share memory) {
     this.dependencies = dependencies;
     this.exchange = exchange;
     this.request = request;
     this.service = service;
     this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
-    this.relay = new ResponseRelay(exchange);
+    this.memory = memory;
+    this.relay = new ResponseRelay(exchange, memory);
     RequestFingerprint fingerprint = new RequestFingerprint(request);
     this.gate =
         new ContentGate(
@@ -198,6 +202,7 @@
             upstream,
             this,
             relay,
+            memory,
             request.route().repeatable(),
             gate.evidenceOf(upstream, dependencies.clock()));
     attempt = Optional.of(nextAttempt);
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -52,6 +52,14 @@
       new Refusal(
           StatusCodes.BAD_REQUEST, "incomplete_body", "the body ended before its stated length", 0);
 
+  /** The requests in flight hold all memory for callers. */
+  static final Refusal NO_MEMORY =
+      new Refusal(
+          StatusCodes.SERVICE_UNAVAILABLE,
+          "no_memory",
+          "slow callers and request bodies hold all memory of this VM; use another address",
+          250);
+
   /** The deadline passed before the request was sent to an upstream. */
   static final Refusal DEADLINE_PASSED =
       new Refusal(
--- a/src/main/java/org/ragwortpick/forward/ResponseRelay.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseRelay.java
@@ -5,7 +5,6 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -41,24 +40,24 @@
           Headers.EXPECT,
           HttpString.tryFromString("Proxy-Connection"));
 
-  /** Number of bytes buffered for a caller that reads slowly at which its upstream must wait. */
-  private static final int MAX_PENDING_BYTES = 256 * 1024;
-
   private final HttpServerExchange exchange;
+  private final ResponseMemory.Share memory;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
   private StreamSinkChannel channel;
-  private Runnable onDrained = () -> {};
   private int pendingBytes;
   private boolean endsWithConnection;
   private boolean finished;
+  private boolean incomplete;
 
   /**
    * Creates a relay.
    *
    * @param exchange exchange with the caller
+   * @param memory counts the bytes that wait for the caller
    */
-  ResponseRelay(HttpServerExchange exchange) {
+  ResponseRelay(HttpServerExchange exchange, ResponseMemory.Share memory) {
     this.exchange = exchange;
+    this.memory = memory;
   }
 
   /**
@@ -67,17 +66,19 @@
    * @param head head of the upstream's response
    * @param body body
    */
-  void sendComplete(HttpHead head, ByteArrayOutputStream body) {
+  void sendComplete(HttpHead head, byte[] body) {
     if (head.framing() == BodyFraming.CONNECTION_CLOSE) {
       start(head);
-      write(ByteBuffer.wrap(body.toByteArray()));
+      write(ByteBuffer.wrap(body));
       finish();
       return;
     }
     exchange.setStatusCode(head.status());
     copyHeaders(head.headers());
     exchange.getResponseHeaders().remove(Headers.CONTENT_LENGTH);
-    exchange.getResponseSender().send(ByteBuffer.wrap(body.toByteArray()));
+    // Released with the share, when the caller has taken the response.
+    memory.addBufferedBytes(body.length);
+    exchange.getResponseSender().send(ByteBuffer.wrap(body));
   }
 
   /**
@@ -136,13 +137,11 @@
   /**
    * Returns whether so many bytes wait for the caller that no more should be written.
    *
-   * @param drained action to run once, when the buffer is empty again
-   * @return whether the action will run
+   * @param resume called once when more may be written
+   * @return whether it will be called
    */
-  boolean isFull(Runnable drained) {
-    boolean full = pendingBytes > MAX_PENDING_BYTES;
-    onDrained = full ? drained : () -> {};
-    return full;
+  boolean isFull(Runnable resume) {
+    return memory.pauseIfFull(resume);
   }
 
   /** Ends a complete response. */
@@ -151,9 +150,15 @@
     flush();
   }
 
+  /** Ends an incomplete response once its caller has taken the bytes that wait for it. */
+  void finishIncomplete() {
+    incomplete = true;
+    flush();
+  }
+
   /**
-   * Ends an incomplete response by closing the connection, with a reset if a plain close would mark
-   * the response as complete.
+   * Ends an incomplete response at once by closing the connection, with a reset if a plain close
+   * would mark the response as complete.
    */
   void abort() {
     if (endsWithConnection) {
@@ -171,27 +176,17 @@
     }
   }
 
-  private void notifyDrained() {
-    Runnable action = onDrained;
-    onDrained = () -> {};
-    action.run();
-  }
-
   private void flush() {
     if (exchange.isComplete()) {
       return;
     }
     try {
-      while (!pending.isEmpty()) {
-        ByteBuffer first = pending.peek();
-        pendingBytes -= channel.write(first);
-        if (first.hasRemaining()) {
-          channel.resumeWrites();
-          return;
-        }
-        pending.remove();
+      boolean drained = writePending();
+      memory.setPendingBytes(pendingBytes);
+      if (!drained) {
+        channel.resumeWrites();
+        return;
       }
-      notifyDrained();
       if (finished) {
         channel.shutdownWrites();
       }
@@ -200,7 +195,9 @@
         return;
       }
       channel.suspendWrites();
-      if (finished) {
+      if (incomplete) {
+        abort();
+      } else if (finished) {
         exchange.endExchange();
       }
     } catch (IOException e) {
@@ -208,4 +205,16 @@
       abort();
     }
   }
+
+  private boolean writePending() throws IOException {
+    while (!pending.isEmpty()) {
+      ByteBuffer first = pending.peek();
+      pendingBytes -= channel.write(first);
+      if (first.hasRemaining()) {
+        return false;
+      }
+      pending.remove();
+    }
+    return true;
+  }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -24,12 +24,6 @@
 
   private static final Logger LOG = Logger.getLogger(UpstreamAttempt.class);
 
-  /**
-   * Maximum size up to which a response is buffered, so that the request can be repeated if the
-   * response is incomplete.
-   */
-  private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-
   /** Maximum size of the body of a response that states that the request was not run. */
   private static final int MAX_REFUSAL_BYTES = 64 * 1024;
 
@@ -40,9 +34,10 @@
   private final Upstream upstream;
   private final AttemptListener listener;
   private final ResponseRelay relay;
+  private final ResponseMemory.Share memory;
   private final boolean repeatable;
   private final AttemptEvidence evidence;
-  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private PendingResponse pending;
   private HttpCall call;
   private HttpHead head = new HttpHead(0, new HeaderMap(), BodyFraming.NONE);
@@ -61,6 +56,8 @@
    * @param upstream upstream that is to run it
    * @param listener receives the events of the attempt
    * @param relay passes the response to the caller
+   * @param memory counts the bytes that are buffered so that the request can be repeated if the
+   *     response is incomplete
    * @param repeatable whether the request may run more than once
    * @param evidence receives what the attempt shows about the prompt
    */
@@ -70,6 +67,7 @@
       Upstream upstream,
       AttemptListener listener,
       ResponseRelay relay,
+      ResponseMemory.Share memory,
       boolean repeatable,
       AttemptEvidence evidence) {
     this.dependencies = dependencies;
@@ -77,6 +75,7 @@
     this.upstream = upstream;
     this.listener = listener;
     this.relay = relay;
+    this.memory = memory;
     this.repeatable = repeatable;
     this.evidence = evidence;
   }
@@ -160,13 +159,27 @@
     byte[] copy = new byte[bytes.remaining()];
     bytes.get(copy);
     buffered.writeBytes(copy);
-    if (buffered.size() > MAX_BUFFERED_BYTES) {
+    memory.addBufferedBytes(copy.length);
+    if (!memory.mayBuffer(buffered.size())) {
       startRelay();
-      return relayBytes(ByteBuffer.wrap(buffered.toByteArray()));
+      return relayBytes(ByteBuffer.wrap(takeBuffered()));
     }
     return true;
   }
 
+  /** Empties the buffer, which must not be held beside the bytes that wait for the caller. */
+  private byte[] takeBuffered() {
+    byte[] bytes = buffered.toByteArray();
+    buffered = new ByteArrayOutputStream(0);
+    memory.addBufferedBytes(-bytes.length);
+    return bytes;
+  }
+
+  @Override
+  public int maxReadBytes() {
+    return memory.maxReadBytes();
+  }
+
   /** A caller that reads slowly slows its upstream down. */
   private boolean relayBytes(ByteBuffer bytes) {
     boolean open = relay.write(bytes);
@@ -201,6 +214,7 @@
     } else {
       AttemptOutcome outcome = outcomeOf(end);
       recordFailure(outcome, end);
+      takeBuffered();
       repeatOrFail(outcome);
     }
   }
@@ -214,7 +228,7 @@
       recordFailure(AttemptOutcome.LOST, end);
       // Closing the caller's connection would otherwise end the run as left by its caller.
       listener.onResponseEnded(end);
-      relay.abort();
+      relay.finishIncomplete();
     }
   }
 
@@ -236,7 +250,7 @@
 
   private void sendComplete(HttpEnd end) {
     listener.onResponseStarted(head.status());
-    relay.sendComplete(head, buffered);
+    relay.sendComplete(head, takeBuffered());
     listener.onResponseEnded(end);
   }
 
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -2,7 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
@@ -25,11 +25,11 @@
    * @param help what it counts
    * @param value supplies its value when the metrics are read
    */
-  void register(String name, String help, IntSupplier value) {
+  void register(String name, String help, LongSupplier value) {
     GaugeWithCallback.builder()
         .name(name)
         .help(help)
-        .callback(callback -> callback.call(value.getAsInt()))
+        .callback(callback -> callback.call(value.getAsLong()))
         .register(registry);
   }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -36,6 +36,7 @@
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
 import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.ResponseMemory;
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
 import org.ragwortpick.forward.RunsInFlight;
@@ -112,6 +113,7 @@
   private final ContentQuarantine quarantine;
   private final RemoteStageRunner stages;
   private final ReadDelay readDelay;
+  private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final RunsInFlight runsInFlight = new RunsInFlight();
   private final WorkCounter work;
   private final EntryServer server;
@@ -272,6 +274,14 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
+    gauges.register(
+        "ragwortpick_response_memory_bytes",
+        "Memory that requests hold for their callers",
+        responseMemory::heldBytes);
+    gauges.register(
+        "ragwortpick_responses_paused",
+        "Responses whose upstream waits because the caller reads slowly",
+        responseMemory::pausedCount);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -335,6 +345,7 @@
         remainingMs,
         work,
         runsInFlight,
+        responseMemory,
         new ForwardMetrics(registry));
   }
 
--- a/src/test/java/org/ragwortpick/forward/ForwardServerFixture.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardServerFixture.java
@@ -12,7 +12,7 @@
 
   @BeforeMethod
   public void startServer() throws Exception {
-    server = new ForwardTestServer();
+    server = new ForwardTestServer(ResponseMemory.ofHeap());
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -114,11 +114,10 @@
   private volatile Runnable produceStages = () -> {};
   private volatile Configuration configuration = configuration();
 
-  ForwardTestServer() throws Exception {
+  ForwardTestServer(ResponseMemory memory) throws Exception {
     MonotonicClock clock = new MonotonicClock();
-    worker =
-        Xnio.getInstance()
-            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    OptionMap options = OptionMap.create(Options.WORKER_IO_THREADS, 1);
+    worker = Xnio.getInstance().createWorker(options);
     callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000);
     UpstreamLoads loads = new UpstreamLoads(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
@@ -161,6 +160,7 @@
                     () -> remainingMs,
                     work,
                     new RunsInFlight(),
+                    memory,
                     new ForwardMetrics(registry)),
                 random),
             work);
@@ -288,7 +288,7 @@
             .POST(HttpRequest.BodyPublishers.ofString("body"))
             .build();
     int submittedBefore = submissions.get();
-    CompletableFuture<HttpResponse<String>> response = sendAsync(request);
+    var response = sendAsync(request);
     for (int i = 0; i < 1_000 && submissions.get() == submittedBefore; i++) {
       TimeUnit.MILLISECONDS.sleep(5);
     }
@@ -331,7 +331,7 @@
     return submissions.get();
   }
 
-  /** Returns the number of requests for which a graceful stop would wait. */
+  /** Counts the requests for which a graceful stop would wait. */
   int inFlight() {
     return server.inFlight();
   }
--- a/src/test/java/org/ragwortpick/forward/SlowCallerTest.java
+++ b/src/test/java/org/ragwortpick/forward/SlowCallerTest.java
@@ -45,7 +45,7 @@
     }
   }
 
-  private static long bodyBytes(InputStream in) throws Exception {
+  static long bodyBytes(InputStream in) throws Exception {
     byte[] buffer = new byte[64 * 1024];
     long count = 0;
     int read = in.read(buffer);
