--- a/src/main/java/org/ragwortpick/entry/http/EntryServer.java
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.WorkCounter;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -31,7 +32,7 @@
   private final WorkCounter work;
 
   /**
-   * Creates a server.
+   * Creates a server that accepts any number of connections.
    *
    * @param host IP address to listen on
    * @param port TCP port; 0 for a free port
@@ -47,9 +48,34 @@
       ByteBufferPool buffers,
       HttpHandler handler,
       WorkCounter work) {
+    this(host, port, worker, buffers, handler, work, Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates a server.
+   *
+   * @param host IP address to listen on
+   * @param port TCP port; 0 for a free port
+   * @param worker worker whose I/O threads serve the connections
+   * @param buffers buffers for reading and writing
+   * @param handler handler of all requests
+   * @param work counter of the work in flight
+   * @param maxConnections number of open connections at which no more are accepted until one closes
+   */
+  public EntryServer(
+      String host,
+      int port,
+      XnioWorker worker,
+      ByteBufferPool buffers,
+      HttpHandler handler,
+      WorkCounter work,
+      int maxConnections) {
     this.work = work;
     this.undertow =
         Undertow.builder()
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections - 1)
+            .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, true)
             .addHttpListener(port, host)
             .setWorker(worker)
             .setByteBufferPool(buffers)
@@ -95,6 +121,17 @@
     return work.whenIdle();
   }
 
+  /**
+   * Returns the number of open connections of callers.
+   *
+   * @return the number; 0 before the start
+   */
+  public long openConnections() {
+    return undertow.getListenerInfo().stream()
+        .mapToLong(listener -> listener.getConnectorStatistics().getActiveConnections())
+        .sum();
+  }
+
   /** Closes the listener. Requests in flight continue. */
   public void stop() {
     undertow.stop();
--- a/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/ConnectionPool.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -27,7 +28,9 @@
 
   private final Clock clock;
   private final long staleAfterMs;
+  private final int maxIdle;
   private final Map<HostPort, Deque<IdleConnection>> idleByAddress = new HashMap<>();
+  private int idleCount;
   private boolean closed;
 
   /**
@@ -35,8 +38,10 @@
    *
    * @param clock monotonic clock
    * @param staleAfterMs age of the last progress in milliseconds from which a connection is closed
+   * @param maxIdle largest number of idle connections to all upstreams
    */
-  ConnectionPool(Clock clock, long staleAfterMs) {
+  ConnectionPool(Clock clock, long staleAfterMs, int maxIdle) {
+    this.maxIdle = maxIdle;
     this.clock = clock;
     this.staleAfterMs = staleAfterMs;
   }
@@ -55,6 +60,7 @@
       Deque<IdleConnection> connections = idleByAddress.get(address);
       while (found.isEmpty() && connections != null && !connections.isEmpty()) {
         IdleConnection candidate = connections.pop();
+        idleCount--;
         if (clock.millis() - candidate.progressAtMs() < candidate.usableMs()
             && candidate.connection().isOpen()) {
           found = Optional.of(candidate.connection());
@@ -78,20 +84,44 @@
   void put(HostPort address, UpstreamConnection connection, long idleTimeoutMs) {
     long usableMs = Math.min(staleAfterMs, idleTimeoutMs - CLOSING_MARGIN_MS);
     IdleConnection added = new IdleConnection(connection, clock.millis(), usableMs);
-    IdleConnection toClose = null;
+    List<IdleConnection> toClose = new ArrayList<>();
     synchronized (this) {
-      Deque<IdleConnection> connections =
-          idleByAddress.computeIfAbsent(address, key -> new ArrayDeque<>());
       if (closed) {
-        toClose = added;
+        toClose.add(added);
       } else {
+        Deque<IdleConnection> connections =
+            idleByAddress.computeIfAbsent(address, key -> new ArrayDeque<>());
         connections.push(added);
-        toClose = connections.size() > MAX_IDLE_PER_ADDRESS ? connections.removeLast() : null;
+        idleCount++;
+        if (connections.size() > MAX_IDLE_PER_ADDRESS) {
+          toClose.add(connections.removeLast());
+          idleCount--;
+        }
+        if (idleCount > maxIdle) {
+          toClose.add(removeLeastRecentlyUsed());
+        }
       }
     }
-    if (toClose != null) {
-      toClose.close();
-    }
+    toClose.forEach(IdleConnection::close);
+  }
+
+  private IdleConnection removeLeastRecentlyUsed() {
+    Deque<IdleConnection> oldest =
+        idleByAddress.values().stream()
+            .filter(connections -> !connections.isEmpty())
+            .min(Comparator.comparingLong(connections -> connections.getLast().progressAtMs()))
+            .orElseThrow();
+    idleCount--;
+    return oldest.removeLast();
+  }
+
+  /**
+   * Returns the number of idle connections.
+   *
+   * @return number of connections to all upstreams
+   */
+  synchronized int idleCount() {
+    return idleCount;
   }
 
   /**
@@ -110,6 +140,7 @@
         IdleConnection candidate = connections.next();
         if (candidate.progressAtMs() < sinceMs) {
           connections.remove();
+          idleCount--;
           toClose.add(candidate);
         }
       }
@@ -124,6 +155,7 @@
       closed = true;
       idleByAddress.values().forEach(toClose::addAll);
       idleByAddress.clear();
+      idleCount = 0;
     }
     toClose.forEach(IdleConnection::close);
   }
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
@@ -20,13 +20,15 @@
    * @param connectTimeoutMs timeout in milliseconds for opening a connection
    * @param staleAfterMs time in milliseconds since its last progress after which a pooled
    *     connection is not reused
+   * @param maxIdle largest number of idle connections to all upstreams
    */
   public HttpCallClient(
       XnioWorker worker,
       ByteBufferPool buffers,
       Clock clock,
       long connectTimeoutMs,
-      long staleAfterMs) {
+      long staleAfterMs,
+      int maxIdle) {
     this.worker = worker;
     this.dependencies =
         new HttpCall.Dependencies(
@@ -34,7 +36,16 @@
             clock,
             connectTimeoutMs,
             new UpstreamConnector(buffers),
-            new ConnectionPool(clock, staleAfterMs));
+            new ConnectionPool(clock, staleAfterMs, maxIdle));
+  }
+
+  /**
+   * Returns the number of idle connections.
+   *
+   * @return number of connections to all upstreams
+   */
+  public int idleCount() {
+    return dependencies.pool().idleCount();
   }
 
   /**
--- a/src/main/java/org/ragwortpick/entry/upstream/UndertowUpstreamClient.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UndertowUpstreamClient.java
@@ -23,7 +23,12 @@
       XnioWorker worker, ByteBufferPool buffers, Clock clock, EntrySettings settings) {
     this.callClient =
         new HttpCallClient(
-            worker, buffers, clock, settings.connectTimeoutMs(), settings.staleAfterMs());
+            worker,
+            buffers,
+            clock,
+            settings.connectTimeoutMs(),
+            settings.staleAfterMs(),
+            Integer.MAX_VALUE);
     this.maxResponseBytes = settings.maxResponseBytes();
   }
 
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -28,6 +28,11 @@
   private static final int MAX_RETRY_CONSTANT = 1_000_000;
   private static final int PERCENT = 100;
   private static final int MAX_PROCESSOR_PERCENT = 1_000_000;
+  private static final int MAX_FILE_DESCRIPTORS = 100_000_000;
+
+  /** Files, and connections to other VMs, need as many. */
+  private static final int MIN_FILE_DESCRIPTORS = 400;
+
   private static final long MIN_STOP_TIMEOUT_MS = 1_000;
   private static final long MAX_STOP_TIMEOUT_MS = 600_000;
 
@@ -133,7 +138,21 @@
         readStopTimeoutMs(reader, environment.getOrDefault(KILL_AFTER_SECONDS, "")),
         wholePercent(ratio),
         (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
-        reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent));
+        reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent),
+        readMaxFileDescriptors(reader));
+  }
+
+  private static int readMaxFileDescriptors(ObjectReader reader) {
+    long count = reader.optionalLong("maxFileDescriptors", 0, 0, MAX_FILE_DESCRIPTORS);
+    if (count > 0 && count < MIN_FILE_DESCRIPTORS) {
+      reader.addInvalidValue(
+          "maxFileDescriptors",
+          Long.toString(count),
+          "allow the process at least "
+              + MIN_FILE_DESCRIPTORS
+              + " file descriptors and state their number, or omit the key");
+    }
+    return (int) count;
   }
 
   /** Rounds down, so that no more is allowed than the ratio states; 0.29 is 29 percent. */
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -3,6 +3,9 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.LongSupplier;
+import org.ragwortpick.entry.http.EntryServer;
+import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.forward.ResponseMemory;
 
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
@@ -32,4 +35,29 @@
         .callback(callback -> callback.call(value.getAsLong()))
         .register(registry);
   }
+
+  /**
+   * Registers the gauges of connections and of the memory for slow callers.
+   *
+   * @param responseMemory memory that requests hold
+   * @param upstreams connections to upstreams
+   * @param server connections of callers
+   */
+  void registerCallers(
+      ResponseMemory responseMemory, HttpCallClient upstreams, EntryServer server) {
+    register(
+        "ragwortpick_response_memory_bytes",
+        "Memory that requests hold for their callers",
+        responseMemory::heldBytes);
+    register(
+        "ragwortpick_responses_paused",
+        "Responses whose upstream waits because the caller reads slowly",
+        responseMemory::pausedCount);
+    register(
+        "ragwortpick_idle_upstream_connections",
+        "Idle connections to upstreams",
+        upstreams::idleCount);
+    register(
+        "ragwortpick_caller_connections", "Open connections of callers", server::openConnections);
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -106,6 +106,7 @@
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
+  private final DescriptorBudget descriptors;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
@@ -152,8 +153,15 @@
     this.worker = createWorker();
     this.ioThread = worker.getIoThread();
     this.timers = new IoThreadTimers(ioThread);
+    this.descriptors = DescriptorBudget.of(role.maxFileDescriptors());
     this.httpCallClient =
-        new HttpCallClient(worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS);
+        new HttpCallClient(
+            worker,
+            buffers,
+            clock,
+            CONNECT_TIMEOUT_MS,
+            MAX_CONNECTION_IDLE_MS,
+            descriptors.idleUpstreamConnections());
     this.loads = new UpstreamLoads(clock);
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
@@ -190,7 +198,8 @@
             worker,
             buffers,
             new ForwardHandler(dependencies(role, protocol, registry, work, remainingMs), random),
-            work);
+            work,
+            descriptors.callerConnections());
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
@@ -274,14 +283,7 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
-    gauges.register(
-        "ragwortpick_response_memory_bytes",
-        "Memory that requests hold for their callers",
-        responseMemory::heldBytes);
-    gauges.register(
-        "ragwortpick_responses_paused",
-        "Responses whose upstream waits because the caller reads slowly",
-        responseMemory::pausedCount);
+    gauges.registerCallers(responseMemory, httpCallClient, server);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -341,7 +343,7 @@
         clock,
         readDelay,
         this::acceptsRequests,
-        () -> sync.lifeCycle().state() == VmState.READY,
+        this::keepsConnections,
         remainingMs,
         work,
         runsInFlight,
@@ -374,6 +376,11 @@
     return state == VmState.STARTING || state == VmState.READY || state == VmState.LEAVING;
   }
 
+  private boolean keepsConnections() {
+    return sync.lifeCycle().state() == VmState.READY
+        && descriptors.keepsCallerConnections(server.openConnections());
+  }
+
   private boolean isReady() {
     return sync.lifeCycle().state() == VmState.READY && configuration().routingTable().isPresent();
   }
--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -47,7 +47,7 @@
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     client =
         new HttpCallClient(
-            worker, new DefaultByteBufferPool(true, BUFFER_BYTES), new MonotonicClock(), 300, 0);
+            worker, new DefaultByteBufferPool(true, BUFFER_BYTES), new MonotonicClock(), 300, 0, 9);
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -118,7 +118,7 @@
     MonotonicClock clock = new MonotonicClock();
     OptionMap options = OptionMap.create(Options.WORKER_IO_THREADS, 1);
     worker = Xnio.getInstance().createWorker(options);
-    callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000);
+    callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000, 9);
     UpstreamLoads loads = new UpstreamLoads(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -63,7 +63,12 @@
     pauses = new RequestedPauses(new MonotonicClock(), new Random(1));
     callClient =
         new HttpCallClient(
-            worker, new DefaultByteBufferPool(true, 16 * 1024), new MonotonicClock(), 300, 5_000);
+            worker,
+            new DefaultByteBufferPool(true, 16 * 1024),
+            new MonotonicClock(),
+            300,
+            5_000,
+            9);
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -48,7 +48,8 @@
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     MonotonicClock clock = new MonotonicClock();
     callClient =
-        new HttpCallClient(worker, new DefaultByteBufferPool(true, 16 * 1024), clock, 300, 5_000);
+        new HttpCallClient(
+            worker, new DefaultByteBufferPool(true, 16 * 1024), clock, 300, 5_000, 9);
     transport =
         new HttpBatchTransport(
             callClient,
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -77,6 +77,24 @@
     }
   }
 
+  /** With fewer descriptors the process would fail in the middle of its work. */
+  @Test
+  public void tooFewFileDescriptorsAreReported() throws IOException {
+    String settings = Files.readString(file);
+    assertEquals(read("8").get().entry().orElseThrow().maxFileDescriptors(), 0);
+    Files.writeString(
+        file, settings.replace("\"entry\": {", "\"entry\": { \"maxFileDescriptors\": 4100,"));
+    assertEquals(read("8").get().entry().orElseThrow().maxFileDescriptors(), 4_100);
+    Files.writeString(
+        file, settings.replace("\"entry\": {", "\"entry\": { \"maxFileDescriptors\": 256,"));
+    String message = read("8").getLeft().get(0).message();
+    assertTrue(
+        message.contains("entry.maxFileDescriptors")
+            && message.contains("256")
+            && message.contains("at least 400"),
+        message);
+  }
+
   /** A full disk must not make settings invalid that a process has run with. */
   @Test
   public void folderInUseIsNotProbedAgain() throws IOException {
