--- a/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
+++ b/src/test/java/org/ragwortpick/entry/upstream/HttpCallClientTest.java
@@ -9,7 +9,9 @@
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
@@ -68,7 +70,12 @@
   }
 
   private CountingListener call(HostPort address) {
-    CountingListener listener = new CountingListener();
+    return call(client, address, true);
+  }
+
+  private static CountingListener call(
+      HttpCallClient client, HostPort address, boolean identified) {
+    CountingListener listener = new CountingListener(identified);
     HeaderMap headers = new HeaderMap();
     headers.put(Headers.HOST, address.toString());
     client.send(
@@ -128,12 +135,47 @@
     }
   }
 
+  /** Guards against idle connections that take all file descriptors, or are reused wrongly. */
+  @Test
+  public void idleConnectionsAreBoundedAndKeptOnlyAfterIdentifiedResponses() throws Exception {
+    List<Integer> connections = new CopyOnWriteArrayList<>();
+    RawUpstream.Behaviour refusing =
+        (connection, request, headers) -> {
+          connections.add(connection);
+          return "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno";
+        };
+    try (RawUpstream a = new RawUpstream(refusing);
+        RawUpstream b = new RawUpstream(refusing);
+        RawUpstream c = new RawUpstream(refusing);
+        HttpCallClient pooling =
+            new HttpCallClient(
+                worker,
+                new DefaultByteBufferPool(true, BUFFER_BYTES),
+                new MonotonicClock(),
+                300,
+                60_000,
+                2)) {
+      for (RawUpstream upstream : List.of(a, b, c, c, a)) {
+        call(pooling, upstream.address(), true).end.get(5, TimeUnit.SECONDS);
+      }
+      assertEquals(connections, List.of(1, 1, 1, 1, 2), "the least recently used one is closed");
+      assertEquals(pooling.idleCount(), 2);
+      call(pooling, c.address(), false).end.get(5, TimeUnit.SECONDS);
+      assertEquals(pooling.idleCount(), 1, "the response may still follow on the connection");
+    }
+  }
+
   /** Accepts all bytes. */
   private static final class CountingListener implements HttpListener {
 
     private final CompletableFuture<HttpEnd> end = new CompletableFuture<>();
+    private final boolean identified;
     private volatile long bodyBytes;
 
+    private CountingListener(boolean identified) {
+      this.identified = identified;
+    }
+
     @Override
     public boolean onHead(HttpHead head) {
       // The head has no use in these tests.
@@ -148,7 +190,7 @@
 
     @Override
     public boolean isIdentified() {
-      return true;
+      return identified;
     }
 
     @Override
