--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -36,6 +36,7 @@
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
 import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.ResponseMemory;
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
 import org.ragwortpick.forward.RunsInFlight;
@@ -105,6 +106,7 @@
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
+  private final DescriptorBudget descriptors;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
@@ -112,6 +114,7 @@
   private final ContentQuarantine quarantine;
   private final RemoteStageRunner stages;
   private final ReadDelay readDelay;
+  private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final RunsInFlight runsInFlight = new RunsInFlight();
   private final WorkCounter work;
   private final EntryServer server;
@@ -150,8 +153,15 @@
     this.worker = createWorker();
     this.ioThread = worker.getIoThread();
     this.timers = new IoThreadTimers(ioThread);
+    this.descriptors = DescriptorBudget.of(role.maxFileDescriptors());
     this.httpCallClient =
-        new HttpCallClient(worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS);
+        new HttpCallClient(
+            worker,
+            buffers,
+            clock,
+            CONNECT_TIMEOUT_MS,
+            MAX_CONNECTION_IDLE_MS,
+            descriptors.idleUpstreamConnections());
     this.loads = new UpstreamLoads(clock);
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
@@ -188,7 +198,8 @@
             worker,
             buffers,
             new ForwardHandler(dependencies(role, protocol, registry, work, remainingMs), random),
-            work);
+            work,
+            descriptors.callerConnections());
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
@@ -272,6 +283,7 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
+    gauges.registerCallers(responseMemory, httpCallClient, server);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -331,10 +343,11 @@
         clock,
         readDelay,
         this::acceptsRequests,
-        () -> sync.lifeCycle().state() == VmState.READY,
+        this::keepsConnections,
         remainingMs,
         work,
         runsInFlight,
+        responseMemory,
         new ForwardMetrics(registry));
   }
 
@@ -363,6 +376,11 @@
     return state == VmState.STARTING || state == VmState.READY || state == VmState.LEAVING;
   }
 
+  private boolean keepsConnections() {
+    return sync.lifeCycle().state() == VmState.READY
+        && descriptors.keepsCallerConnections(server.openConnections());
+  }
+
   private boolean isReady() {
     return sync.lifeCycle().state() == VmState.READY && configuration().routingTable().isPresent();
   }
