Reduce the processor time of a start

Cause: the class data archive was relocated at each start (50 MB of pages read and written), Netty registered Flight Recorder events, XNIO built the management server, args4j read the annotations of all sub-commands, the date format of Jackson loaded the CLDR locale data, C1 compiled code that runs a few hundred times.

--- a/src/main/java/org/ragwortpick/cli/ForwardCommand.java
+++ b/src/main/java/org/ragwortpick/cli/ForwardCommand.java
@@ -14,6 +14,7 @@
 import org.ragwortpick.settings.ForwardingSettingsReader;
 import org.ragwortpick.settings.SettingsError;
 import org.ragwortpick.vm.ForwardingProcess;
+import org.ragwortpick.vm.NoManagementServer;
 
 /** Runs one process of a deployment that forwards requests. */
 public final class ForwardCommand extends AbstractCommand {
@@ -33,6 +34,16 @@
     super("run a process of a deployment that forwards requests");
   }
 
+  /**
+   * Creates the command for a command line that consists of a settings file only.
+   *
+   * @param file settings of the process
+   */
+  ForwardCommand(Path file) {
+    this();
+    this.file = file;
+  }
+
   @Override
   public int run(PrintStream out, PrintStream err) {
     Either<List<SettingsError>, ForwardingSettings> read =
@@ -53,6 +64,7 @@
     }
     LoggingSetup.configure(settings.logLevel(), settings.peerAddress().toString());
     UncaughtErrors.install();
+    NoManagementServer.select();
     ForwardingProcess process;
     try {
       process = new ForwardingProcess(settings, protocol.get());
--- a/src/main/java/org/ragwortpick/cli/Main.java
+++ b/src/main/java/org/ragwortpick/cli/Main.java
@@ -1,6 +1,8 @@
 package org.ragwortpick.cli;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -17,6 +19,9 @@
 
   private static final int USAGE_WIDTH = 100;
 
+  /** Arguments of a deployed process, apart from the settings file. */
+  private static final List<String> DEPLOYED_COMMAND = List.of("forward", "--settings");
+
   @Option(name = "--help", aliases = "-h", help = true, usage = "show this help and exit")
   private boolean help;
 
@@ -73,6 +78,10 @@
       CommandList.print(err);
       return ExitCode.USAGE;
     }
+    if (isDeployedCommand(args)) {
+      // The parser reads the annotations of all sub-commands by reflection, which delays the start.
+      return new ForwardCommand(Path.of(args[args.length - 1])).run(out, err);
+    }
     Main main = new Main();
     CmdLineParser parser = parser(main);
     try {
@@ -94,6 +103,13 @@
     return main.command.run(out, err);
   }
 
+  private static boolean isDeployedCommand(String[] args) {
+    int last = args.length - 1;
+    return last == DEPLOYED_COMMAND.size()
+        && List.of(args).subList(0, last).equals(DEPLOYED_COMMAND)
+        && !args[last].startsWith("-");
+  }
+
   private static CmdLineParser parser(Object bean) {
     return new CmdLineParser(
         bean, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH).withShowDefaults(false));
--- a/src/main/java/org/ragwortpick/common/StateChart.java
+++ b/src/main/java/org/ragwortpick/common/StateChart.java
@@ -1,9 +1,10 @@
 package org.ragwortpick.common;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,12 +45,34 @@
         throw new IllegalArgumentException(
             "state chart " + fileName + " is missing; add it under " + RESOURCE_PREFIX);
       }
-      return new StateChart(fileName, Json.FILES.readValue(in, Definition.class));
+      return new StateChart(fileName, readDefinition(Json.FILES.readTree(in)));
     } catch (IOException e) {
       throw new UncheckedIOException("cannot read state chart " + fileName, e);
     }
   }
 
+  /** Reads the tree without data binding, whose first use costs more than the rest of the chart. */
+  private static Definition readDefinition(JsonNode root) {
+    List<Transition> transitions = new ArrayList<>();
+    for (JsonNode transition : root.required("transitions")) {
+      transitions.add(
+          new Transition(
+              readNames(transition.required("from")),
+              transition.required("event").asText(),
+              transition.required("to").asText()));
+    }
+    return new Definition(
+        readNames(root.required("states")), root.required("initial").asText(), transitions);
+  }
+
+  private static List<String> readNames(JsonNode array) {
+    List<String> names = new ArrayList<>(array.size());
+    for (JsonNode name : array) {
+      names.add(name.asText());
+    }
+    return names;
+  }
+
   private static Map<Key, String> indexTransitions(String name, Definition definition) {
     Set<String> states = Set.copyOf(definition.states());
     Map<Key, String> nextStates = new HashMap<>();
@@ -98,13 +121,7 @@
 
   private record Key(String state, String event) {}
 
-  private record Definition(
-      @JsonProperty(required = true) List<String> states,
-      @JsonProperty(required = true) String initial,
-      @JsonProperty(required = true) List<Transition> transitions) {}
+  private record Definition(List<String> states, String initial, List<Transition> transitions) {}
 
-  private record Transition(
-      @JsonProperty(required = true) List<String> from,
-      @JsonProperty(required = true) String event,
-      @JsonProperty(required = true) String to) {}
+  private record Transition(List<String> from, String event, String to) {}
 }
--- a/src/test/java/org/ragwortpick/cli/MainTest.java
+++ b/src/test/java/org/ragwortpick/cli/MainTest.java
@@ -27,6 +27,14 @@
         ExitCode.INVALID_FILE,
         "absent.json"
       },
+      {new String[] {"forward", "--settings", "absent.json"}, ExitCode.INVALID_FILE, "absent.json"},
+      {
+        new String[] {"forward", "--settings", "absent.json", "--check"},
+        ExitCode.INVALID_FILE,
+        "absent.json"
+      },
+      {new String[] {"forward", "--settings", "--check"}, ExitCode.USAGE, "--settings"},
+      {new String[] {"forward"}, ExitCode.USAGE, "--settings"},
     };
   }
 
