--- a/src/main/java/org/ragwortpick/batch/CallTrackers.java
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
@@ -20,6 +21,7 @@
 
   private final RequestedPauses requestedPauses;
   private final NamedLimits limits;
+  private final VersionGate versions;
   private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
 
   /**
@@ -27,10 +29,12 @@
    *
    * @param requestedPauses pauses that upstreams requested
    * @param limits limits that upstreams named
+   * @param versions tells which upstreams may get the next call
    */
-  CallTrackers(RequestedPauses requestedPauses, NamedLimits limits) {
+  CallTrackers(RequestedPauses requestedPauses, NamedLimits limits, VersionGate versions) {
     this.requestedPauses = requestedPauses;
     this.limits = limits;
+    this.versions = versions;
   }
 
   /**
@@ -90,11 +94,14 @@
   }
 
   private boolean mayCall(CallTracker tracker, BatchProfile profile, long nowMs) {
-    return tracker.isFree(profile, nowMs) && limits.isAvailable(tracker.upstream());
+    return tracker.isFree(profile, nowMs)
+        && limits.isAvailable(tracker.upstream())
+        && versions.admits(tracker.upstream());
   }
 
   /**
-   * Lists the free upstreams, the fastest first.
+   * Lists the free upstreams, those of a version that is due before the others, and the fastest
+   * first.
    *
    * @param profile batch profile of the service
    * @param nowMs monotonic time in milliseconds
@@ -103,7 +110,10 @@
   List<CallTracker> free(BatchProfile profile, long nowMs) {
     return byUpstream.values().stream()
         .filter(tracker -> mayCall(tracker, profile, nowMs))
-        .sorted(Comparator.comparingDouble(CallTracker::slowdown))
+        .sorted(
+            Comparator.<CallTracker, Boolean>comparing(
+                    tracker -> !versions.isDue(tracker.upstream()))
+                .thenComparingDouble(CallTracker::slowdown))
         .toList();
   }
 
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -16,6 +16,7 @@
 import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.sync.Upstream;
 
@@ -76,6 +77,7 @@
    * @param transport sends calls to upstreams
    * @param requestedPauses pauses that upstreams requested
    * @param limits limits that upstreams named
+   * @param versions tells which upstreams may get the next call, as far as a rollout decides
    * @param inputReleaser releases results of other services
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
@@ -89,6 +91,7 @@
       BatchTransport transport,
       RequestedPauses requestedPauses,
       NamedLimits limits,
+      VersionGate versions,
       ResultReleaser inputReleaser,
       Timers timers,
       Clock clock) {
@@ -99,7 +102,7 @@
     this.role = role;
     this.transport = new PausingTransport(transport, requestedPauses, limits, timers);
     this.namedLimits = limits;
-    this.trackers = new CallTrackers(requestedPauses, limits);
+    this.trackers = new CallTrackers(requestedPauses, limits, versions);
     this.inputReleaser = inputReleaser;
     this.timers = timers;
     this.clock = clock;
--- a/src/main/java/org/ragwortpick/config/Configuration.java
+++ b/src/main/java/org/ragwortpick/config/Configuration.java
@@ -23,6 +23,7 @@
   private final Map<String, Long> orderRevisions;
   private final Optional<RoutingConfiguration> routing;
   private final Optional<RoutingTable> routingTable;
+  private final Map<String, Rollout> rollouts;
 
   /**
    * Creates a configuration without routes.
@@ -36,7 +37,7 @@
   }
 
   /**
-   * Creates a configuration.
+   * Creates a configuration without rollouts.
    *
    * @param revision revision, increasing by one with each accepted change
    * @param inventory inventory whose names are unique
@@ -50,6 +51,26 @@
       Rules rules,
       Map<String, Long> orderRevisions,
       Optional<RoutingConfiguration> routing) {
+    this(revision, inventory, rules, orderRevisions, routing, Map.of());
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param revision revision, increasing by one with each accepted change
+   * @param inventory inventory whose names are unique
+   * @param rules rules
+   * @param orderRevisions revision of the last accepted order of an operator by data centre
+   * @param routing routes of transparently forwarded requests; empty if none were proposed
+   * @param rollouts last rollout by service
+   */
+  public Configuration(
+      long revision,
+      Inventory inventory,
+      Rules rules,
+      Map<String, Long> orderRevisions,
+      Optional<RoutingConfiguration> routing,
+      Map<String, Rollout> rollouts) {
     this.revision = revision;
     this.inventory = inventory;
     this.rules = rules;
@@ -59,6 +80,7 @@
     this.orderRevisions = Map.copyOf(orderRevisions);
     this.routing = routing;
     this.routingTable = routing.map(RoutingTable::new);
+    this.rollouts = Map.copyOf(rollouts);
   }
 
   private static <T> Map<String, T> index(List<T> values, Function<? super T, String> name) {
@@ -110,6 +132,15 @@
     return routingTable;
   }
 
+  /**
+   * Returns the last rollout of each service.
+   *
+   * @return rollouts by name of the service
+   */
+  public Map<String, Rollout> rollouts() {
+    return rollouts;
+  }
+
   /**
    * Finds a service.
    *
--- a/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
+++ b/src/main/java/org/ragwortpick/config/ConfigurationDocuments.java
@@ -27,6 +27,8 @@
   private static final String DATA_CENTRE_PREFIX = "dataCentre/";
   private static final String DATA_CENTRE_ORDER_PREFIX = "dataCentreOrder/";
 
+  private static final String ROLLOUT_PREFIX = "rollout/";
+
   private ConfigurationDocuments() {}
 
   /**
@@ -54,6 +56,9 @@
     configuration
         .orderRevisions()
         .forEach((dc, at) -> documents.put(DATA_CENTRE_ORDER_PREFIX + dc, encode(at)));
+    configuration
+        .rollouts()
+        .forEach((service, rollout) -> documents.put(ROLLOUT_PREFIX + service, encode(rollout)));
     configuration.routing().ifPresent(routing -> documents.put(ROUTING_KEY, routing.encode()));
     return documents;
   }
@@ -83,7 +88,8 @@
         inventory,
         new Rules(rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
         decodeByName(documents, DATA_CENTRE_ORDER_PREFIX, Long.class),
-        Optional.ofNullable(documents.get(ROUTING_KEY)).map(RoutingConfiguration::decode));
+        Optional.ofNullable(documents.get(ROUTING_KEY)).map(RoutingConfiguration::decode),
+        decodeByName(documents, ROLLOUT_PREFIX, Rollout.class));
   }
 
   private static SortedMap<String, String> documentsWithPrefix(
--- a/src/main/java/org/ragwortpick/control/Administration.java
+++ b/src/main/java/org/ragwortpick/control/Administration.java
@@ -49,6 +49,17 @@
   CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
       ReturnRequest request, long timeoutMs);
 
+  /**
+   * Starts to move the traffic of a service to another version. An order that was accepted before
+   * is acknowledged again and changes nothing.
+   *
+   * @param request the order
+   * @param timeoutMs timeout in milliseconds
+   * @return the revision, or the reason why the order was refused
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
+      StartRolloutRequest request, long timeoutMs);
+
   /**
    * Reads the current configuration through the leader.
    *
--- a/src/main/java/org/ragwortpick/control/AdministrationError.java
+++ b/src/main/java/org/ragwortpick/control/AdministrationError.java
@@ -71,6 +71,18 @@
     }
   }
 
+  /**
+   * A rollout to another version is running for the service; nothing was changed.
+   *
+   * @param to version of the running rollout
+   */
+  record RolloutRunning(String to) implements AdministrationError {
+    @Override
+    public String message() {
+      return "a rollout of the service to version " + to + " is running; wait until it has ended";
+    }
+  }
+
   /** The request id was already used for another request. */
   record RequestIdReused() implements AdministrationError {
     @Override
--- a/src/main/java/org/ragwortpick/control/AdministrationServer.java
+++ b/src/main/java/org/ragwortpick/control/AdministrationServer.java
@@ -67,6 +67,10 @@
               .replaceRouting(
                   RoutingConfiguration.decode(call.getReplaceRouting().getRouting()), timeoutMs)
               .thenApply(this::toReply);
+      case START_ROLLOUT ->
+          administration
+              .startRollout(ControlCodec.decode(call.getStartRollout()), timeoutMs)
+              .thenApply(this::toReply);
       default -> administration.read(timeoutMs).thenApply(this::toReadReply);
     };
   }
@@ -116,6 +120,12 @@
               .setKind(AnswerKind.ANSWER_KIND_INVALID)
               .addAllFindings(invalid.findings()));
     }
+    if (error instanceof AdministrationError.RolloutRunning running) {
+      return answerReply(
+          AnswerMessage.newBuilder()
+              .setKind(AnswerKind.ANSWER_KIND_ROLLOUT_RUNNING)
+              .addFindings(running.to()));
+    }
     if (error instanceof AdministrationError.RequestIdReused) {
       return answerReply(
           AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_REQUEST_ID_REUSED));
--- a/src/main/java/org/ragwortpick/control/ControlCodec.java
+++ b/src/main/java/org/ragwortpick/control/ControlCodec.java
@@ -17,6 +17,7 @@
 import org.ragwortpick.proto.OrderMessage;
 import org.ragwortpick.proto.ProposeOperation;
 import org.ragwortpick.proto.ReturnOperation;
+import org.ragwortpick.proto.StartRolloutOperation;
 import org.ragwortpick.proto.TakeOutOperation;
 
 /** Conversion between the types of this package and {@code administration.proto}. */
@@ -159,6 +160,32 @@
             : OptionalLong.empty());
   }
 
+  /**
+   * Encodes an order to start a rollout.
+   *
+   * @param request the order
+   * @return the message
+   */
+  static StartRolloutOperation encode(StartRolloutRequest request) {
+    return StartRolloutOperation.newBuilder()
+        .setService(request.service())
+        .setTo(request.to())
+        .setDurationMs(request.durationMs())
+        .setBaseRevision(request.baseRevision())
+        .build();
+  }
+
+  /**
+   * Decodes an order to start a rollout.
+   *
+   * @param message the message
+   * @return the order
+   */
+  static StartRolloutRequest decode(StartRolloutOperation message) {
+    return new StartRolloutRequest(
+        message.getService(), message.getTo(), message.getDurationMs(), message.getBaseRevision());
+  }
+
   /**
    * Computes the digest of a request to take out a data centre. A resend may be based on a later
    * revision.
@@ -201,6 +228,9 @@
           Either.left(new AdministrationError.Conflict(answer.getRevision()));
       case ANSWER_KIND_INVALID ->
           Either.left(new AdministrationError.Invalid(answer.getFindingsList()));
+      case ANSWER_KIND_ROLLOUT_RUNNING ->
+          Either.left(
+              new AdministrationError.RolloutRunning(String.join("", answer.getFindingsList())));
       case ANSWER_KIND_REQUEST_ID_REUSED -> Either.left(new AdministrationError.RequestIdReused());
       default -> Either.left(new AdministrationError.OutcomeUnknown());
     };
--- a/src/main/java/org/ragwortpick/control/DataCentreChanges.java
+++ b/src/main/java/org/ragwortpick/control/DataCentreChanges.java
@@ -174,7 +174,8 @@
             new Rules(
                 rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
             orderRevisions,
-            current.routing()));
+            current.routing(),
+            current.rollouts()));
     return change.setAnswer(
         AnswerMessage.newBuilder()
             .setKind(AnswerKind.ANSWER_KIND_ACCEPTED)
--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -18,6 +18,7 @@
 import org.ragwortpick.config.DataCentreState;
 import org.ragwortpick.config.DocumentDelta;
 import org.ragwortpick.config.Inventory;
+import org.ragwortpick.config.Rollout;
 import org.ragwortpick.config.Rules;
 import org.ragwortpick.consensus.AppliedEntry;
 import org.ragwortpick.consensus.ConsensusError;
@@ -27,6 +28,7 @@
 import org.ragwortpick.proto.AnswerMessage;
 import org.ragwortpick.proto.ChangeCommand;
 import org.ragwortpick.proto.ConfigurationCommand;
+import org.ragwortpick.rollout.RolloutBounds;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingProblem;
 import org.ragwortpick.routing.RoutingValidator;
@@ -50,6 +52,7 @@
   private final LeaderLease lease;
   private final DataCentreChanges dataCentreChanges;
   private final int minimumVoters;
+  private final RolloutChanges rolloutChanges;
 
   /**
    * Creates the administration of one control VM.
@@ -60,18 +63,21 @@
    * @param placement creates plans for the remaining data centres
    * @param minimumVoters number of voters below which no change is accepted, so that an accepted
    *     change is stored on more disks than may be lost at once
+   * @param rolloutBounds bounds of rollouts; empty to refuse them
    */
   public LeaderAdministration(
       ConsensusGroup group,
       ConfigurationStateMachine machine,
       LeaderLease lease,
       PlacementSource placement,
-      int minimumVoters) {
+      int minimumVoters,
+      Optional<RolloutBounds> rolloutBounds) {
     this.group = group;
     this.machine = machine;
     this.lease = lease;
     this.dataCentreChanges = new DataCentreChanges(placement);
     this.minimumVoters = minimumVoters;
+    this.rolloutChanges = new RolloutChanges(rolloutBounds);
   }
 
   @Override
@@ -130,7 +136,8 @@
             new Rules(
                 rules.neverTwice(), rules.workspaceOrder(), rules.minimumSharePercent(), states),
             current.orderRevisions(),
-            current.routing());
+            current.routing(),
+            current.rollouts());
     putDelta(change, base, proposed);
     change.setAnswer(AnswerMessage.newBuilder().setKind(AnswerKind.ANSWER_KIND_ACCEPTED));
   }
@@ -228,6 +235,27 @@
                     MAX_ATTEMPTS));
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
+      StartRolloutRequest request, long timeoutMs) {
+    return proposeOnCurrentRevision(
+        base -> rolloutChanges.start(request, base), "", "", MAX_ATTEMPTS);
+  }
+
+  /**
+   * Commits the progress or the end of a rollout.
+   *
+   * @param service name of the service
+   * @param progressed the rollout with its progress
+   * @param next next state
+   * @return the accepted change, or the reason why nothing was changed
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> advanceRollout(
+      String service, Rollout progressed, Rollout.State next) {
+    return proposeOnCurrentRevision(
+        base -> rolloutChanges.advance(service, progressed, next, base), "", "", MAX_ATTEMPTS);
+  }
+
   /**
    * Commits a transition of a data centre that no operator requested, such as the end of a ramp.
    *
--- a/src/main/java/org/ragwortpick/control/RemoteAdministration.java
+++ b/src/main/java/org/ragwortpick/control/RemoteAdministration.java
@@ -86,6 +86,13 @@
         timeoutMs);
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
+      StartRolloutRequest request, long timeoutMs) {
+    return change(
+        AdministrationCall.newBuilder().setStartRollout(ControlCodec.encode(request)), timeoutMs);
+  }
+
   @Override
   public CompletionStage<Either<AdministrationError, ConfigurationVersion>> read(long timeoutMs) {
     return call(
--- a/src/main/java/org/ragwortpick/control/RoutingChange.java
+++ b/src/main/java/org/ragwortpick/control/RoutingChange.java
@@ -38,7 +38,8 @@
               current.inventory(),
               current.rules(),
               current.orderRevisions(),
-              Optional.of(routing)));
+              Optional.of(routing),
+              current.rollouts()));
     }
     DecisionLine.of("routing change")
         .with("number", routing.number())
--- a/src/main/java/org/ragwortpick/edge/ControlOperations.java
+++ b/src/main/java/org/ragwortpick/edge/ControlOperations.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
+import org.ragwortpick.config.Rollout;
 import org.ragwortpick.control.AcceptedChange;
 import org.ragwortpick.control.AdministrationError;
 import org.ragwortpick.routing.RoutingConfiguration;
@@ -75,6 +76,28 @@
   CompletionStage<Either<AdministrationError, AcceptedChange>> returnToService(
       String dataCentre, long baseRevision);
 
+  /**
+   * Starts to move the traffic of a service to another version. An order that was accepted before
+   * is acknowledged again and changes nothing.
+   *
+   * @param service name of the service
+   * @param to version that the new upstreams announce
+   * @param durationMs time in milliseconds within which the move is to be completed
+   * @param baseRevision revision that was known when the operator still waited for the order; 0 if
+   *     none is
+   * @return the new revision, or the reason for a refusal
+   */
+  CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
+      String service, String to, long durationMs, long baseRevision);
+
+  /**
+   * Reads the last rollout of a service, confirmed by a quorum during the call.
+   *
+   * @param service name of the service
+   * @return the rollout, empty if none was ordered, or the reason for which it could not be read
+   */
+  CompletionStage<Either<AdministrationError, Optional<Rollout>>> readRollout(String service);
+
   /**
    * Accepts the announcement of an upstream.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
+import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.sync.ConfigurationView;
 
 /**
@@ -21,6 +22,7 @@
  * @param chooser chooses upstreams
  * @param viewIsCurrent whether the view of the upstreams was confirmed since the process last
  *     resumed from a suspension
+ * @param versions counts responses by version
  * @param loads load of upstreams
  * @param notices reads what upstreams state about themselves
  * @param quarantine holds back prompt parts that end upstreams
@@ -45,6 +47,7 @@
     ConfigurationView configuration,
     UpstreamChooser chooser,
     BooleanSupplier viewIsCurrent,
+    VersionTraffic versions,
     UpstreamLoads loads,
     UpstreamNotices notices,
     ContentQuarantine quarantine,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -201,7 +201,8 @@
             request.route().repeatable(),
             gate.evidenceOf(upstream, dependencies.clock()));
     attempt = Optional.of(nextAttempt);
-    nextAttempt.start(attemptRequests.to(upstream, inputs, () -> mayWrite(upstream)));
+    nextAttempt.start(
+        attemptRequests.to(upstream, inputs, () -> mayWrite(upstream, nextAttempt)));
   }
 
   /**
@@ -231,7 +232,7 @@
    * Called immediately before the first byte of an attempt is written. The connection may have
    * taken time to open, and the process may have been suspended since the choice.
    */
-  private boolean mayWrite(Upstream upstream) {
+  private boolean mayWrite(Upstream upstream, UpstreamAttempt writing) {
     boolean permitted =
         !ended
             && remainingMs() > 0
@@ -242,6 +243,7 @@
     }
     attemptWritten = true;
     log.attemptWritten();
+    writing.onWritten();
     return true;
   }
 
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -23,6 +23,8 @@
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.entry.upstream.ResponseLimits;
+import org.ragwortpick.rollout.SentRequest;
+import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.sync.Upstream;
 
 /** Calls upstreams of stage services over HTTP. Confined to the I/O thread. */
@@ -35,12 +37,16 @@
 
   private static final long MAX_RESPONSE_BYTES = 1024 * 1024;
   private static final int MISDIRECTED_REQUEST = 421;
+  private static final String RELEASE_KIND = "release";
+  private static final PieceResult FAILED_PIECE =
+      new PieceResult.NotProduced(PieceResult.Cause.FAILED);
 
   private final HttpCallClient callClient;
   private final BatchProtocol protocol;
   private final RoutingHeaders names;
   private final UpstreamNotices notices;
   private final Predicate<Upstream> mayTakeWork;
+  private final VersionTraffic versions;
   private final Clock clock;
   private final RecentHandles recentHandles = new RecentHandles();
 
@@ -53,6 +59,7 @@
    * @param notices reads what upstreams state about themselves
    * @param mayTakeWork whether an upstream may take work, evaluated immediately before each call is
    *     written
+   * @param versions counts responses by version
    * @param clock monotonic clock
    */
   public HttpBatchTransport(
@@ -61,12 +68,14 @@
       RoutingHeaders names,
       UpstreamNotices notices,
       Predicate<Upstream> mayTakeWork,
+      VersionTraffic versions,
       Clock clock) {
     this.callClient = callClient;
     this.protocol = protocol;
     this.names = names;
     this.notices = notices;
     this.mayTakeWork = mayTakeWork;
+    this.versions = versions;
     this.clock = clock;
   }
 
@@ -92,7 +101,7 @@
   }
 
   private void send(
-      Upstream upstream, String path, byte[] body, long timeoutMs, HttpListener listener) {
+      Upstream upstream, String path, byte[] body, long timeoutMs, Response listener) {
     HeaderMap headers = new HeaderMap();
     headers.put(Headers.HOST, upstream.address().toString());
     headers.put(Headers.CONTENT_TYPE, "application/json");
@@ -106,27 +115,44 @@
             body,
             false,
             new ResponseLimits(timeoutMs, timeoutMs, MAX_RESPONSE_BYTES),
-            () -> mayTakeWork.test(upstream)),
+            () -> mayTakeWork.test(upstream) && listener.onWritten()),
         listener);
   }
 
+  /** Names batches of a similar size, since the time of a call depends on its pieces. */
+  private static String kindOf(int pieces) {
+    return "batch of up to " + (Integer.highestOneBit(Math.max(1, 2 * pieces - 1)));
+  }
+
   /** Collects one response. */
   private abstract class Response implements HttpListener {
 
     private final Upstream upstream;
     private final long sentAtMs = clock.millis();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final String kind;
+    private SentRequest sent = SentRequest.UNCOUNTED;
     private int status;
     private boolean notExecuted;
+    private boolean requestsPause;
 
-    private Response(Upstream upstream) {
+    private Response(Upstream upstream, String kind) {
       this.upstream = upstream;
+      this.kind = kind;
+    }
+
+    private boolean onWritten() {
+      sent.onEnd(SentRequest.End.NO_EVIDENCE);
+      sent = versions.begin(upstream, kind);
+      return true;
     }
 
     @Override
     public boolean onHead(HttpHead head) {
       status = head.status();
       notExecuted = head.headers().contains(names.notExecuted());
+      requestsPause = UpstreamNotices.requestsPause(head);
+      sent.onFirstByte();
       notices.onHead(upstream, head, sentAtMs);
       return true;
     }
@@ -139,6 +165,15 @@
       return true;
     }
 
+    /** Counts the end of the call for the version of its upstream. */
+    final void countEnd(SentRequest.End end) {
+      sent.onEnd(end);
+    }
+
+    final boolean isPauseOrNotRun() {
+      return notExecuted || requestsPause || status == MISDIRECTED_REQUEST;
+    }
+
     final String upstreamId() {
       return upstream.id();
     }
@@ -169,7 +204,7 @@
     private boolean decoded;
 
     private RunResponse(Upstream upstream, int pieces, Consumer<BatchOutcome> whenDone) {
-      super(upstream);
+      super(upstream, kindOf(pieces));
       this.pieces = pieces;
       this.whenDone = whenDone;
     }
@@ -183,7 +218,21 @@
 
     @Override
     public void onEnd(HttpEnd end) {
-      whenDone.accept(outcome(end));
+      BatchOutcome outcome = outcome(end);
+      countEnd(versionEvidence(end, outcome));
+      whenDone.accept(outcome);
+    }
+
+    private SentRequest.End versionEvidence(HttpEnd end, BatchOutcome outcome) {
+      if (outcome instanceof BatchOutcome.Answered answered) {
+        return answered.results().contains(FAILED_PIECE)
+            ? SentRequest.End.FAILED
+            : SentRequest.End.ANSWERED;
+      }
+      if (end.nothingSent() || isPauseOrNotRun()) {
+        return SentRequest.End.NO_EVIDENCE;
+      }
+      return end instanceof HttpEnd.Completed ? SentRequest.End.FAILED : SentRequest.End.BROKEN;
     }
 
     private BatchOutcome outcome(HttpEnd end) {
@@ -239,7 +288,7 @@
     private final Runnable whenReleased;
 
     private ReleaseResponse(Upstream upstream, int handles, Runnable whenReleased) {
-      super(upstream);
+      super(upstream, RELEASE_KIND);
       this.handles = handles;
       this.whenReleased = whenReleased;
     }
@@ -260,6 +309,7 @@
 
     @Override
     public void onEnd(HttpEnd end) {
+      countEnd(SentRequest.End.NO_EVIDENCE);
       if (isIdentified()) {
         whenReleased.run();
       } else {
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -13,6 +13,7 @@
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.policy.limit.PendingResponse;
+import org.ragwortpick.rollout.SentRequest;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.sync.Upstream;
 
@@ -44,6 +45,7 @@
   private final AttemptEvidence evidence;
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private PendingResponse pending;
+  private SentRequest sent = SentRequest.UNCOUNTED;
   private HttpCall call;
   private HttpHead head = new HttpHead(0, new HeaderMap(), BodyFraming.NONE);
   private long startedAtMs;
@@ -93,6 +95,12 @@
     call = dependencies.callClient().send(httpRequest, this);
   }
 
+  /** Called immediately before the first byte of the request is written. */
+  void onWritten() {
+    sent.onEnd(SentRequest.End.NO_EVIDENCE);
+    sent = dependencies.versions().begin(upstream, request.route().name());
+  }
+
   /** Closes the connection to the upstream. The listener is not called any more. */
   void abort() {
     aborted = true;
@@ -115,6 +123,9 @@
     String echoed = head.headers().getFirst(names.requestId());
     notRun = head.status() == MISDIRECTED_REQUEST || head.headers().contains(names.notExecuted());
     mismatched = echoed == null ? head.isSuccess() : !echoed.equals(request.id());
+    if (!mismatched) {
+      sent.onFirstByte();
+    }
     dependencies.loads().recordHead(pending, head.isSuccess() && !notRun && !mismatched);
     if (mismatched) {
       LOG.warnf(
@@ -184,6 +195,7 @@
   @Override
   public void onEnd(HttpEnd end) {
     boolean unanswered = dependencies.loads().recordEnd(pending);
+    sent.onEnd(versionEvidence(end));
     if (aborted) {
       if (unanswered) {
         dependencies.loads().recordFailure(upstream.id());
@@ -205,6 +217,44 @@
     }
   }
 
+  private SentRequest.End versionEvidence(HttpEnd end) {
+    if (aborted) {
+      return evidenceOfAborted();
+    }
+    if (mismatched) {
+      return SentRequest.End.FAILED;
+    }
+    if (notRun || end.nothingSent()) {
+      return SentRequest.End.NO_EVIDENCE;
+    }
+    if (end instanceof HttpEnd.Completed) {
+      return evidenceOfStatus();
+    }
+    boolean unusable =
+        end instanceof CallFailure.Broken broken
+            && broken.sign() == CallFailure.Broken.Sign.UNUSABLE;
+    return unusable ? SentRequest.End.FAILED : SentRequest.End.BROKEN;
+  }
+
+  /** An upstream that has not responded by the target latency is late; a caller may leave early. */
+  private SentRequest.End evidenceOfAborted() {
+    if (head.status() != 0) {
+      return notRun || mismatched ? SentRequest.End.NO_EVIDENCE : evidenceOfStatus();
+    }
+    boolean late =
+        dependencies.clock().millis() - startedAtMs >= request.route().targetLatencyMs();
+    return late ? SentRequest.End.LATE : SentRequest.End.NO_EVIDENCE;
+  }
+
+  private SentRequest.End evidenceOfStatus() {
+    if (UpstreamNotices.requestsPause(head)) {
+      return SentRequest.End.NO_EVIDENCE;
+    }
+    boolean valid =
+        head.status() >= StatusCodes.CONTINUE && head.status() < StatusCodes.INTERNAL_SERVER_ERROR;
+    return valid ? SentRequest.End.ANSWERED : SentRequest.End.FAILED;
+  }
+
   private void endRelay(boolean complete, HttpEnd end) {
     if (complete) {
       dependencies.metrics().attemptEnded(upstream.service(), "answered");
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -16,6 +16,7 @@
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.SenderRank;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
@@ -36,6 +37,7 @@
   private final RequestRateShare coldShare;
   private final String vm;
   private final Supplier<List<String>> entryVms;
+  private final VersionTraffic versions;
 
   /**
    * Creates a chooser.
@@ -50,6 +52,7 @@
    * @param coldShare the local VM's share of the request rate of cold upstreams
    * @param vm name of the local VM
    * @param entryVms names of the VMs that serve callers
+   * @param versions divides requests between the versions of a service
    */
   public UpstreamChooser(
       Supplier<Configuration> configuration,
@@ -61,7 +64,8 @@
       NamedLimits limits,
       RequestRateShare coldShare,
       String vm,
-      Supplier<List<String>> entryVms) {
+      Supplier<List<String>> entryVms,
+      VersionTraffic versions) {
     this.configuration = configuration;
     this.upstreamsOf = upstreamsOf;
     this.selector = selector;
@@ -72,6 +76,7 @@
     this.coldShare = coldShare;
     this.vm = vm;
     this.entryVms = entryVms;
+    this.versions = versions;
   }
 
   /**
@@ -79,13 +84,15 @@
    *
    * @param service name of the service
    * @return announced upstreams, cold or ready, in data centres that are in service, without those
-   *     that stated in a response that they are leaving; some may be paused
+   *     that stated in a response that they are leaving or whose version a rollout excludes; some
+   *     may be paused
    */
   public List<Upstream> available(String service) {
     Configuration current = configuration.get();
     return leaving.exclude(
         upstreamsOf.apply(service).stream()
             .filter(upstream -> current.takesWork(upstream.dataCentre()))
+            .filter(versions::allows)
             .toList());
   }
 
@@ -94,11 +101,12 @@
    * byte.
    *
    * @param chosen record by which the upstream was chosen
-   * @return false if since then its data centre was taken out of service, or it left, started
-   *     again, turned cold or requested a pause, or if its limit leaves no permit
+   * @return false if since then its data centre was taken out of service, a rollout excluded its
+   *     version, or it left, started again, turned cold or requested a pause, or if its limit leaves
+   *     no permit
    */
   public boolean tryPermit(Upstream chosen) {
-    return mayTakeWork(chosen) && limits.tryTake(chosen);
+    return mayTakeWork(chosen) && versions.permits(chosen) && limits.tryTake(chosen);
   }
 
   private boolean mayTakeWork(Upstream chosen) {
@@ -199,6 +207,17 @@
             .filter(upstream -> !pauses.isPaused(upstream))
             .filter(limits::isAvailable)
             .toList();
+    return versions.inOrder(service, available).stream()
+        .flatMap(group -> chooseAmong(group, service, prefix, dataCentre, tried).stream())
+        .findFirst();
+  }
+
+  private Optional<Upstream> chooseAmong(
+      List<Upstream> available,
+      String service,
+      PromptPrefix prefix,
+      String dataCentre,
+      Set<String> tried) {
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate = coldRate(service);
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.rollout.RolloutBounds;
 
 /**
  * Validated settings of a process in a deployment that forwards requests. The process has each role
@@ -44,13 +45,15 @@
    *     change
    * @param operatorAddress address for operators and announcements
    * @param directoryAddress address for callers that look up entry addresses
+   * @param rolloutBounds bounds of rollouts; empty to refuse them
    */
   public record ControlRole(
       Optional<Path> dataFolder,
       boolean firstStart,
       int toleratedDiskLosses,
       HostPort operatorAddress,
-      HostPort directoryAddress) {
+      HostPort directoryAddress,
+      Optional<RolloutBounds> rolloutBounds) {
 
     /**
      * Returns the number of voters required to accept a change.
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.Json;
+import org.ragwortpick.rollout.RolloutBounds;
 
 /** Reads and validates the settings of a process in a deployment that forwards requests. */
 public final class ForwardingSettingsReader {
@@ -31,6 +32,14 @@
   private static final long MIN_STOP_TIMEOUT_MS = 1_000;
   private static final long MAX_STOP_TIMEOUT_MS = 600_000;
 
+  private static final int MAX_EXPOSURE_SLACK = 1_000_000;
+
+  /** Counts and decisions travel for up to three seconds; a shorter bound cannot be kept. */
+  private static final long MIN_ROLLBACK_MS = 3_000;
+
+  private static final long MAX_ROLLBACK_MS = 3_600_000;
+  private static final int MISSING = -1;
+
   /** Time that a process needs to close after its last request has ended or was aborted. */
   private static final long CLOSE_TIME_MS = 600;
 
@@ -121,7 +130,32 @@
         reader.optionalBoolean("firstStart", false),
         (int) reader.optionalLong("toleratedDiskLosses", 1, 0, MAX_TOLERATED_DISK_LOSSES),
         reader.requiredAddress("operatorAddress"),
-        reader.requiredAddress("directoryAddress"));
+        reader.requiredAddress("directoryAddress"),
+        reader.optionalObject(
+            "rollouts",
+            Optional.empty(),
+            nested -> Optional.of(readRolloutBounds(nested))));
+  }
+
+  /** All three bounds must be stated, since a default would weaken a promise. */
+  private static RolloutBounds readRolloutBounds(ObjectReader reader) {
+    double share = reader.optionalNonNegativeDouble("exposureShare", MISSING);
+    if (share == MISSING || share <= 0 || share >= 1) {
+      reader.addInvalidValue(
+          "exposureShare",
+          share == MISSING ? "(absent)" : String.valueOf(share),
+          "write a share of the requests between 0 and 1, such as 0.1");
+    }
+    long slack = reader.optionalLong("exposureSlack", MISSING, 0, MAX_EXPOSURE_SLACK);
+    if (slack == MISSING) {
+      reader.addInvalidValue("exposureSlack", "(absent)", "write a number of requests");
+    }
+    long rollbackMs =
+        reader.optionalLong("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
+    if (rollbackMs == MISSING) {
+      reader.addInvalidValue("rollbackMs", "(absent)", "write a time in milliseconds");
+    }
+    return new RolloutBounds(share, (int) slack, rollbackMs);
   }
 
   private static ForwardingSettings.EntryRole readEntryRole(
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -75,6 +75,10 @@
     }
     state.allowances().demands().forEach(d -> request.addDemands(AllowanceCodec.encode(d)));
     router.takeDemands().forEach(d -> request.addDemands(AllowanceCodec.encode(d)));
+    state
+        .versionReports()
+        .takeForSource()
+        .forEach(report -> request.addVersionReports(VersionReportCodec.encode(report)));
     return new Poll(source, nowMs, offers.version(), request.build());
   }
 
@@ -107,6 +111,10 @@
       state.heartbeats().record(heard.getVm(), heard.getIncarnation(), heard.getAgeMs());
     }
     List<Demand> demands = request.getDemandsList().stream().map(AllowanceCodec::decode).toList();
+    state
+        .versionReports()
+        .receive(
+            request.getVersionReportsList().stream().map(VersionReportCodec::decode).toList());
     boolean complete = mergeFromPoller(request.getRecords(), request.getVm());
     boolean sameIncarnation = request.getSourceIncarnation() == state.identity().incarnation();
     long cursor = sameIncarnation ? request.getCursor() : 0;
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncNode.java
@@ -21,6 +21,7 @@
 import org.ragwortpick.sync.UpstreamDirectory;
 import org.ragwortpick.sync.UpstreamLimitTable;
 import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.VersionReports;
 import org.ragwortpick.sync.VmDirectory;
 import org.ragwortpick.sync.VmLifeCycle;
 
@@ -224,6 +225,15 @@
     return state.upstreamLimits();
   }
 
+  /**
+   * Returns the reports about services in a rollout.
+   *
+   * @return the reports
+   */
+  public VersionReports versionReports() {
+    return state.versionReports();
+  }
+
   /**
    * Returns the life cycle of the local VM.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncState.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.VersionReports;
 import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.allowance.LeasedColdAllowances;
 import org.ragwortpick.sync.directory.RecordRetention;
@@ -39,6 +40,7 @@
   private final LeasedColdAllowances allowances;
   private final SyncedCrashEvidence crashEvidence;
   private final SyncedUpstreamLimits upstreamLimits;
+  private final VersionReports versionReports;
   private long lastRetentionAtMs;
 
   /**
@@ -65,6 +67,7 @@
         new LeasedColdAllowances(
             identity.vm(), identity.incarnation(), clock, warmFlags, pollTrigger);
     this.upstreamLimits = new SyncedUpstreamLimits(identity.vm(), table, pollTrigger);
+    this.versionReports = new VersionReports(identity.vm(), identity.incarnation(), clock);
     this.retention = new RecordRetention(clock, table, vms);
   }
 
@@ -168,6 +171,15 @@
     return upstreamLimits;
   }
 
+  /**
+   * Returns the reports about services in a rollout.
+   *
+   * @return the reports
+   */
+  public VersionReports versionReports() {
+    return versionReports;
+  }
+
   /**
    * Returns the flags of warm upstreams.
    *
--- a/src/main/java/org/ragwortpick/vm/ControlComponents.java
+++ b/src/main/java/org/ragwortpick/vm/ControlComponents.java
@@ -122,7 +122,12 @@
     PlacementSource placement = new DirectoryPlacement(upstreams, leaderTenure);
     LeaderAdministration administration =
         new LeaderAdministration(
-            configurationGroup, configuration, lease, placement, MINIMUM_VOTERS);
+            configurationGroup,
+            configuration,
+            lease,
+            placement,
+            MINIMUM_VOTERS,
+            Optional.empty());
     EngineOrders engineOrders =
         new EngineOrders(
             configurationGroup,
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -11,8 +11,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Rollout;
 import org.ragwortpick.consensus.BootstrapRefusedException;
 import org.ragwortpick.consensus.ConsensusGroup;
 import org.ragwortpick.consensus.ConsensusHost;
@@ -23,12 +25,17 @@
 import org.ragwortpick.control.AdministrationServer;
 import org.ragwortpick.control.ConfigurationStateMachine;
 import org.ragwortpick.control.LeaderAdministration;
+import org.ragwortpick.control.RolloutKeeper;
 import org.ragwortpick.control.PlacementPlan;
 import org.ragwortpick.control.PlacementSource;
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.rollout.RolloutBounds;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.LeaderSource;
+import org.ragwortpick.sync.VmRecord;
+import org.ragwortpick.sync.VmState;
+import org.ragwortpick.sync.rpc.SyncNode;
 
 /** Replica of the configuration on a control VM with a disk. */
 final class ControlReplica implements AutoCloseable {
@@ -39,23 +46,26 @@
   private final ConsensusGroup group;
   private final ConfigurationStateMachine stateMachine;
   private final LeaderAdministration administration;
+  private final LeaderLease lease;
 
   private ControlReplica(
       ConsensusHost host,
       ConfigurationStateMachine stateMachine,
-      int minimumVoters,
+      ForwardingSettings.ControlRole role,
       Clock clock,
       ScheduledExecutorService scheduler) {
     this.host = host;
     this.stateMachine = stateMachine;
     this.group = host.group(ConfigurationStateMachine.GROUP);
+    this.lease = new LeaderLease(group, clock, scheduler);
     this.administration =
         new LeaderAdministration(
             group,
             stateMachine,
-            new LeaderLease(group, clock, scheduler),
+            lease,
             new EmptyPlacement(),
-            minimumVoters);
+            role.minimumVoters(),
+            role.rolloutBounds());
   }
 
   /**
@@ -96,7 +106,7 @@
         ConsensusHost.open(
             options, Map.of(ConfigurationStateMachine.GROUP, stateMachine), channels, clock);
     return Optional.of(
-        new ControlReplica(host, stateMachine, role.minimumVoters(), clock, scheduler));
+        new ControlReplica(host, stateMachine, role, clock, scheduler));
   }
 
   private static boolean formsGroup(
@@ -145,6 +155,45 @@
         new AdministrationServer(administration, vm -> Optional.of(HostPort.parse(vm))));
   }
 
+  /**
+   * Creates the keeper that advances the rollouts while the replica leads.
+   *
+   * @param bounds bounds of rollouts
+   * @param sync sync module of the process
+   * @param clock monotonic clock
+   * @return the keeper
+   */
+  RolloutKeeper rolloutKeeper(RolloutBounds bounds, SyncNode sync, Clock clock) {
+    return new RolloutKeeper(
+        stateMachine,
+        administration,
+        lease,
+        bounds,
+        sync.versionReports()::newest,
+        () ->
+            sync.vmDirectory().vms().stream()
+                .filter(VmRecord::servesCallers)
+                .filter(vm -> vm.state() == VmState.READY || vm.state() == VmState.LEAVING)
+                .map(VmRecord::vm)
+                .collect(Collectors.toSet()),
+        (service, version) ->
+            sync.announced(service).stream()
+                .anyMatch(upstream -> upstream.version().equals(version)),
+        clock);
+  }
+
+  /**
+   * Counts the rollouts that are running.
+   *
+   * @return their number, as far as the replica knows
+   */
+  int runningRollouts() {
+    return (int)
+        stateMachine.current().configuration().rollouts().values().stream()
+            .filter(Rollout::isRunning)
+            .count();
+  }
+
   /**
    * Adds control VMs to which the replica may send join requests.
    *
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -18,12 +18,15 @@
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.config.Rollout;
 import org.ragwortpick.control.AcceptedChange;
 import org.ragwortpick.control.Administration;
 import org.ragwortpick.control.AdministrationError;
 import org.ragwortpick.control.ConfigurationVersion;
 import org.ragwortpick.control.RemoteAdministration;
 import org.ragwortpick.control.ReturnRequest;
+import org.ragwortpick.control.RolloutKeeper;
+import org.ragwortpick.control.StartRolloutRequest;
 import org.ragwortpick.control.TakeOutRequest;
 import org.ragwortpick.edge.ControlOperations;
 import org.ragwortpick.edge.EdgeProtocol;
@@ -67,6 +70,9 @@
   private final DrainingHandler directoryHandler;
   private final OperatorListener operators;
   private final Undertow directory;
+  private final ScheduledExecutorService scheduler;
+  private final Optional<RolloutKeeper> rollouts;
+  private AutoCloseable rolloutPolls = () -> {};
 
   /**
    * Creates the role without listening yet.
@@ -93,6 +99,18 @@
       PrometheusRegistry registry) {
     this.replica = replica;
     replica.ifPresent(local -> local.registerMetrics(registry));
+    this.scheduler = scheduler;
+    this.rollouts =
+        role.rolloutBounds()
+            .flatMap(
+                bounds -> replica.map(local -> local.rolloutKeeper(bounds, sync, clock)));
+    rollouts.ifPresent(
+        keeper ->
+            new EntryGauges(registry)
+                .register(
+                    "ragwortpick_running_rollouts",
+                    "Rollouts that have neither completed nor been rolled back",
+                    replica.orElseThrow()::runningRollouts));
     this.sync = sync;
     this.clock = clock;
     this.administration = new RemoteAdministration(channels, controlAddresses, clock, scheduler);
@@ -133,6 +151,7 @@
     replica.ifPresent(ControlReplica::start);
     directory.start();
     operators.start(directory.getWorker());
+    rollouts.ifPresent(keeper -> rolloutPolls = keeper.start(scheduler));
   }
 
   @Override
@@ -194,6 +213,28 @@
         "return of " + dataCentre, administration.returnToService(request, CALL_TIMEOUT_MS));
   }
 
+  @Override
+  public CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
+      String service, String to, long durationMs, long baseRevision) {
+    StartRolloutRequest request =
+        new StartRolloutRequest(service, to, durationMs, baseRevision);
+    return logOutcome(
+        "rollout of " + service + " to " + to,
+        administration.startRollout(request, CALL_TIMEOUT_MS));
+  }
+
+  @Override
+  public CompletionStage<Either<AdministrationError, Optional<Rollout>>> readRollout(
+      String service) {
+    return administration
+        .read(CALL_TIMEOUT_MS)
+        .thenApply(
+            result ->
+                result.map(
+                    version ->
+                        Optional.ofNullable(version.configuration().rollouts().get(service))));
+  }
+
   private static String newRequestId() {
     return UUID.randomUUID().toString();
   }
@@ -259,8 +300,17 @@
     }
   }
 
+  private void stopRolloutPolls() {
+    try {
+      rolloutPolls.close();
+    } catch (Exception e) {
+      LOG.warn("failed to stop the polls of rollouts; closing continues", e);
+    }
+  }
+
   @Override
   public void close() throws IOException {
+    stopRolloutPolls();
     operators.close();
     directory.stop();
     if (replica.isPresent()) {
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -54,6 +54,8 @@
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
+import org.ragwortpick.rollout.RolloutMetrics;
+import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
@@ -102,6 +104,7 @@
   private final ViewFreshness freshness;
   private final SharedRetryConstant retryConstant;
   private final CollectorRole collectorRole;
+  private final VersionTraffic versions;
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
@@ -175,6 +178,15 @@
             () -> sync.lifeCycle().state() == VmState.READY,
             freshness::ageMs,
             clock);
+    this.versions =
+        new VersionTraffic(
+            this::configuration,
+            freshness::ageMs,
+            sync::announced,
+            clock,
+            random,
+            new RolloutMetrics(registry));
+    sync.versionReports().setOwn(versions::reports);
     this.chooser = createChooser(settings, random);
     this.quarantine =
         new ContentQuarantine(
@@ -209,6 +221,7 @@
             protocol.headers(),
             notices,
             this::tryPermit,
+            versions,
             clock);
     return new RemoteStageRunner(
         settings.peerAddress(),
@@ -233,7 +246,8 @@
         limits,
         new RequestRateShare(clock),
         settings.peerAddress().toString(),
-        entryVms::names);
+        entryVms::names,
+        versions);
   }
 
   private Undertow createReadinessServer(
@@ -303,6 +317,7 @@
         transport,
         pauses,
         limits,
+        versions,
         this::release,
         timers,
         clock);
@@ -319,6 +334,7 @@
         sync.configurationView(),
         chooser,
         freshness::isConfirmedSinceResume,
+        versions,
         loads,
         notices,
         quarantine,
--- a/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
@@ -12,6 +12,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -53,6 +54,7 @@
             transport,
             new RequestedPauses(time.clock(), new SplittableRandom(1)),
             limits,
+            VersionGate.OPEN,
             (service, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -12,6 +12,7 @@
 import org.ragwortpick.entry.VirtualTime;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -51,6 +52,7 @@
             transport,
             pauses,
             LimitsFixture.ofSingleVm(time.clock()),
+            VersionGate.OPEN,
             (service, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.entry.VirtualTime;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
@@ -62,6 +63,7 @@
             transport,
             new RequestedPauses(time.clock(), new Random(1)),
             LimitsFixture.ofSingleVm(time.clock()),
+            VersionGate.OPEN,
             (service, handles) -> inputsReleased.addAll(handles),
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -12,6 +12,7 @@
 import org.ragwortpick.entry.VirtualTime;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.VersionGate;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.sync.TestUpstreams;
@@ -152,6 +153,7 @@
             service,
             new RequestedPauses(time.clock(), new Random(1)),
             LimitsFixture.ofSingleVm(time.clock()),
+            VersionGate.OPEN,
             (other, handles) -> {},
             time,
             time.clock());
--- a/src/test/java/org/ragwortpick/control/ControlFixture.java
+++ b/src/test/java/org/ragwortpick/control/ControlFixture.java
@@ -14,6 +14,7 @@
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.control.leader.LeaderTenure;
 import org.ragwortpick.ledger.DirectGroup;
+import org.ragwortpick.rollout.RolloutBounds;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamDirectory;
 import org.ragwortpick.sync.UpstreamState;
@@ -22,6 +23,7 @@
 final class ControlFixture {
 
   static final long TIMEOUT_MS = 1_000;
+  static final RolloutBounds BOUNDS = new RolloutBounds(0.1, 50, 5_000);
 
   private final ManualClock clock = new ManualClock();
   private final ConfigurationStateMachine machine = new ConfigurationStateMachine();
@@ -32,7 +34,7 @@
   private final UpstreamDirectory directory = new ListDirectory();
   private final PlacementSource placement = new DirectoryPlacement(directory, tenure);
   private final LeaderAdministration administration =
-      new LeaderAdministration(group, machine, lease, placement, 1);
+      new LeaderAdministration(group, machine, lease, placement, 1, Optional.of(BOUNDS));
 
   ManualClock clock() {
     return clock;
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -44,6 +44,7 @@
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.routing.Route;
 import org.ragwortpick.routing.RouteStage;
@@ -141,6 +142,7 @@
                     new View(),
                     chooser,
                     () -> true,
+                    TrafficFixture.withoutRollouts(clock),
                     loads,
                     new UpstreamNotices(HEADERS, leaving, pauses, limits),
                     new ContentQuarantine(
@@ -184,7 +186,8 @@
         limits,
         new RequestRateShare(clock),
         "vm",
-        () -> List.of("vm"));
+        () -> List.of("vm"),
+        TrafficFixture.withoutRollouts(clock));
   }
 
   private List<Upstream> upstreamsOf(String service) {
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -25,6 +25,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -79,6 +80,7 @@
         ForwardTestServer.HEADERS,
         new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses, limits),
         upstream -> !takenOut.contains(upstream.dataCentre()) && limits.tryTake(upstream),
+        TrafficFixture.withoutRollouts(clock),
         clock);
   }
 
--- a/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
@@ -23,6 +23,7 @@
 import org.ragwortpick.policy.limit.SenderRank;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.routing.ServiceProfile;
@@ -163,7 +164,8 @@
               limits,
               new RequestRateShare(clock),
               name,
-              () -> names);
+              () -> names,
+              TrafficFixture.withoutRollouts(clock));
     }
 
     /** Sends a request, whose response names the limit of one upstream. */
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -60,6 +61,7 @@
                 new RequestedPauses(clock, new SplittableRandom(1)),
                 LimitsFixture.ofSingleVm(clock)),
             upstream -> true,
+            TrafficFixture.withoutRollouts(clock),
             clock);
   }
 
--- a/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -17,6 +17,7 @@
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
+import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingFixture;
 import org.ragwortpick.routing.ServiceProfile;
@@ -57,7 +58,8 @@
         LimitsFixture.ofSingleVm(clock),
         new RequestRateShare(clock),
         "vm",
-        () -> List.of("vm"));
+        () -> List.of("vm"),
+        TrafficFixture.withoutRollouts(clock));
   }
 
   private static Upstream withState(UpstreamState state) {
