--- a/src/main/java/org/ragwortpick/control/RolloutChanges.java
+++ b/src/main/java/org/ragwortpick/control/RolloutChanges.java
@@ -102,8 +102,7 @@
             revision,
             established,
             rejected,
-            accepted.subList(
-                Math.max(0, accepted.size() - MAX_ACCEPTED_ORDERS), accepted.size()));
+            accepted.subList(Math.max(0, accepted.size() - MAX_ACCEPTED_ORDERS), accepted.size()));
     // The traffic is at this version already.
     return established.equals(order.to()) ? begun.in(Rollout.State.COMPLETED, revision) : begun;
   }
@@ -173,8 +172,7 @@
       return Either.left(new AdministrationError.Conflict(base.revision()));
     }
     Rollout inState = current.at(progressed.elapsedMs(), progressed.share());
-    Rollout changed =
-        next == current.state() ? inState : inState.in(next, base.revision() + 1);
+    Rollout changed = next == current.state() ? inState : inState.in(next, base.revision() + 1);
     ChangeCommand.Builder change = accepted();
     put(change, base, service, changed);
     return Either.right(change);
--- a/src/main/java/org/ragwortpick/control/RolloutKeeper.java
+++ b/src/main/java/org/ragwortpick/control/RolloutKeeper.java
@@ -99,8 +99,7 @@
     Map<String, Rollout> rollouts = machine.current().configuration().rollouts();
     watches
         .keySet()
-        .removeIf(
-            service -> !rollouts.containsKey(service) || !rollouts.get(service).isRunning());
+        .removeIf(service -> !rollouts.containsKey(service) || !rollouts.get(service).isRunning());
     boolean leads = lease.isHeld();
     rollouts.forEach(
         (service, rollout) -> {
@@ -167,7 +166,7 @@
       if (changes) {
         log(service, elapsedMs, decision);
       }
-      Rollout progressed = known.at(elapsedMs, bounds.shareAt(elapsedMs, known.durationMs()));
+      Rollout progressed = known.at(elapsedMs, trial.share(elapsedMs));
       propose(service, progressed, decision.next());
     }
 
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -201,8 +201,7 @@
             request.route().repeatable(),
             gate.evidenceOf(upstream, dependencies.clock()));
     attempt = Optional.of(nextAttempt);
-    nextAttempt.start(
-        attemptRequests.to(upstream, inputs, () -> mayWrite(upstream, nextAttempt)));
+    nextAttempt.start(attemptRequests.to(upstream, inputs, () -> mayWrite(upstream, nextAttempt)));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -241,8 +241,7 @@
     if (head.status() != 0) {
       return notRun || mismatched ? SentRequest.End.NO_EVIDENCE : evidenceOfStatus();
     }
-    boolean late =
-        dependencies.clock().millis() - startedAtMs >= request.route().targetLatencyMs();
+    boolean late = dependencies.clock().millis() - startedAtMs >= request.route().targetLatencyMs();
     return late ? SentRequest.End.LATE : SentRequest.End.NO_EVIDENCE;
   }
 
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -102,8 +102,8 @@
    *
    * @param chosen record by which the upstream was chosen
    * @return false if since then its data centre was taken out of service, a rollout excluded its
-   *     version, or it left, started again, turned cold or requested a pause, or if its limit leaves
-   *     no permit
+   *     version, or it left, started again, turned cold or requested a pause, or if its limit
+   *     leaves no permit
    */
   public boolean tryPermit(Upstream chosen) {
     return mayTakeWork(chosen) && versions.permits(chosen) && limits.tryTake(chosen);
--- a/src/main/java/org/ragwortpick/rollout/ChangeDetector.java
+++ b/src/main/java/org/ragwortpick/rollout/ChangeDetector.java
@@ -8,8 +8,8 @@
  */
 final class ChangeDetector {
 
-  /** Sum that a version as good as the usual one reaches about once in 100,000 responses. */
-  static final double ALARM = Math.log(100_000);
+  /** Sum that a version as good as the usual one reaches about once in 10,000 responses. */
+  static final double ALARM = Math.log(10_000);
 
   private final double[] badRates;
   private final double[] sums;
--- a/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
+++ b/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
@@ -19,7 +19,7 @@
   /** Part of the exposure bound that is used; the rest covers counts that are under way. */
   private static final double USED_SHARE = 0.9;
 
-  private static final double USED_SLACK = 0.5;
+  private static final double USED_SLACK = 0.7;
 
   /** Time that most responses in flight need to end. */
   private static final long MAX_MOVE_MS = 6_000;
@@ -30,6 +30,17 @@
   /** Time after the end after which VMs that have not confirmed the move are not waited for. */
   private static final long MAX_WAIT_FOR_VMS_MS = 10_000;
 
+  /**
+   * Time from the move to the completion, in which all VMs move and the leader learns of a version
+   * that is bad only under load.
+   */
+  private static final long MIN_MOVE_MS = 4_500;
+
+  /** Time from the decision to move until the average VM moves. */
+  private static final long MOVE_LAG_MS = 500;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
   /** Time over which the present request rate is measured. */
   private static final long RATE_WINDOW_MS = 5_000;
 
@@ -44,6 +55,7 @@
   private long windowFromMs;
   private long sentAtWindow;
   private double requestsPerMs;
+  private long movedAtMs = NEVER;
 
   /**
    * Creates the trial of a rollout without reports.
@@ -122,8 +134,10 @@
   private Decision decideCompletion(long elapsedMs, Set<String> entryVms) {
     boolean confirmed =
         entryVms.stream().allMatch(vm -> reports.containsKey(vm) && reports.get(vm).moved());
+    movedAtMs = Math.min(movedAtMs, elapsedMs);
+    boolean isTried = elapsedMs - movedAtMs >= MIN_MOVE_MS;
     boolean mayWait = elapsedMs < durationMs - END_MARGIN_MS;
-    if (confirmed && (!mayWait || oldInFlight(entryVms) == 0)) {
+    if (confirmed && isTried && (!mayWait || oldInFlight(entryVms) == 0)) {
       return new Decision(Rollout.State.COMPLETED, "moved");
     }
     if (elapsedMs >= durationMs + MAX_WAIT_FOR_VMS_MS) {
@@ -141,16 +155,32 @@
     }
   }
 
+  private double rate(long elapsedMs) {
+    return Math.max(requestsPerMs, (double) (sentOld + sentNew) / Math.max(1, elapsedMs));
+  }
+
+  /**
+   * Returns the share of the requests that the new version gets from now on.
+   *
+   * @param elapsedMs time since the order in milliseconds
+   * @return the share
+   */
+  public double share(long elapsedMs) {
+    return bounds.shareAt(elapsedMs, durationMs, sentOld + sentNew, sentNew, rate(elapsedMs));
+  }
+
   /** Returns for how long all traffic may go to the new version before the duration ends. */
   private long moveMs(long elapsedMs) {
     double share = USED_SHARE * bounds.exposureShare();
     long sent = sentOld + sentNew;
     double left = share * sent + USED_SLACK * bounds.exposureSlack() - sentNew;
-    double rate = Math.max(requestsPerMs, (double) sent / Math.max(1, elapsedMs));
     if (left <= 0) {
       return 0;
     }
-    return (long) Math.min(MAX_MOVE_MS, left / Math.max(rate * (1 - share), 1 / MS_PER_SECOND));
+    return MOVE_LAG_MS
+        + (long)
+            Math.min(
+                MAX_MOVE_MS, left / Math.max(rate(elapsedMs) * (1 - share), 1 / MS_PER_SECOND));
   }
 
   /** The requests of VMs that are gone have ended with them. */
--- a/src/main/java/org/ragwortpick/rollout/RouteEvidence.java
+++ b/src/main/java/org/ragwortpick/rollout/RouteEvidence.java
@@ -20,6 +20,21 @@
   /** Two buckets, a factor of 1.4 to 1.7, above the usual quantile. */
   private static final int SLOW_BUCKETS = 2;
 
+  /**
+   * Quantile that shows how fast the machines of a version are: a version that is bad in a part of
+   * its responses hardly moves it.
+   */
+  private static final double MACHINE_QUANTILE = 0.2;
+
+  /** Three buckets, a factor of 1.7, by which the machines of two versions may differ. */
+  private static final int MAX_MACHINE_BUCKETS = 3;
+
+  /** Five buckets, a factor of 2.4, between the medians of a version that is slow as a whole. */
+  private static final int FAR_SLOWER_BUCKETS = 5;
+
+  /** Responses of the new version from which its quantiles are known. */
+  private static final long MIN_NEW_TIMED = 25;
+
   /** Rates below these are not told apart from zero. */
   private static final double MIN_FAILURE_RATE = 0.01;
 
@@ -79,9 +94,29 @@
 
   private int slowBucket() {
     int usual = oldTotal.quantile(USUAL_QUANTILE);
-    int usualNow =
-        oldRecent.timed() >= MIN_TIMED ? oldRecent.quantile(USUAL_QUANTILE) : usual;
-    return Math.max(usual, usualNow) + SLOW_BUCKETS;
+    int usualNow = oldRecent.timed() >= MIN_TIMED ? oldRecent.quantile(USUAL_QUANTILE) : usual;
+    return Math.max(usual, usualNow) + SLOW_BUCKETS + machineBuckets();
+  }
+
+  private int machineBuckets() {
+    if (newTotal.timed() < MIN_NEW_TIMED) {
+      return 0;
+    }
+    int difference = newTotal.quantile(MACHINE_QUANTILE) - oldTotal.quantile(MACHINE_QUANTILE);
+    // One bucket is within the error of the quantiles, and of a part of slow responses in them.
+    return Math.max(0, Math.min(MAX_MACHINE_BUCKETS, difference - 1));
+  }
+
+  /**
+   * Returns whether the new version is several times slower as a whole.
+   *
+   * @return whether its median is far above the one of the old version
+   */
+  boolean isFarSlower() {
+    int usual = Math.max(oldTotal.quantile(0.5), oldRecent.quantile(0.5));
+    return oldTotal.timed() >= MIN_TIMED
+        && newTotal.timed() >= MIN_NEW_TIMED
+        && newTotal.quantile(0.5) - usual >= FAR_SLOWER_BUCKETS;
   }
 
   /**
--- a/src/main/java/org/ragwortpick/rollout/ServiceTraffic.java
+++ b/src/main/java/org/ragwortpick/rollout/ServiceTraffic.java
@@ -133,8 +133,7 @@
    * @param nowMs monotonic time in milliseconds
    */
   void expireBroken(Predicate<Upstream> isAlive, long nowMs) {
-    countBroken(
-        found -> nowMs - found.atMs() >= ALIVE_CHECK_MS && isAlive.test(found.upstream()));
+    countBroken(found -> nowMs - found.atMs() >= ALIVE_CHECK_MS && isAlive.test(found.upstream()));
     broken.removeIf(found -> nowMs - found.atMs() >= ALIVE_CHECK_MS);
   }
 
--- a/src/main/java/org/ragwortpick/rollout/VersionJudge.java
+++ b/src/main/java/org/ragwortpick/rollout/VersionJudge.java
@@ -65,8 +65,7 @@
   }
 
   /** Returns the mean of a rate, weighted by the responses of the new version. */
-  private double mean(
-      ToLongFunction<RouteEvidence> weight, ToDoubleFunction<RouteEvidence> rate) {
+  private double mean(ToLongFunction<RouteEvidence> weight, ToDoubleFunction<RouteEvidence> rate) {
     long total = sum(weight);
     return total == 0
         ? 0.5
@@ -82,15 +81,16 @@
    * @return whether it is to be rolled back
    */
   boolean isBad() {
-    return evidence() >= ChangeDetector.ALARM || hasManyBad();
+    return evidence() >= ChangeDetector.ALARM
+        || hasManyBad()
+        || routes.values().stream().anyMatch(RouteEvidence::isFarSlower);
   }
 
   private boolean hasManyBad() {
     double expected =
         routes.values().stream()
             .mapToDouble(
-                route ->
-                    route.newResponses() * (route.usualFailureRate() + route.usualSlowRate()))
+                route -> route.newResponses() * (route.usualFailureRate() + route.usualSlowRate()))
             .sum();
     return badResponses() >= MANY_BAD && badResponses() >= CLEAR_EXCESS * expected;
   }
--- a/src/main/java/org/ragwortpick/rollout/VersionTraffic.java
+++ b/src/main/java/org/ragwortpick/rollout/VersionTraffic.java
@@ -201,8 +201,7 @@
           if (rollout.isRunning()) {
             ServiceTraffic traffic = trafficOf(service, rollout);
             traffic.expireBroken(this::isListed, clock.millis());
-            boolean moved =
-                rollout.state() == Rollout.State.COMPLETING && isViewCurrent(rollout);
+            boolean moved = rollout.state() == Rollout.State.COMPLETING && isViewCurrent(rollout);
             reports.add(traffic.report(service, moved));
           } else {
             services.remove(service);
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -132,9 +132,7 @@
         reader.requiredAddress("operatorAddress"),
         reader.requiredAddress("directoryAddress"),
         reader.optionalObject(
-            "rollouts",
-            Optional.empty(),
-            nested -> Optional.of(readRolloutBounds(nested))));
+            "rollouts", Optional.empty(), nested -> Optional.of(readRolloutBounds(nested))));
   }
 
   /** All three bounds must be stated, since a default would weaken a promise. */
@@ -150,8 +148,7 @@
     if (slack == MISSING) {
       reader.addInvalidValue("exposureSlack", "(absent)", "write a number of requests");
     }
-    long rollbackMs =
-        reader.optionalLong("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
+    long rollbackMs = reader.optionalLong("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
     if (rollbackMs == MISSING) {
       reader.addInvalidValue("rollbackMs", "(absent)", "write a time in milliseconds");
     }
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -113,8 +113,7 @@
     List<Demand> demands = request.getDemandsList().stream().map(AllowanceCodec::decode).toList();
     state
         .versionReports()
-        .receive(
-            request.getVersionReportsList().stream().map(VersionReportCodec::decode).toList());
+        .receive(request.getVersionReportsList().stream().map(VersionReportCodec::decode).toList());
     boolean complete = mergeFromPoller(request.getRecords(), request.getVm());
     boolean sameIncarnation = request.getSourceIncarnation() == state.identity().incarnation();
     long cursor = sameIncarnation ? request.getCursor() : 0;
--- a/src/main/java/org/ragwortpick/vm/ControlComponents.java
+++ b/src/main/java/org/ragwortpick/vm/ControlComponents.java
@@ -122,12 +122,7 @@
     PlacementSource placement = new DirectoryPlacement(upstreams, leaderTenure);
     LeaderAdministration administration =
         new LeaderAdministration(
-            configurationGroup,
-            configuration,
-            lease,
-            placement,
-            MINIMUM_VOTERS,
-            Optional.empty());
+            configurationGroup, configuration, lease, placement, MINIMUM_VOTERS, Optional.empty());
     EngineOrders engineOrders =
         new EngineOrders(
             configurationGroup,
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -25,9 +25,9 @@
 import org.ragwortpick.control.AdministrationServer;
 import org.ragwortpick.control.ConfigurationStateMachine;
 import org.ragwortpick.control.LeaderAdministration;
-import org.ragwortpick.control.RolloutKeeper;
 import org.ragwortpick.control.PlacementPlan;
 import org.ragwortpick.control.PlacementSource;
+import org.ragwortpick.control.RolloutKeeper;
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.rollout.RolloutBounds;
@@ -105,8 +105,7 @@
     ConsensusHost host =
         ConsensusHost.open(
             options, Map.of(ConfigurationStateMachine.GROUP, stateMachine), channels, clock);
-    return Optional.of(
-        new ControlReplica(host, stateMachine, role, clock, scheduler));
+    return Optional.of(new ControlReplica(host, stateMachine, role, clock, scheduler));
   }
 
   private static boolean formsGroup(
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -102,8 +102,7 @@
     this.scheduler = scheduler;
     this.rollouts =
         role.rolloutBounds()
-            .flatMap(
-                bounds -> replica.map(local -> local.rolloutKeeper(bounds, sync, clock)));
+            .flatMap(bounds -> replica.map(local -> local.rolloutKeeper(bounds, sync, clock)));
     rollouts.ifPresent(
         keeper ->
             new EntryGauges(registry)
@@ -216,8 +215,7 @@
   @Override
   public CompletionStage<Either<AdministrationError, AcceptedChange>> startRollout(
       String service, String to, long durationMs, long baseRevision) {
-    StartRolloutRequest request =
-        new StartRolloutRequest(service, to, durationMs, baseRevision);
+    StartRolloutRequest request = new StartRolloutRequest(service, to, durationMs, baseRevision);
     return logOutcome(
         "rollout of " + service + " to " + to,
         administration.startRollout(request, CALL_TIMEOUT_MS));
