--- a/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
+++ b/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
@@ -34,7 +34,12 @@
    * Time from the move to the completion, in which all VMs move and the leader learns of a version
    * that is bad only under load.
    */
-  private static final long MIN_MOVE_MS = 4_500;
+  private static final long MIN_MOVE_MS = 3_000;
+
+  /** The same with few responses since the move. */
+  private static final long MIN_MOVE_WITH_FEW_RESPONSES_MS = 4_500;
+
+  private static final long ENOUGH_RESPONSES = 100;
 
   /** Time from the decision to move until the average VM moves. */
   private static final long MOVE_LAG_MS = 500;
@@ -56,6 +61,7 @@
   private long sentAtWindow;
   private double requestsPerMs;
   private long movedAtMs = NEVER;
+  private long responsesAtMove;
 
   /**
    * Creates the trial of a rollout without reports.
@@ -134,8 +140,13 @@
   private Decision decideCompletion(long elapsedMs, Set<String> entryVms) {
     boolean confirmed =
         entryVms.stream().allMatch(vm -> reports.containsKey(vm) && reports.get(vm).moved());
-    movedAtMs = Math.min(movedAtMs, elapsedMs);
-    boolean isTried = elapsedMs - movedAtMs >= MIN_MOVE_MS;
+    if (movedAtMs == NEVER) {
+      movedAtMs = elapsedMs;
+      responsesAtMove = judge.newResponses();
+    }
+    boolean hasEnough = judge.newResponses() - responsesAtMove >= ENOUGH_RESPONSES;
+    boolean isTried =
+        elapsedMs - movedAtMs >= (hasEnough ? MIN_MOVE_MS : MIN_MOVE_WITH_FEW_RESPONSES_MS);
     boolean mayWait = elapsedMs < durationMs - END_MARGIN_MS;
     if (confirmed && isTried && (!mayWait || oldInFlight(entryVms) == 0)) {
       return new Decision(Rollout.State.COMPLETED, "moved");
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.ragwortpick.rollout.RolloutBounds;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -97,4 +98,52 @@
       assertTrue(message.contains("KILL_AFTER_SECONDS") && message.contains("600"), message);
     }
   }
+
+  private Either<List<SettingsError>, ForwardingSettings> readWithRollouts(String section)
+      throws IOException {
+    Files.writeString(
+        file,
+        """
+        {
+          "peerAddress": "127.0.0.1:7601", "dataCentre": "a", "clusterId": "c",
+          "protocol": "platform",
+          "seeds": { "hosts": ["127.0.0.1"], "peerPort": 7601 },
+          "control": {
+            %s
+            "operatorAddress": "127.0.0.1:7602", "directoryAddress": "127.0.0.1:7603"
+          }
+        }
+        """
+            .formatted(section));
+    return read("8");
+  }
+
+  /** A bound that is missing must not be replaced by one that nobody promised. */
+  @Test
+  public void rolloutsNeedAllTheirBounds() throws IOException {
+    assertTrue(readWithRollouts("").get().control().orElseThrow().rolloutBounds().isEmpty());
+    String share = "\"exposureShare\": 0.1";
+    String slack = "\"exposureSlack\": 50";
+    String rollback = "\"rollbackMs\": 5000";
+    assertEquals(
+        readWithRollouts("\"rollouts\": {%s, %s, %s},".formatted(share, slack, rollback))
+            .get()
+            .control()
+            .orElseThrow()
+            .rolloutBounds()
+            .orElseThrow(),
+        new RolloutBounds(0.1, 50, 5_000));
+    for (Map.Entry<String, String> invalid :
+        Map.of(
+                share + "," + slack, "rollbackMs",
+                share + "," + rollback, "exposureSlack",
+                slack + "," + rollback, "exposureShare",
+                "\"exposureShare\": 1," + slack + "," + rollback, "exposureShare",
+                share + "," + slack + ", \"rollbackMs\": 10", "rollbackMs")
+            .entrySet()) {
+      List<SettingsError> errors =
+          readWithRollouts("\"rollouts\": {" + invalid.getKey() + "},").getLeft();
+      assertTrue(errors.get(0).message().contains(invalid.getValue()), invalid.getKey());
+    }
+  }
 }
