--- a/src/main/java/org/ragwortpick/rollout/ServiceTraffic.java
+++ b/src/main/java/org/ragwortpick/rollout/ServiceTraffic.java
@@ -166,7 +166,14 @@
         "", 0, 0, service, order, moved, oldInFlight, sentOld, sentNew, copies);
   }
 
-  /** Request without a complete response. */
+  /**
+   * Request without a complete response.
+   *
+   * @param upstream upstream of the request
+   * @param route name of the route
+   * @param isNew whether the upstream has the new version
+   * @param atMs monotonic time in milliseconds at which it ended
+   */
   private record Broken(Upstream upstream, String route, boolean isNew, long atMs) {
 
     boolean isOf(Upstream other) {
