--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -55,6 +55,8 @@
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
+import org.ragwortpick.rollout.RolloutMetrics;
+import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
@@ -103,6 +105,7 @@
   private final ViewFreshness freshness;
   private final SharedRetryConstant retryConstant;
   private final CollectorRole collectorRole;
+  private final VersionTraffic versions;
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final UpstreamLoads loads;
@@ -185,6 +188,15 @@
             () -> sync.lifeCycle().state() == VmState.READY,
             freshness::ageMs,
             clock);
+    this.versions =
+        new VersionTraffic(
+            this::configuration,
+            freshness::ageMs,
+            sync::announced,
+            clock,
+            random,
+            new RolloutMetrics(registry));
+    sync.versionReports().setOwn(versions::reports);
     this.chooser = createChooser(settings, random);
     this.quarantine =
         new ContentQuarantine(
@@ -220,6 +232,7 @@
             protocol.headers(),
             notices,
             this::tryPermit,
+            versions,
             clock);
     return new RemoteStageRunner(
         settings.peerAddress(),
@@ -244,7 +257,8 @@
         limits,
         new RequestRateShare(clock),
         settings.peerAddress().toString(),
-        entryVms::names);
+        entryVms::names,
+        versions);
   }
 
   private Undertow createReadinessServer(
@@ -315,6 +329,7 @@
         transport,
         pauses,
         limits,
+        versions,
         this::release,
         timers,
         clock);
@@ -331,6 +346,7 @@
         sync.configurationView(),
         chooser,
         freshness::isConfirmedSinceResume,
+        versions,
         loads,
         notices,
         quarantine,
