Read load reports with a fourth figure

Cause: a report with other than three figures was ignored as a whole, so an upstream that states how long work takes looked idle or unknown. Change: the first three figures count whatever follows; the fourth is kept if it is a positive number. Reports are read in UpstreamNotices for all calls; a 421, which another upstream sent, no longer changes the load of the expected one. WorkTimeReports tells which services report the figure.

--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -123,8 +123,6 @@
       return false;
     }
     dependencies.notices().onHead(upstream, head, startedAtMs);
-    LoadReport.parse(head.headers().getFirst(names.load()))
-        .ifPresent(load -> dependencies.loads().recordReport(upstream.id(), load.totalRequests()));
     if (!notRun) {
       evidence.onHead(head);
     }
--- a/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
@@ -25,6 +25,7 @@
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
+  private final LoadReports loadReports;
 
   /**
    * Creates an instance.
@@ -33,13 +34,19 @@
    * @param leaving receives the upstreams that are leaving
    * @param pauses receives the pauses that upstreams request
    * @param limits receives the limits that upstreams name
+   * @param loadReports receives the loads that upstreams report
    */
   public UpstreamNotices(
-      RoutingHeaders names, LeavingUpstreams leaving, RequestedPauses pauses, NamedLimits limits) {
+      RoutingHeaders names,
+      LeavingUpstreams leaving,
+      RequestedPauses pauses,
+      NamedLimits limits,
+      LoadReports loadReports) {
     this.names = names;
     this.limits = limits;
     this.leaving = leaving;
     this.pauses = pauses;
+    this.loadReports = loadReports;
   }
 
   /**
@@ -54,6 +61,7 @@
       // Another upstream has responded, which uses the address of the expected one.
       return;
     }
+    loadReports.onHead(upstream, head);
     if (IS_LEAVING.equals(head.headers().getFirst(names.leaving()))) {
       leaving.record(upstream);
     }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -36,6 +36,7 @@
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
 import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.LoadReports;
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
 import org.ragwortpick.forward.RunsInFlight;
@@ -50,6 +51,7 @@
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.WorkTimeReports;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
@@ -108,6 +110,8 @@
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
+  private final WorkTimeReports workTimes;
+  private final LoadReports loadReports;
   private final UpstreamNotices notices;
   private final ContentQuarantine quarantine;
   private final RemoteStageRunner stages;
@@ -157,7 +161,9 @@
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
     this.limits = createLimits(settings.peerAddress().toString());
-    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits);
+    this.workTimes = new WorkTimeReports(clock);
+    this.loadReports = new LoadReports(protocol.headers(), loads, workTimes, clock);
+    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits, loadReports);
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
     this.retryConstant =
@@ -387,6 +393,8 @@
 
   private void expire() {
     loads.expire();
+    loadReports.expire();
+    workTimes.expire();
     leaving.expire();
     pauses.expire();
     limits.expire();
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -42,6 +42,7 @@
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.WorkTimeReports;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RequestKind;
@@ -142,7 +143,12 @@
                     chooser,
                     () -> true,
                     loads,
-                    new UpstreamNotices(HEADERS, leaving, pauses, limits),
+                    new UpstreamNotices(
+                        HEADERS,
+                        leaving,
+                        pauses,
+                        limits,
+                        new LoadReports(HEADERS, loads, new WorkTimeReports(clock), clock)),
                     new ContentQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -25,6 +25,8 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.WorkTimeReports;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -77,7 +79,16 @@
         callClient,
         protocol,
         ForwardTestServer.HEADERS,
-        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses, limits),
+        new UpstreamNotices(
+            ForwardTestServer.HEADERS,
+            leaving,
+            pauses,
+            limits,
+            new LoadReports(
+                ForwardTestServer.HEADERS,
+                new UpstreamLoads(clock),
+                new WorkTimeReports(clock),
+                clock)),
         upstream -> !takenOut.contains(upstream.dataCentre()) && limits.tryTake(upstream),
         clock);
   }
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -19,6 +19,8 @@
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.WorkTimeReports;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -58,7 +60,12 @@
                 ForwardTestServer.HEADERS,
                 new LeavingUpstreams(clock),
                 new RequestedPauses(clock, new SplittableRandom(1)),
-                LimitsFixture.ofSingleVm(clock)),
+                LimitsFixture.ofSingleVm(clock),
+                new LoadReports(
+                    ForwardTestServer.HEADERS,
+                    new UpstreamLoads(clock),
+                    new WorkTimeReports(clock),
+                    clock)),
             upstream -> true,
             clock);
   }
