Make the load of upstreams even by expected load, speed and memory

Cause: an upstream without a current report counted as nearly idle, load was requests per slot whatever the speed, and the tokens held by an upstream were not counted. Many VMs overloaded upstreams in turn. Change, for services whose upstreams report work times: requests of other VMs regress from the report to the mean of the service (ExpectedLoads), work times and learned speeds weigh in (UpstreamSpeeds), the choice levels expected loads at random (EvenLoadSelector), and an upstream without memory for one more request is excluded (UpstreamTokens, KvCapacityTokens and Token-Usage). UpstreamEstimates combines them and states free places. Other services are selected as before.

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import java.time.Clock;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.ragwortpick.batch.StageRunner;
@@ -9,6 +10,8 @@
 import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.limit.TokenDemand;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.sync.ConfigurationView;
@@ -21,7 +24,8 @@
  * @param chooser chooses upstreams
  * @param viewIsCurrent whether the view of the upstreams was confirmed since the process last
  *     resumed from a suspension
- * @param loads load of upstreams
+ * @param estimates load, speed and memory of upstreams
+ * @param invalidInput logs headers that cannot be read
  * @param notices reads what upstreams state about themselves
  * @param quarantine holds back prompt parts that end upstreams
  * @param stages runs stages
@@ -45,7 +49,8 @@
     ConfigurationView configuration,
     UpstreamChooser chooser,
     BooleanSupplier viewIsCurrent,
-    UpstreamLoads loads,
+    UpstreamEstimates estimates,
+    InvalidInputLog invalidInput,
     UpstreamNotices notices,
     ContentQuarantine quarantine,
     StageRunner stages,
@@ -76,6 +81,40 @@
     return durationMs <= remainingMs.getAsLong() - STOP_MARGIN_MS;
   }
 
+  /**
+   * Returns the load of upstreams.
+   *
+   * @return the load
+   */
+  UpstreamLoads loads() {
+    return estimates.loads();
+  }
+
+  /**
+   * Returns the tokens that a request states. If they cannot be read, they are estimated by those
+   * of other requests.
+   *
+   * @param request the request
+   * @param prefix shared part of its prompt
+   * @return its tokens
+   */
+  TokenDemand demandOf(CallerRequest request, PromptPrefix prefix) {
+    String text = request.headers().getFirst(headers.tokenUsage());
+    if (text == null) {
+      return TokenDemand.UNKNOWN;
+    }
+    OptionalLong tokens = TokenUsage.parse(text);
+    if (tokens.isEmpty()) {
+      invalidInput.log(
+          "tokens of request cannot be read and are estimated",
+          "route",
+          request.route().name(),
+          text);
+      return TokenDemand.UNKNOWN;
+    }
+    return new TokenDemand(tokens.getAsLong(), prefix.tokens(), prefix.hash());
+  }
+
   /** Retry budget of each service. */
   public interface RetryBudgets {
 
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -9,6 +9,7 @@
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.upstream.HttpEnd;
+import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.quarantine.RequestContent;
 import org.ragwortpick.routing.RoutingTable;
@@ -23,6 +24,7 @@
   private final CallerRequest request;
   private final String service;
   private final PromptPrefix prefix;
+  private final TokenDemand demand;
   private final ContentGate gate;
   private final ResponseRelay relay;
   private final RequestLog log;
@@ -59,6 +61,7 @@
     this.request = request;
     this.service = service;
     this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
+    this.demand = dependencies.demandOf(request, prefix);
     this.relay = new ResponseRelay(exchange);
     RequestFingerprint fingerprint = new RequestFingerprint(request);
     this.gate =
@@ -178,6 +181,7 @@
             .choose(
                 service,
                 prefix,
+                demand,
                 stages.map(StageGraphRun::dataCentreOfResults).orElse(""),
                 triedUpstreams);
     if (chosen.isEmpty()) {
@@ -196,6 +200,7 @@
             dependencies,
             request,
             upstream,
+            demand,
             this,
             relay,
             request.route().repeatable(),
--- a/src/main/java/org/ragwortpick/forward/LoadReports.java
+++ b/src/main/java/org/ragwortpick/forward/LoadReports.java
@@ -1,45 +1,30 @@
 package org.ragwortpick.forward;
 
 import io.undertow.util.HttpString;
-import java.time.Clock;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
-import org.jboss.logging.Logger;
 import org.ragwortpick.entry.upstream.HttpHead;
-import org.ragwortpick.logging.DecisionLine;
-import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.policy.limit.WorkTimeReports;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.sync.Upstream;
 
 /** Reads the load reports in the heads of responses. Confined to the I/O thread. */
 public final class LoadReports {
 
-  private static final Logger LOG = Logger.getLogger(LoadReports.class);
-
-  /** Time in which reports of one upstream that cannot be read are logged at most once. */
-  private static final long LOG_INTERVAL_MS = 60_000;
-
   private final HttpString header;
-  private final UpstreamLoads loads;
-  private final WorkTimeReports workTimes;
-  private final Clock clock;
-  private final Map<String, Long> loggedAtMsByUpstream = new HashMap<>();
+  private final UpstreamEstimates estimates;
+  private final InvalidInputLog invalidInput;
 
   /**
    * Creates an instance.
    *
    * @param names names of headers
-   * @param loads receives the reported loads
-   * @param workTimes receives the services whose upstreams report how long work takes
-   * @param clock monotonic clock
+   * @param estimates receives the reported loads and work times
+   * @param invalidInput logs reports that cannot be read
    */
   public LoadReports(
-      RoutingHeaders names, UpstreamLoads loads, WorkTimeReports workTimes, Clock clock) {
+      RoutingHeaders names, UpstreamEstimates estimates, InvalidInputLog invalidInput) {
     this.header = names.load();
-    this.loads = loads;
-    this.workTimes = workTimes;
-    this.clock = clock;
+    this.estimates = estimates;
+    this.invalidInput = invalidInput;
   }
 
   /**
@@ -55,33 +40,16 @@
     }
     Optional<LoadReport> parsed = LoadReport.parse(text);
     if (parsed.isEmpty()) {
-      logUnreadable(upstream, text);
+      // The requests in flight are also counted locally, so the upstream is used further.
+      invalidInput.log(
+          "load report of upstream cannot be read and is ignored", "upstream", upstream.id(), text);
       return;
     }
     LoadReport report = parsed.get();
-    loads.recordReport(upstream.id(), report.totalRequests());
+    estimates.loads().recordReport(upstream.id(), report.totalRequests());
     if (report.workTimePercent().isPresent()) {
-      workTimes.record(upstream.service());
-    }
-  }
-
-  /** The requests in flight are also counted locally, so the upstream is used further. */
-  private void logUnreadable(Upstream upstream, String text) {
-    long nowMs = clock.millis();
-    Long loggedAtMs = loggedAtMsByUpstream.get(upstream.id());
-    if (loggedAtMs != null && nowMs - loggedAtMs < LOG_INTERVAL_MS) {
-      return;
+      estimates.workTimes().record(upstream.service());
+      estimates.speeds().recordWorkTime(upstream.id(), report.workTimePercent().getAsDouble());
     }
-    loggedAtMsByUpstream.put(upstream.id(), nowMs);
-    DecisionLine.of("load report of upstream cannot be read and is ignored")
-        .with("upstream", upstream.id())
-        .with("value", text)
-        .info(LOG);
-  }
-
-  /** Drops what is known of upstreams whose last unreadable report is long ago. */
-  public void expire() {
-    long nowMs = clock.millis();
-    loggedAtMsByUpstream.values().removeIf(loggedAtMs -> nowMs - loggedAtMs >= LOG_INTERVAL_MS);
   }
 }
--- a/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -17,6 +17,7 @@
  * @param leaving 1 in all responses of an upstream that is leaving
  * @param limit requests a second that the responding upstream takes from all VMs together
  * @param prefixes parts of the prompt as id and number of tokens, the request's own part last
+ * @param tokenUsage tokens of the prompt and maximum of output tokens
  * @param pieceCount number of pieces of each stage
  * @param pieceKey key of the pieces of stages without inputs, passed to their upstreams unchanged
  * @param inputs handles of the results of the last stages; set by this system only
@@ -33,6 +34,7 @@
     HttpString leaving,
     HttpString limit,
     HttpString prefixes,
+    HttpString tokenUsage,
     HttpString pieceCount,
     HttpString pieceKey,
     HttpString inputs,
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -13,6 +13,7 @@
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.policy.limit.PendingResponse;
+import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.routing.RequestKind;
 import org.ragwortpick.sync.Upstream;
 
@@ -38,6 +39,7 @@
   private final ForwardDependencies dependencies;
   private final CallerRequest request;
   private final Upstream upstream;
+  private final TokenDemand demand;
   private final AttemptListener listener;
   private final ResponseRelay relay;
   private final boolean repeatable;
@@ -59,6 +61,7 @@
    * @param dependencies dependencies that all requests share
    * @param request the request
    * @param upstream upstream that is to run it
+   * @param demand tokens of the request
    * @param listener receives the events of the attempt
    * @param relay passes the response to the caller
    * @param repeatable whether the request may run more than once
@@ -68,6 +71,7 @@
       ForwardDependencies dependencies,
       CallerRequest request,
       Upstream upstream,
+      TokenDemand demand,
       AttemptListener listener,
       ResponseRelay relay,
       boolean repeatable,
@@ -75,6 +79,7 @@
     this.dependencies = dependencies;
     this.request = request;
     this.upstream = upstream;
+    this.demand = demand;
     this.listener = listener;
     this.relay = relay;
     this.repeatable = repeatable;
@@ -90,6 +95,7 @@
     long usualMs = dependencies.responseTimes().usualMs(request.route());
     startedAtMs = dependencies.clock().millis();
     pending = dependencies.loads().recordStart(upstream.id(), usualMs);
+    dependencies.estimates().tokens().recordStart(upstream.service(), upstream.id(), demand);
     call = dependencies.callClient().send(httpRequest, this);
   }
 
@@ -182,6 +188,7 @@
   @Override
   public void onEnd(HttpEnd end) {
     boolean unanswered = dependencies.loads().recordEnd(pending);
+    dependencies.estimates().tokens().recordEnd(upstream.id(), demand);
     if (aborted) {
       if (unanswered) {
         dependencies.loads().recordFailure(upstream.id());
@@ -205,6 +212,7 @@
 
   private void endRelay(boolean complete, HttpEnd end) {
     if (complete) {
+      recordDuration();
       dependencies.metrics().attemptEnded(upstream.service(), "answered");
       relay.finish();
       listener.onResponseEnded(end);
@@ -232,7 +240,19 @@
     sendComplete(end);
   }
 
+  /** Only successes count, because a failing upstream often responds faster than usual. */
+  private void recordDuration() {
+    if (head.isSuccess()) {
+      long durationMs = dependencies.clock().millis() - startedAtMs;
+      dependencies
+          .estimates()
+          .speeds()
+          .recordResponse(upstream.id(), request.route().name(), durationMs);
+    }
+  }
+
   private void sendComplete(HttpEnd end) {
+    recordDuration();
     listener.onResponseStarted(head.status());
     relay.sendComplete(head, buffered);
     listener.onResponseEnded(end);
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.jboss.logging.Logger;
 import org.ragwortpick.config.Configuration;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.policy.Candidate;
 import org.ragwortpick.policy.SelectionRequest;
 import org.ragwortpick.policy.UpstreamSelector;
@@ -15,7 +17,8 @@
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.SenderRank;
-import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.TokenDemand;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.UpstreamState;
@@ -26,10 +29,12 @@
  */
 public final class UpstreamChooser {
 
+  private static final Logger LOG = Logger.getLogger(UpstreamChooser.class);
+
   private final Supplier<Configuration> configuration;
   private final Function<String, List<Upstream>> upstreamsOf;
   private final UpstreamSelector selector;
-  private final UpstreamLoads loads;
+  private final UpstreamEstimates estimates;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
@@ -43,7 +48,7 @@
    * @param configuration current configuration
    * @param upstreamsOf returns the announced upstreams of a service
    * @param selector selects among candidates
-   * @param loads load of upstreams
+   * @param estimates load, speed and memory of upstreams
    * @param leaving upstreams that stated that they are leaving
    * @param pauses pauses that upstreams requested
    * @param limits limits that upstreams named
@@ -55,7 +60,7 @@
       Supplier<Configuration> configuration,
       Function<String, List<Upstream>> upstreamsOf,
       UpstreamSelector selector,
-      UpstreamLoads loads,
+      UpstreamEstimates estimates,
       LeavingUpstreams leaving,
       RequestedPauses pauses,
       NamedLimits limits,
@@ -65,7 +70,7 @@
     this.configuration = configuration;
     this.upstreamsOf = upstreamsOf;
     this.selector = selector;
-    this.loads = loads;
+    this.estimates = estimates;
     this.leaving = leaving;
     this.pauses = pauses;
     this.limits = limits;
@@ -122,12 +127,21 @@
   }
 
   private double coldRate(String service) {
-    return configuration
-        .get()
-        .routingTable()
-        .flatMap(table -> table.service(service))
-        .map(ServiceProfile::coldRequestsPerSecond)
-        .orElse(0.0);
+    return profile(service).map(ServiceProfile::coldRequestsPerSecond).orElse(0.0);
+  }
+
+  private Optional<ServiceProfile> profile(String service) {
+    return configuration.get().routingTable().flatMap(table -> table.service(service));
+  }
+
+  /**
+   * Returns how many more requests the upstreams of a service are expected to run at once.
+   *
+   * @param service name of the service
+   * @return number of free slots, as far as the local VM can estimate it
+   */
+  int freePlaces(String service) {
+    return estimates.freePlaces(service, available(service));
   }
 
   /**
@@ -178,7 +192,7 @@
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), "", Set.of());
     return selector
-        .select(request, loads.describe(ready))
+        .select(request, estimates.describe(service, ready))
         .map(candidate -> candidate.upstream().dataCentre())
         .orElse("");
   }
@@ -188,12 +202,17 @@
    *
    * @param service name of the service
    * @param prefix shared part of the prompt
+   * @param demand tokens of the request
    * @param dataCentre data centre that holds the inputs of the request; empty if it has none
    * @param tried ids of upstreams to exclude
    * @return the upstream, if one may take the request now
    */
   Optional<Upstream> choose(
-      String service, PromptPrefix prefix, String dataCentre, Set<String> tried) {
+      String service,
+      PromptPrefix prefix,
+      TokenDemand demand,
+      String dataCentre,
+      Set<String> tried) {
     List<Upstream> available =
         available(service).stream()
             .filter(upstream -> !pauses.isPaused(upstream))
@@ -202,21 +221,38 @@
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate = coldRate(service);
+    long memoryTokens = profile(service).map(ServiceProfile::memoryTokens).orElse(0L);
     List<Upstream> selectable =
         available.stream()
             .filter(upstream -> coldRate == 0 || upstream.state() == UpstreamState.READY)
             .toList();
-    return selectable.stream()
-        .filter(upstream -> !tried.contains(upstream.id()) && limits.isOverdue(upstream))
-        .findFirst()
-        .or(() -> selector.select(request, loads.describe(selectable)).map(Candidate::upstream))
-        .or(
-            () ->
-                available.stream()
-                    .filter(upstream -> upstream.state() == UpstreamState.COLD)
-                    .filter(upstream -> !tried.contains(upstream.id()))
-                    .filter(upstream -> takesColdShare(upstream, coldRate))
-                    .findFirst());
+    Optional<Upstream> chosen =
+        selectable.stream()
+            .filter(upstream -> !tried.contains(upstream.id()) && limits.isOverdue(upstream))
+            .findFirst()
+            .or(
+                () ->
+                    selector
+                        .select(
+                            request, estimates.describe(service, selectable, demand, memoryTokens))
+                        .map(Candidate::upstream))
+            .or(
+                () ->
+                    available.stream()
+                        .filter(upstream -> upstream.state() == UpstreamState.COLD)
+                        .filter(upstream -> !tried.contains(upstream.id()))
+                        .filter(upstream -> takesColdShare(upstream, coldRate))
+                        .findFirst());
+    int withoutMemory = estimates.tokens().excludedCount();
+    if (chosen.isEmpty() && withoutMemory > 0 && estimates.workTimes().isReported(service)) {
+      DecisionLine.of("no upstream has memory for the request")
+          .with("service", service)
+          .with("tokens", demand.tokens())
+          .with("memoryTokens", memoryTokens)
+          .with("withoutMemory", withoutMemory)
+          .info(LOG);
+    }
+    return chosen;
   }
 
   private boolean takesColdShare(Upstream upstream, double coldRate) {
--- a/src/main/java/org/ragwortpick/policy/Candidate.java
+++ b/src/main/java/org/ragwortpick/policy/Candidate.java
@@ -10,13 +10,38 @@
  * @param sentSinceReport requests that the local VM sent there since the last load report
  * @param isAvailable false while the upstream is ejected or at its limit
  * @param expectedLoad estimated number of requests of all VMs that run at the upstream
+ * @param speed speed of the upstream relative to the usual one, which is 1
+ * @param unseenRequests expected number of requests that other VMs sent to the upstream while they
+ *     knew the same as the local VM
+ * @param otherRequests expected number of requests of other VMs at the upstream
  */
 public record Candidate(
     Upstream upstream,
     int inFlight,
     int sentSinceReport,
     boolean isAvailable,
-    double expectedLoad) {
+    double expectedLoad,
+    double speed,
+    double unseenRequests,
+    double otherRequests) {
+
+  /**
+   * Creates a candidate of usual speed.
+   *
+   * @param upstream the upstream with its last reported load
+   * @param inFlight requests of the local VM in flight there
+   * @param sentSinceReport requests that the local VM sent there since the last load report
+   * @param isAvailable false while the upstream is ejected or at its limit
+   * @param expectedLoad estimated number of requests of all VMs that run at the upstream
+   */
+  public Candidate(
+      Upstream upstream,
+      int inFlight,
+      int sentSinceReport,
+      boolean isAvailable,
+      double expectedLoad) {
+    this(upstream, inFlight, sentSinceReport, isAvailable, expectedLoad, 1, 0, 0);
+  }
 
   /**
    * Creates an available candidate whose expected load is the reported load plus the requests sent
@@ -34,4 +59,21 @@
         true,
         Math.max(upstream.load() + sentSinceReport, inFlight));
   }
+
+  /**
+   * Returns the candidate as one that must not be selected.
+   *
+   * @return an unavailable copy
+   */
+  public Candidate unavailable() {
+    return new Candidate(
+        upstream,
+        inFlight,
+        sentSinceReport,
+        false,
+        expectedLoad,
+        speed,
+        unseenRequests,
+        otherRequests);
+  }
 }
--- a/src/main/java/org/ragwortpick/policy/limit/PendingResponse.java
+++ b/src/main/java/org/ragwortpick/policy/limit/PendingResponse.java
@@ -44,6 +44,15 @@
     return upstreamId;
   }
 
+  /**
+   * Returns when the request was sent.
+   *
+   * @return monotonic time in milliseconds
+   */
+  long startedAtMs() {
+    return startedAtMs;
+  }
+
   /** Records that the upstream has begun to respond to a request that was sent later. */
   void recordOvertaking() {
     overtaking++;
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamLoads.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamLoads.java
@@ -37,7 +37,11 @@
   /** Time for which an upstream is unavailable after a request did not reach it. */
   private static final long UNREACHABLE_COOLDOWN_MS = 500;
 
+  /** Weight of one request in the average duration of requests at an upstream. */
+  private static final double DURATION_WEIGHT = 0.1;
+
   private final Clock clock;
+  private final ExpectedLoads expectedLoads = new ExpectedLoads(REPORT_VALID_MS);
   private final Map<String, Entry> entries = new HashMap<>();
 
   /**
@@ -60,6 +64,45 @@
     return upstreams.stream().map(upstream -> describe(upstream, nowMs)).toList();
   }
 
+  /**
+   * Lists upstreams of one service as candidates with their expected loads and speeds, for a
+   * selector that makes the loads even.
+   *
+   * @param upstreams the upstreams
+   * @param speeds speeds of upstreams
+   * @return candidates in the same order
+   */
+  public List<Candidate> describeExpected(List<Upstream> upstreams, UpstreamSpeeds speeds) {
+    long nowMs = clock.millis();
+    List<ObservedUpstream> observed = new ArrayList<>(upstreams.size());
+    for (Upstream upstream : upstreams) {
+      observed.add(observe(upstream, speeds, nowMs));
+    }
+    return expectedLoads.interpret(observed);
+  }
+
+  private ObservedUpstream observe(Upstream upstream, UpstreamSpeeds speeds, long nowMs) {
+    double speed = speeds.speed(upstream.id());
+    double momentarySpeed = speeds.momentarySpeed(upstream.id());
+    Entry entry = entries.get(upstream.id());
+    if (entry == null) {
+      return new ObservedUpstream(
+          upstream, 0, 0, 0, Long.MAX_VALUE, 0, speed, momentarySpeed, 0, true);
+    }
+    double failures = entry.failures(nowMs) + entry.silent(nowMs);
+    return new ObservedUpstream(
+        upstream,
+        entry.inFlight,
+        entry.sentSinceReport,
+        Math.max(0, entry.reportedRequests - entry.inFlightAtReport),
+        entry.reportedAtMs == 0 ? Long.MAX_VALUE : nowMs - entry.reportedAtMs,
+        entry.meanDurationMs,
+        speed,
+        momentarySpeed,
+        failures * FAILURE_LOAD_PER_SLOT * Math.max(1, upstream.slots()),
+        nowMs >= entry.cooldownUntilMs);
+  }
+
   private Candidate describe(Upstream upstream, long nowMs) {
     Entry entry = entries.get(upstream.id());
     if (entry == null) {
@@ -120,6 +163,7 @@
   public boolean recordEnd(PendingResponse request) {
     Entry entry = entry(request.upstreamId());
     entry.inFlight--;
+    entry.addDuration(clock.millis() - request.startedAtMs());
     return entry.pending.remove(request) && request.isSilent(clock.millis());
   }
 
@@ -134,6 +178,7 @@
     entry.reportedRequests = requests;
     entry.reportedAtMs = clock.millis();
     entry.sentSinceReport = 0;
+    entry.inFlightAtReport = entry.inFlight;
   }
 
   /**
@@ -158,6 +203,21 @@
     entry(upstreamId).cooldownUntilMs = clock.millis() + UNREACHABLE_COOLDOWN_MS;
   }
 
+  /**
+   * Returns how old the load reports are on average.
+   *
+   * @return mean age in milliseconds; 0 without reports
+   */
+  public int meanReportAgeMs() {
+    long nowMs = clock.millis();
+    return (int)
+        entries.values().stream()
+            .filter(entry -> entry.reportedAtMs > 0)
+            .mapToLong(entry -> nowMs - entry.reportedAtMs)
+            .average()
+            .orElse(0);
+  }
+
   private Entry entry(String upstreamId) {
     return entries.computeIfAbsent(upstreamId, id -> new Entry());
   }
@@ -180,6 +240,8 @@
     private int inFlight;
     private int reportedRequests;
     private int sentSinceReport;
+    private int inFlightAtReport;
+    private double meanDurationMs;
     private long reportedAtMs;
     private double failures;
     private long failedAtMs;
@@ -189,6 +251,13 @@
       return pending.stream().filter(request -> request.isSilent(nowMs)).count();
     }
 
+    private void addDuration(long durationMs) {
+      meanDurationMs =
+          meanDurationMs == 0
+              ? durationMs
+              : meanDurationMs + DURATION_WEIGHT * (durationMs - meanDurationMs);
+    }
+
     private double failures(long nowMs) {
       return failures * Math.pow(0.5, (nowMs - failedAtMs) / FAILURE_HALF_LIFE_MS);
     }
--- a/src/main/java/org/ragwortpick/policy/select/LoadScore.java
+++ b/src/main/java/org/ragwortpick/policy/select/LoadScore.java
@@ -16,9 +16,19 @@
    * @return expected requests per slot
    */
   static double of(Candidate candidate) {
+    return (candidate.expectedLoad() + 1.0) / slots(candidate);
+  }
+
+  /**
+   * Returns how many requests a candidate runs at once.
+   *
+   * @param candidate the candidate
+   * @return its slots, or its cold limit in cold start; at least 1
+   */
+  static double slots(Candidate candidate) {
     Upstream upstream = candidate.upstream();
     int concurrency =
         upstream.state() == UpstreamState.COLD ? upstream.coldLimit() : upstream.slots();
-    return (candidate.expectedLoad() + 1.0) / Math.max(1, concurrency);
+    return Math.max(1, concurrency);
   }
 }
--- a/src/main/java/org/ragwortpick/policy/select/RendezvousAffinitySelector.java
+++ b/src/main/java/org/ragwortpick/policy/select/RendezvousAffinitySelector.java
@@ -20,7 +20,7 @@
 public final class RendezvousAffinitySelector implements UpstreamSelector {
 
   /** Number of prefix tokens from which processing them again costs more than moving results. */
-  private static final long LARGE_PREFIX_TOKENS = 2_000;
+  static final long LARGE_PREFIX_TOKENS = 2_000;
 
   private final UpstreamSelector loadSelector;
   private final double margin;
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.IntSupplier;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
@@ -32,4 +33,24 @@
         .callback(callback -> callback.call(value.getAsInt()))
         .register(registry);
   }
+
+  /**
+   * Registers the gauges of the load, speed and memory of upstreams.
+   *
+   * @param estimates estimates of the local VM
+   */
+  void registerEstimates(UpstreamEstimates estimates) {
+    register(
+        "ragwortpick_upstreams_without_memory",
+        "Upstreams that the last choice excluded because their memory would be exceeded",
+        estimates.tokens()::excludedCount);
+    register(
+        "ragwortpick_load_report_age_ms",
+        "Mean age of the load reports of upstreams in milliseconds",
+        estimates.loads()::meanReportAgeMs);
+    register(
+        "ragwortpick_work_time_percent",
+        "Mean of the work times that upstreams reported last, 100 is usual; 0 without reports",
+        estimates.speeds()::meanWorkTimePercent);
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -35,6 +35,7 @@
 import org.ragwortpick.forward.ForwardHandler;
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
+import org.ragwortpick.forward.InvalidInputLog;
 import org.ragwortpick.forward.IoThreadTimers;
 import org.ragwortpick.forward.LoadReports;
 import org.ragwortpick.forward.ResponseTimes;
@@ -50,12 +51,13 @@
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.policy.limit.WorkTimeReports;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.quarantine.HeldContent;
+import org.ragwortpick.policy.select.EvenLoadSelector;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
+import org.ragwortpick.policy.select.ReportedServiceSelector;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
@@ -106,12 +108,11 @@
   private final CollectorRole collectorRole;
   private final UpstreamChooser chooser;
   private final Timers timers;
-  private final UpstreamLoads loads;
+  private final UpstreamEstimates estimates;
+  private final InvalidInputLog invalidInput;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
-  private final WorkTimeReports workTimes;
-  private final LoadReports loadReports;
   private final UpstreamNotices notices;
   private final ContentQuarantine quarantine;
   private final RemoteStageRunner stages;
@@ -156,14 +157,19 @@
     this.timers = new IoThreadTimers(ioThread);
     this.httpCallClient =
         new HttpCallClient(worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS);
-    this.loads = new UpstreamLoads(clock);
+    this.estimates = new UpstreamEstimates(clock);
+    this.invalidInput = new InvalidInputLog(clock);
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
     this.limits = createLimits(settings.peerAddress().toString());
-    this.workTimes = new WorkTimeReports(clock);
-    this.loadReports = new LoadReports(protocol.headers(), loads, workTimes, clock);
-    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits, loadReports);
+    this.notices =
+        new UpstreamNotices(
+            protocol.headers(),
+            leaving,
+            pauses,
+            limits,
+            new LoadReports(protocol.headers(), estimates, invalidInput));
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
     this.retryConstant =
@@ -231,9 +237,12 @@
     return new UpstreamChooser(
         this::configuration,
         sync::announced,
-        new RendezvousAffinitySelector(
-            new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
-        loads,
+        new ReportedServiceSelector(
+            estimates.workTimes()::isReported,
+            new EvenLoadSelector(AFFINITY_MARGIN, random),
+            new RendezvousAffinitySelector(
+                new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN)),
+        estimates,
         leaving,
         pauses,
         limits,
@@ -278,6 +287,7 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
+    gauges.registerEstimates(estimates);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -325,7 +335,8 @@
         sync.configurationView(),
         chooser,
         freshness::isConfirmedSinceResume,
-        loads,
+        estimates,
+        invalidInput,
         notices,
         quarantine,
         stages,
@@ -392,9 +403,8 @@
   }
 
   private void expire() {
-    loads.expire();
-    loadReports.expire();
-    workTimes.expire();
+    estimates.expire();
+    invalidInput.expire();
     leaving.expire();
     pauses.expire();
     limits.expire();
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -11,7 +11,6 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -41,17 +40,9 @@
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.policy.limit.WorkTimeReports;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
-import org.ragwortpick.routing.RequestKind;
-import org.ragwortpick.routing.Route;
-import org.ragwortpick.routing.RouteStage;
-import org.ragwortpick.routing.RoutingConfiguration;
-import org.ragwortpick.routing.RoutingFixture;
-import org.ragwortpick.routing.ServiceProfile;
-import org.ragwortpick.routing.WeightedService;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -80,6 +71,7 @@
           HttpString.tryFromString("Going-Away"),
           HttpString.tryFromString("Takes-Per-Second"),
           HttpString.tryFromString("Prefixes"),
+          HttpString.tryFromString("Tokens"),
           HttpString.tryFromString("Parts"),
           HttpString.tryFromString("Part-Seed"),
           HttpString.tryFromString("Results"),
@@ -113,7 +105,7 @@
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
   private volatile Runnable produceStages = () -> {};
-  private volatile Configuration configuration = configuration();
+  private volatile Configuration configuration = ForwardTestRoutes.configuration();
 
   ForwardTestServer() throws Exception {
     MonotonicClock clock = new MonotonicClock();
@@ -121,12 +113,13 @@
         Xnio.getInstance()
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000);
-    UpstreamLoads loads = new UpstreamLoads(clock);
+    UpstreamEstimates estimates = new UpstreamEstimates(clock);
+    InvalidInputLog invalidInput = new InvalidInputLog(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
     Random random = new Random(7);
     pauses = new RequestedPauses(clock, random);
     NamedLimits limits = LimitsFixture.ofVm(clock, () -> senderRank);
-    UpstreamChooser chooser = chooser(random, loads, leaving, limits, clock);
+    UpstreamChooser chooser = chooser(random, estimates, leaving, limits, clock);
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
     WorkCounter work = new WorkCounter();
     ReadDelay readDelay = new ReadDelay(worker.getIoThread(), clock);
@@ -142,13 +135,14 @@
                     new View(),
                     chooser,
                     () -> true,
-                    loads,
+                    estimates,
+                    invalidInput,
                     new UpstreamNotices(
                         HEADERS,
                         leaving,
                         pauses,
                         limits,
-                        new LoadReports(HEADERS, loads, new WorkTimeReports(clock), clock)),
+                        new LoadReports(HEADERS, estimates, invalidInput)),
                     new ContentQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
@@ -176,7 +170,7 @@
 
   private UpstreamChooser chooser(
       Random random,
-      UpstreamLoads loads,
+      UpstreamEstimates estimates,
       LeavingUpstreams leaving,
       NamedLimits limits,
       Clock clock) {
@@ -184,7 +178,7 @@
         () -> configuration,
         this::upstreamsOf,
         new LeastLoadedSelector("dc", random),
-        loads,
+        estimates,
         leaving,
         pauses,
         limits,
@@ -197,41 +191,6 @@
     return upstreams.values().stream().filter(u -> u.service().equals(service)).toList();
   }
 
-  private static Configuration configuration() {
-    RoutingConfiguration routing =
-        new RoutingConfiguration(
-            4,
-            List.of(
-                route("safe", RequestKind.IDEMPOTENT, 2),
-                route("once", RequestKind.NON_IDEMPOTENT, 2),
-                route("stream", RequestKind.STREAMING, 1),
-                route(
-                    "staged", RequestKind.IDEMPOTENT, 1, new RouteStage("pieces", List.of(), 10))),
-            List.of(
-                RoutingFixture.service("s1"),
-                new ServiceProfile("pieces", 0, RoutingFixture.batch(4, STAGE_MS, 0, 1_000))),
-            List.of(RoutingFixture.workspace("w1", "k1")),
-            null,
-            "");
-    return new Configuration(1, Inventory.EMPTY, Rules.EMPTY, Map.of(), Optional.of(routing));
-  }
-
-  private static Route route(String name, RequestKind kind, int attempts, RouteStage... stages) {
-    return new Route(
-        name,
-        "127.0.0.1",
-        "/" + name + "/",
-        kind,
-        ROUTE_TIMEOUT_MS,
-        100,
-        0,
-        List.of(new WeightedService("s1", 1)),
-        attempts,
-        List.of(stages),
-        false,
-        false);
-  }
-
   /** Returns the sum of a counter over all labels, and over those with one label value. */
   double count(String counter, String labelValue) {
     return registry.scrape(name -> name.equals(counter)).stream()
@@ -324,12 +283,13 @@
 
   /** Returns all data centres to service. */
   void returnDataCentres() {
-    configuration = configuration();
+    configuration = ForwardTestRoutes.configuration();
   }
 
   private static Configuration withoutDataCentre(String dataCentre) {
     Rules rules = new Rules(List.of(), List.of(), 0, Map.of(dataCentre, DataCentreState.OUT));
-    return new Configuration(2, Inventory.EMPTY, rules, Map.of(), configuration().routing());
+    return new Configuration(
+        2, Inventory.EMPTY, rules, Map.of(), ForwardTestRoutes.configuration().routing());
   }
 
   /** Returns the number of stages that were submitted; they end by {@link #produceStages}. */
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -25,8 +25,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.policy.limit.WorkTimeReports;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -86,9 +85,8 @@
             limits,
             new LoadReports(
                 ForwardTestServer.HEADERS,
-                new UpstreamLoads(clock),
-                new WorkTimeReports(clock),
-                clock)),
+                new UpstreamEstimates(clock),
+                new InvalidInputLog(clock))),
         upstream -> !takenOut.contains(upstream.dataCentre()) && limits.tryTake(upstream),
         clock);
   }
--- a/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
@@ -21,7 +21,8 @@
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.SenderRank;
-import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.TokenDemand;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingFixture;
@@ -157,7 +158,7 @@
               () -> configuration,
               service -> upstreams,
               new LeastLoadedSelector(dataCentreOf(index), random),
-              new UpstreamLoads(clock),
+              new UpstreamEstimates(clock),
               new LeavingUpstreams(clock),
               new RequestedPauses(clock, random),
               limits,
@@ -170,7 +171,7 @@
     Optional<Upstream> send(double limitPerSecond) {
       Optional<Upstream> chosen =
           chooser
-              .choose(SERVICE, PromptPrefix.parse(null), "", Set.of())
+              .choose(SERVICE, PromptPrefix.parse(null), TokenDemand.UNKNOWN, "", Set.of())
               .filter(chooser::tryPermit);
       chosen
           .filter(upstream -> upstream.equals(upstreams.get(0)))
--- a/src/test/java/org/ragwortpick/forward/LoadReportsTest.java
+++ b/src/test/java/org/ragwortpick/forward/LoadReportsTest.java
@@ -9,7 +9,7 @@
 import org.ragwortpick.entry.upstream.BodyFraming;
 import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.logging.RecordedLines;
-import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.limit.WorkTimeReports;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -21,9 +21,10 @@
   private static final Upstream UPSTREAM = TestUpstreams.upstream("u1", "s1", 1);
 
   private final ManualClock clock = new ManualClock();
-  private final WorkTimeReports workTimes = new WorkTimeReports(clock);
+  private final UpstreamEstimates estimates = new UpstreamEstimates(clock);
+  private final WorkTimeReports workTimes = estimates.workTimes();
   private final LoadReports reports =
-      new LoadReports(ForwardTestServer.HEADERS, new UpstreamLoads(clock), workTimes, clock);
+      new LoadReports(ForwardTestServer.HEADERS, estimates, new InvalidInputLog(clock));
 
   private void receive(Upstream upstream, String report) {
     HeaderMap headers = new HeaderMap();
@@ -35,7 +36,8 @@
   public void unreadableReportIsLoggedOncePerUpstreamAndInterval() {
     try (RecordedLines recorded =
         new RecordedLines(
-            LoadReports.class.getName(), "load report of upstream cannot be read and is ignored")) {
+            InvalidInputLog.class.getName(),
+            "load report of upstream cannot be read and is ignored")) {
       for (int i = 0; i < 10; i++) {
         receive(UPSTREAM, "busy");
         receive(TestUpstreams.upstream("u2", "s1", 1), "");
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -19,8 +19,7 @@
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
-import org.ragwortpick.policy.limit.WorkTimeReports;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
 import org.testng.annotations.AfterMethod;
@@ -63,9 +62,8 @@
                 LimitsFixture.ofSingleVm(clock),
                 new LoadReports(
                     ForwardTestServer.HEADERS,
-                    new UpstreamLoads(clock),
-                    new WorkTimeReports(clock),
-                    clock)),
+                    new UpstreamEstimates(clock),
+                    new InvalidInputLog(clock))),
             upstream -> true,
             clock);
   }
--- a/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -15,7 +15,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.RoutingFixture;
@@ -51,7 +51,7 @@
         () -> configuration,
         service -> List.of(current),
         new LeastLoadedSelector("dc", random),
-        new UpstreamLoads(clock),
+        new UpstreamEstimates(clock),
         new LeavingUpstreams(clock),
         new RequestedPauses(clock, random),
         LimitsFixture.ofSingleVm(clock),
