--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -110,7 +110,8 @@
       return;
     }
     if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()
-        || dependencies.chooser().isBeyondLimits(service)) {
+        || dependencies.chooser().isBeyondLimits(service)
+        || dependencies.chooser().isBeyondMemory(service, demand)) {
       refuseWithoutUpstream();
       return;
     }
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -134,6 +134,23 @@
     return configuration.get().routingTable().flatMap(table -> table.service(service));
   }
 
+  private long memoryTokens(String service) {
+    return profile(service).map(ServiceProfile::memoryTokens).orElse(0L);
+  }
+
+  /**
+   * Returns whether no upstream of a service has memory for a request.
+   *
+   * @param service name of the service
+   * @param demand tokens of the request
+   * @return false if an upstream has memory, or none is available anyway
+   */
+  boolean isBeyondMemory(String service, TokenDemand demand) {
+    long memoryTokens = memoryTokens(service);
+    return memoryTokens > 0
+        && estimates.isBeyondMemory(service, available(service), demand, memoryTokens);
+  }
+
   /**
    * Returns how many more requests the upstreams of a service are expected to run at once.
    *
@@ -221,7 +238,7 @@
     SelectionRequest request =
         new SelectionRequest(service, prefix.hash(), prefix.tokens(), dataCentre, tried);
     double coldRate = coldRate(service);
-    long memoryTokens = profile(service).map(ServiceProfile::memoryTokens).orElse(0L);
+    long memoryTokens = memoryTokens(service);
     List<Upstream> selectable =
         available.stream()
             .filter(upstream -> coldRate == 0 || upstream.state() == UpstreamState.READY)
--- a/src/main/java/org/ragwortpick/policy/Candidate.java
+++ b/src/main/java/org/ragwortpick/policy/Candidate.java
@@ -11,8 +11,6 @@
  * @param isAvailable false while the upstream is ejected or at its limit
  * @param expectedLoad estimated number of requests of all VMs that run at the upstream
  * @param speed speed of the upstream relative to the usual one, which is 1
- * @param unseenRequests expected number of requests that other VMs sent to the upstream while they
- *     knew the same as the local VM
  * @param otherRequests expected number of requests of other VMs at the upstream
  */
 public record Candidate(
@@ -22,7 +20,6 @@
     boolean isAvailable,
     double expectedLoad,
     double speed,
-    double unseenRequests,
     double otherRequests) {
 
   /**
@@ -40,7 +37,7 @@
       int sentSinceReport,
       boolean isAvailable,
       double expectedLoad) {
-    this(upstream, inFlight, sentSinceReport, isAvailable, expectedLoad, 1, 0, 0);
+    this(upstream, inFlight, sentSinceReport, isAvailable, expectedLoad, 1, 0);
   }
 
   /**
@@ -67,13 +64,6 @@
    */
   public Candidate unavailable() {
     return new Candidate(
-        upstream,
-        inFlight,
-        sentSinceReport,
-        false,
-        expectedLoad,
-        speed,
-        unseenRequests,
-        otherRequests);
+        upstream, inFlight, sentSinceReport, false, expectedLoad, speed, otherRequests);
   }
 }
--- a/src/main/java/org/ragwortpick/policy/limit/ExpectedLoads.java
+++ b/src/main/java/org/ragwortpick/policy/limit/ExpectedLoads.java
@@ -22,12 +22,6 @@
   /** Age in milliseconds from which a report no longer counts in the mean of the service. */
   private static final long MEAN_VALID_MS = 20_000;
 
-  /**
-   * Share of the requests that other VMs sent since a report while they knew the same. It is small,
-   * because each VM receives reports with its own responses.
-   */
-  private static final double SAME_KNOWLEDGE_SHARE = 0.05;
-
   private final long reportValidMs;
 
   /**
@@ -70,9 +64,8 @@
   }
 
   private Candidate interpret(ObservedUpstream observed, double usualOthers, double durationMs) {
-    boolean isReported = observed.reportAgeMs() < reportValidMs;
-    double agePerDuration = isReported ? observed.reportAgeMs() / durationMs : 0;
-    double weight = isReported ? Math.exp(-agePerDuration) : 0;
+    long ageMs = observed.reportAgeMs();
+    double weight = ageMs < reportValidMs ? Math.exp(-ageMs / durationMs) : 0;
     double others = usualOthers + weight * (observed.othersAtReport() - usualOthers);
     return new Candidate(
         observed.upstream(),
@@ -81,7 +74,6 @@
         observed.isAvailable(),
         (observed.inFlight() + others) / observed.momentarySpeed() + observed.additionalLoad(),
         observed.speed(),
-        usualOthers * observed.speed() * SAME_KNOWLEDGE_SHARE * agePerDuration * weight,
         others);
   }
 
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamEstimates.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamEstimates.java
@@ -60,6 +60,22 @@
         : candidates;
   }
 
+  /**
+   * Returns whether no upstream of a service has memory for a request.
+   *
+   * @param service name of the service
+   * @param upstreams upstreams of the service that may take work
+   * @param demand tokens of the request
+   * @param memoryTokens memory of one upstream in tokens; 0 if unknown
+   * @return false if an upstream has memory, or none is available anyway
+   */
+  public boolean isBeyondMemory(
+      String service, List<Upstream> upstreams, TokenDemand demand, long memoryTokens) {
+    return describe(service, upstreams).stream().anyMatch(Candidate::isAvailable)
+        && describe(service, upstreams, demand, memoryTokens).stream()
+            .noneMatch(Candidate::isAvailable);
+  }
+
   /**
    * Returns how many more requests the upstreams of a service are expected to run at once.
    *
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamTokens.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamTokens.java
@@ -64,11 +64,12 @@
    */
   List<Candidate> limit(
       String service, List<Candidate> candidates, TokenDemand demand, long memoryTokens) {
-    Means means = meansByService.get(service);
-    if (memoryTokens <= 0 || means == null) {
-      excludedCount = 0;
+    excludedCount = 0;
+    Means known = meansByService.get(service);
+    if (memoryTokens <= 0 || known == null && !demand.isKnown()) {
       return candidates;
     }
+    Means means = known == null ? new Means(demand) : known;
     TokenDemand needed = demand.isKnown() ? demand : new TokenDemand(Math.round(means.all), 0, 0);
     List<Candidate> limited = new ArrayList<>(candidates.size());
     boolean anyFits = false;
@@ -84,7 +85,6 @@
         limited.add(fits ? candidate : candidate.unavailable());
       }
     }
-    excludedCount = 0;
     for (int i = 0; i < limited.size(); i++) {
       excludedCount += limited.get(i).equals(candidates.get(i)) ? 0 : 1;
     }
--- a/src/main/java/org/ragwortpick/policy/select/EvenLoadSelector.java
+++ b/src/main/java/org/ragwortpick/policy/select/EvenLoadSelector.java
@@ -11,17 +11,16 @@
 import org.ragwortpick.policy.UpstreamSelector;
 
 /**
- * Selects at random, with probabilities that make the expected loads even.
+ * Selects the candidate with the fewest expected requests per slot, and at random among those that
+ * differ by a fraction of a request, with a preference for fast ones.
  *
- * <p>Addresses many VMs that select by reports of the same age. The expected requests of all of
- * them are distributed over the candidates in proportion to their slots and speed, the least loaded
- * first, up to a common level. With fresh reports this selects the least loaded candidate. With
- * many requests since the reports, it selects in proportion to speed. Equal numbers of requests per
- * slot divide the work in proportion to speed, because a slow upstream holds each request for
- * longer.
+ * <p>Addresses many VMs that select by stale reports among upstreams of unequal speed. Equal
+ * numbers of requests per slot divide the work in proportion to speed, because a slow upstream
+ * holds each request for longer.
  *
- * <p>A request with a prompt prefix goes to the engine of the prefix, and one with inputs to a
- * candidate in their data centre, while these exceed the common level by at most a margin.
+ * <p>A request with a prompt prefix goes to the engine of the prefix while that exceeds the mean
+ * load by at most a margin. A request with inputs goes to their data centre while the mean load
+ * there does.
  */
 public final class EvenLoadSelector implements UpstreamSelector {
 
@@ -32,7 +31,7 @@
    * Creates a selector.
    *
    * @param margin load, as a fraction of the slots, by which the engine of a prefix or the data
-   *     centre of the inputs may exceed the common level
+   *     centre of the inputs may exceed the mean
    * @param random source of random numbers; confined to the thread of the selector
    */
   public EvenLoadSelector(double margin, RandomGenerator random) {
@@ -58,48 +57,49 @@
     if (suitable.isEmpty()) {
       return Optional.empty();
     }
-    double level = level(suitable);
-    double maxLevel = level + margin;
-    List<Candidate> preferred = suitable;
-    if (!withInputs.isEmpty()) {
-      double levelWithInputs = level(withInputs);
-      if (levelWithInputs <= maxLevel) {
-        preferred = withInputs;
-        level = levelWithInputs;
-      }
+    double maxLoad = meanLoad(suitable) + margin;
+    boolean staysWithInputs = !withInputs.isEmpty() && meanLoad(withInputs) <= maxLoad;
+    List<Candidate> preferred = staysWithInputs ? withInputs : suitable;
+    Optional<Candidate> engine = engineOfPrefix(request, preferred, maxLoad);
+    return engine.isPresent() ? engine : Optional.of(pickBelow(level(preferred), preferred));
+  }
+
+  /** Computes the load per slot including one additional request. */
+  private static double meanLoad(List<Candidate> candidates) {
+    double sum = 1;
+    double slots = 0;
+    for (Candidate candidate : candidates) {
+      sum += candidate.expectedLoad();
+      slots += LoadScore.slots(candidate);
     }
-    Optional<Candidate> engine = engineOfPrefix(request, preferred, maxLevel);
-    return engine.isPresent() ? engine : Optional.of(pickBelow(level, preferred));
+    return sum / slots;
   }
 
   private static Optional<Candidate> engineOfPrefix(
-      SelectionRequest request, List<Candidate> candidates, double maxLevel) {
+      SelectionRequest request, List<Candidate> candidates, double maxLoad) {
     if (request.prefixHash() == 0) {
       return Optional.empty();
     }
     String key = Long.toHexString(request.prefixHash());
     return candidates.stream()
-        .filter(candidate -> LoadScore.of(candidate) <= maxLevel)
+        .filter(candidate -> LoadScore.of(candidate) <= maxLoad)
         .max(
             Comparator.comparingLong(
                 candidate -> Rendezvous.score(key, candidate.upstream().id())));
   }
 
-  /** Computes the load per slot that all candidates up to it reach by the expected requests. */
+  /** Computes the load per slot that the least loaded candidates reach by one more request. */
   private static double level(List<Candidate> candidates) {
     Candidate[] byLoad = candidates.toArray(new Candidate[0]);
     Arrays.sort(byLoad, Comparator.comparingDouble(EvenLoadSelector::loadPerSlot));
     double sum = 1;
-    for (Candidate candidate : byLoad) {
-      sum += candidate.unseenRequests();
-    }
     double slots = 0;
     double level = 0;
     for (Candidate candidate : byLoad) {
       if (slots > 0 && loadPerSlot(candidate) >= level) {
         break;
       }
-      sum += candidate.expectedLoad() - candidate.unseenRequests();
+      sum += candidate.expectedLoad();
       slots += LoadScore.slots(candidate);
       level = sum / slots;
     }
@@ -107,7 +107,7 @@
   }
 
   private static double loadPerSlot(Candidate candidate) {
-    return (candidate.expectedLoad() - candidate.unseenRequests()) / LoadScore.slots(candidate);
+    return candidate.expectedLoad() / LoadScore.slots(candidate);
   }
 
   /** Picks a candidate with a probability in proportion to what it lacks to the level, by speed. */
--- a/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.Inventory;
@@ -15,6 +16,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.routing.RoutingConfiguration;
@@ -28,6 +30,7 @@
 /** Guards against requests to an upstream that turned cold after it was chosen as a warm one. */
 public final class UpstreamChooserTest {
 
+  private static final long MEMORY_TOKENS = 1_000;
   private static final double COLD_REQUESTS_PER_SECOND = 5;
   private static final Upstream WARM = TestUpstreams.upstream("u1", 1, 1, UpstreamState.READY, 0);
 
@@ -36,7 +39,7 @@
         new RoutingConfiguration(
             1,
             List.of(RoutingFixture.route("r", "h", "/", WARM.service())),
-            List.of(new ServiceProfile(WARM.service(), coldRequestsPerSecond, null)),
+            List.of(new ServiceProfile(WARM.service(), coldRequestsPerSecond, null, MEMORY_TOKENS)),
             List.of(),
             null,
             "");
@@ -45,13 +48,21 @@
 
   private static UpstreamChooser chooser(double coldRequestsPerSecond, Upstream current) {
     ManualClock clock = new ManualClock();
+    return chooser(coldRequestsPerSecond, current, clock, new UpstreamEstimates(clock));
+  }
+
+  private static UpstreamChooser chooser(
+      double coldRequestsPerSecond,
+      Upstream current,
+      ManualClock clock,
+      UpstreamEstimates estimates) {
     Random random = new Random(1);
     Configuration configuration = configuration(coldRequestsPerSecond);
     return new UpstreamChooser(
         () -> configuration,
         service -> List.of(current),
         new LeastLoadedSelector("dc", random),
-        new UpstreamEstimates(clock),
+        estimates,
         new LeavingUpstreams(clock),
         new RequestedPauses(clock, random),
         LimitsFixture.ofSingleVm(clock),
@@ -79,4 +90,22 @@
     assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).tryPermit(WARM));
     assertTrue(chooser(COLD_REQUESTS_PER_SECOND, warm).tryPermit(cold));
   }
+
+  /** Guards against requests that end an engine, and against new refusals in other deployments. */
+  @Test
+  public void requestBeyondMemoryIsNotSentIfWorkTimesAreReported() {
+    ManualClock clock = new ManualClock();
+    UpstreamEstimates estimates = new UpstreamEstimates(clock);
+    UpstreamChooser chooser = chooser(0, WARM, clock, estimates);
+    PromptPrefix prefix = PromptPrefix.parse(null);
+    TokenDemand demand = new TokenDemand(MEMORY_TOKENS + 1, 0, 0);
+    assertTrue(chooser.choose(WARM.service(), prefix, demand, "", Set.of()).isPresent());
+    assertFalse(chooser.isBeyondMemory(WARM.service(), demand));
+    estimates.workTimes().record(WARM.service());
+    assertTrue(chooser.isBeyondMemory(WARM.service(), demand));
+    assertFalse(chooser.choose(WARM.service(), prefix, demand, "", Set.of()).isPresent());
+    assertTrue(
+        chooser.choose(WARM.service(), prefix, TokenDemand.UNKNOWN, "", Set.of()).isPresent());
+    assertTrue(chooser.freePlaces(WARM.service()) == WARM.slots());
+  }
 }
--- a/src/test/java/org/ragwortpick/policy/limit/UpstreamTokensTest.java
+++ b/src/test/java/org/ragwortpick/policy/limit/UpstreamTokensTest.java
@@ -18,7 +18,7 @@
   private final UpstreamTokens tokens = new UpstreamTokens();
 
   private static Candidate candidate(String id, double others) {
-    return new Candidate(TestUpstreams.ready(id, "dc", 0), 0, 0, true, others, 1, 0, others);
+    return new Candidate(TestUpstreams.ready(id, "dc", 0), 0, 0, true, others, 1, others);
   }
 
   private static List<Candidate> both(double others) {
@@ -78,7 +78,6 @@
   @Test
   public void demandBeyondWholeMemoryFitsNowhere() {
     UpstreamTokensTest test = new UpstreamTokensTest();
-    test.send("a", PLAIN, 1);
     TokenDemand huge = new TokenDemand(MEMORY + 1, 0, 0);
     assertEquals(test.available(both(0), huge), List.of(false, false));
   }
--- a/src/test/java/org/ragwortpick/policy/select/EvenLoadTest.java
+++ b/src/test/java/org/ragwortpick/policy/select/EvenLoadTest.java
@@ -12,7 +12,7 @@
 
   /**
    * Number of VMs up to which the largest to the mean number of requests is halved. With 100 VMs, a
-   * VM has a current report from few upstreams; the excess is 0.42 to 0.58 of that before.
+   * VM has a current report from few upstreams; the excess is 0.54 of that before.
    */
   private static final int HALVED_UP_TO_VMS = 30;
 
