Expect loads by the cold limit of upstreams in cold start

Cause: the mean load of a service was expected by slots, so a cold upstream without a report looked overloaded beside its cold limit and was never selected. Change: Upstream.concurrency is the slots or the cold limit, by the state.

--- a/src/main/java/org/ragwortpick/policy/limit/ExpectedLoads.java
+++ b/src/main/java/org/ragwortpick/policy/limit/ExpectedLoads.java
@@ -78,6 +78,6 @@
   }
 
   private static double slots(ObservedUpstream observed) {
-    return Math.max(1, observed.upstream().slots());
+    return observed.upstream().concurrency();
   }
 }
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamEstimates.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamEstimates.java
@@ -87,7 +87,7 @@
     double free = 0;
     for (Candidate candidate : describe(service, upstreams)) {
       if (candidate.isAvailable()) {
-        free += Math.max(0, candidate.upstream().slots() - candidate.expectedLoad());
+        free += Math.max(0, candidate.upstream().concurrency() - candidate.expectedLoad());
       }
     }
     return (int) free;
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamTokens.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamTokens.java
@@ -99,7 +99,7 @@
   private double leastTokens(Candidate candidate, TokenDemand needed, Means means) {
     Held held = heldByUpstream.getOrDefault(candidate.upstream().id(), Held.NONE);
     double requests = held.requests + candidate.otherRequests();
-    double runningShare = Math.min(1, Math.max(1, candidate.upstream().slots()) / requests);
+    double runningShare = Math.min(1, candidate.upstream().concurrency() / requests);
     double privateTokens =
         held.privateTokens + (held.unknown + candidate.otherRequests()) * means.unshared;
     boolean holdsPrefix = held.prefixes.containsKey(needed.prefixHash());
--- a/src/main/java/org/ragwortpick/policy/select/LoadScore.java
+++ b/src/main/java/org/ragwortpick/policy/select/LoadScore.java
@@ -1,8 +1,6 @@
 package org.ragwortpick.policy.select;
 
 import org.ragwortpick.policy.Candidate;
-import org.ragwortpick.sync.Upstream;
-import org.ragwortpick.sync.UpstreamState;
 
 /** Load of a candidate relative to the number of requests that it can run. */
 final class LoadScore {
@@ -26,9 +24,6 @@
    * @return its slots, or its cold limit in cold start; at least 1
    */
   static double slots(Candidate candidate) {
-    Upstream upstream = candidate.upstream();
-    int concurrency =
-        upstream.state() == UpstreamState.COLD ? upstream.coldLimit() : upstream.slots();
-    return Math.max(1, concurrency);
+    return candidate.upstream().concurrency();
   }
 }
--- a/src/main/java/org/ragwortpick/sync/Upstream.java
+++ b/src/main/java/org/ragwortpick/sync/Upstream.java
@@ -43,4 +43,13 @@
     version = version == null ? "" : version;
     adapters = adapters == null ? List.of() : List.copyOf(adapters);
   }
+
+  /**
+   * Returns how many requests it can run at once in its state.
+   *
+   * @return its slots, or its cold limit in cold start; at least 1
+   */
+  public int concurrency() {
+    return Math.max(1, state == UpstreamState.COLD ? coldLimit : slots);
+  }
 }
--- a/src/test/java/org/ragwortpick/policy/limit/ExpectedLoadsTest.java
+++ b/src/test/java/org/ragwortpick/policy/limit/ExpectedLoadsTest.java
@@ -7,6 +7,7 @@
 import org.ragwortpick.policy.Candidate;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
 import org.testng.annotations.Test;
 
 /** Guards against upstreams that look idle because their reports are old. */
@@ -40,6 +41,18 @@
     assertEquals(expected("idle"), 7.0);
   }
 
+  /**
+   * Guards against upstreams in cold start that are never selected because they look overloaded.
+   */
+  @Test
+  public void coldUpstreamIsExpectedToHoldItsShareOnly() {
+    Upstream cold = TestUpstreams.upstream("cold", 1, 1, UpstreamState.COLD, 0, 2, 16);
+    Upstream warm = TestUpstreams.upstream("warm", 1, 1, UpstreamState.READY, 0, 2, 16);
+    loads.recordReport("warm", 8);
+    Candidate described = loads.describeExpected(List.of(cold, warm), speeds).get(0);
+    assertEquals(described.expectedLoad(), 1.0);
+  }
+
   @Test
   public void momentarilySlowUpstreamHasMoreExpectedLoad() {
     loads.recordReport("busy", 6);
