--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -9,6 +9,7 @@
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.entry.upstream.HttpEnd;
+import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.quarantine.RequestContent;
 import org.ragwortpick.routing.RoutingTable;
@@ -23,6 +24,7 @@
   private final CallerRequest request;
   private final String service;
   private final PromptPrefix prefix;
+  private final TokenDemand demand;
   private final ContentGate gate;
   private final ResponseMemory.Share memory;
   private final ResponseRelay relay;
@@ -64,6 +66,7 @@
     this.prefix = PromptPrefix.parse(request.headers().getFirst(dependencies.headers().prefixes()));
     this.memory = memory;
     this.relay = new ResponseRelay(exchange, memory);
+    this.demand = dependencies.demandOf(request, prefix);
     RequestFingerprint fingerprint = new RequestFingerprint(request);
     this.gate =
         new ContentGate(
@@ -111,7 +114,8 @@
       return;
     }
     if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()
-        || dependencies.chooser().isBeyondLimits(service)) {
+        || dependencies.chooser().isBeyondLimits(service)
+        || dependencies.chooser().isBeyondMemory(service, demand)) {
       refuseWithoutUpstream();
       return;
     }
@@ -182,6 +186,7 @@
             .choose(
                 service,
                 prefix,
+                demand,
                 stages.map(StageGraphRun::dataCentreOfResults).orElse(""),
                 triedUpstreams);
     if (chosen.isEmpty()) {
@@ -200,6 +205,7 @@
             dependencies,
             request,
             upstream,
+            demand,
             this,
             relay,
             memory,
--- a/src/main/java/org/ragwortpick/policy/select/LoadScore.java
+++ b/src/main/java/org/ragwortpick/policy/select/LoadScore.java
@@ -1,8 +1,6 @@
 package org.ragwortpick.policy.select;
 
 import org.ragwortpick.policy.Candidate;
-import org.ragwortpick.sync.Upstream;
-import org.ragwortpick.sync.UpstreamState;
 
 /** Load of a candidate relative to the number of requests that it can run. */
 final class LoadScore {
@@ -16,9 +14,16 @@
    * @return expected requests per slot
    */
   static double of(Candidate candidate) {
-    Upstream upstream = candidate.upstream();
-    int concurrency =
-        upstream.state() == UpstreamState.COLD ? upstream.coldLimit() : upstream.slots();
-    return (candidate.expectedLoad() + 1.0) / Math.max(1, concurrency);
+    return (candidate.expectedLoad() + 1.0) / slots(candidate);
+  }
+
+  /**
+   * Returns how many requests a candidate runs at once.
+   *
+   * @param candidate the candidate
+   * @return its slots, or its cold limit in cold start; at least 1
+   */
+  static double slots(Candidate candidate) {
+    return candidate.upstream().concurrency();
   }
 }
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -6,6 +6,7 @@
 import org.ragwortpick.entry.http.EntryServer;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.forward.ResponseMemory;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
@@ -60,4 +61,24 @@
     register(
         "ragwortpick_caller_connections", "Open connections of callers", server::openConnections);
   }
+
+  /**
+   * Registers the gauges of the load, speed and memory of upstreams.
+   *
+   * @param estimates estimates of the local VM
+   */
+  void registerEstimates(UpstreamEstimates estimates) {
+    register(
+        "ragwortpick_upstreams_without_memory",
+        "Upstreams that the last choice excluded because their memory would be exceeded",
+        estimates.tokens()::excludedCount);
+    register(
+        "ragwortpick_load_report_age_ms",
+        "Mean age of the load reports of upstreams in milliseconds",
+        estimates.loads()::meanReportAgeMs);
+    register(
+        "ragwortpick_work_time_percent",
+        "Mean of the work times that upstreams reported last, 100 is usual; 0 without reports",
+        estimates.speeds()::meanWorkTimePercent);
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -35,7 +35,9 @@
 import org.ragwortpick.forward.ForwardHandler;
 import org.ragwortpick.forward.ForwardMetrics;
 import org.ragwortpick.forward.HttpBatchTransport;
+import org.ragwortpick.forward.InvalidInputLog;
 import org.ragwortpick.forward.IoThreadTimers;
+import org.ragwortpick.forward.LoadReports;
 import org.ragwortpick.forward.ResponseMemory;
 import org.ragwortpick.forward.ResponseTimes;
 import org.ragwortpick.forward.ResultLocator;
@@ -50,11 +52,13 @@
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestRateShare;
 import org.ragwortpick.policy.limit.RequestedPauses;
-import org.ragwortpick.policy.limit.UpstreamLoads;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.policy.quarantine.HeldContent;
+import org.ragwortpick.policy.select.EvenLoadSelector;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
+import org.ragwortpick.policy.select.ReportedServiceSelector;
 import org.ragwortpick.rollout.RolloutMetrics;
 import org.ragwortpick.rollout.VersionTraffic;
 import org.ragwortpick.routing.ServiceProfile;
@@ -108,8 +112,9 @@
   private final VersionTraffic versions;
   private final UpstreamChooser chooser;
   private final Timers timers;
-  private final UpstreamLoads loads;
   private final DescriptorBudget descriptors;
+  private final UpstreamEstimates estimates;
+  private final InvalidInputLog invalidInput;
   private final LeavingUpstreams leaving;
   private final RequestedPauses pauses;
   private final NamedLimits limits;
@@ -165,12 +170,19 @@
             CONNECT_TIMEOUT_MS,
             MAX_CONNECTION_IDLE_MS,
             descriptors.idleUpstreamConnections());
-    this.loads = new UpstreamLoads(clock);
+    this.estimates = new UpstreamEstimates(clock);
+    this.invalidInput = new InvalidInputLog(clock);
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
     this.limits = createLimits(settings.peerAddress().toString());
-    this.notices = new UpstreamNotices(protocol.headers(), leaving, pauses, limits);
+    this.notices =
+        new UpstreamNotices(
+            protocol.headers(),
+            leaving,
+            pauses,
+            limits,
+            new LoadReports(protocol.headers(), estimates, invalidInput));
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
     this.retryConstant =
@@ -249,9 +261,12 @@
     return new UpstreamChooser(
         this::configuration,
         sync::announced,
-        new RendezvousAffinitySelector(
-            new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN),
-        loads,
+        new ReportedServiceSelector(
+            estimates.workTimes()::isReported,
+            new EvenLoadSelector(AFFINITY_MARGIN, random),
+            new RendezvousAffinitySelector(
+                new LeastLoadedSelector(settings.dataCentre(), random), AFFINITY_MARGIN)),
+        estimates,
         leaving,
         pauses,
         limits,
@@ -298,6 +313,7 @@
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
     gauges.registerCallers(responseMemory, httpCallClient, server);
+    gauges.registerEstimates(estimates);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -347,7 +363,8 @@
         chooser,
         freshness::isConfirmedSinceResume,
         versions,
-        loads,
+        estimates,
+        invalidInput,
         notices,
         quarantine,
         stages,
@@ -420,7 +437,8 @@
   }
 
   private void expire() {
-    loads.expire();
+    estimates.expire();
+    invalidInput.expire();
     leaving.expire();
     pauses.expire();
     limits.expire();
--- a/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
+++ b/src/test/java/org/ragwortpick/forward/HttpBatchTransportTest.java
@@ -25,6 +25,7 @@
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -83,7 +84,15 @@
         callClient,
         protocol,
         ForwardTestServer.HEADERS,
-        new UpstreamNotices(ForwardTestServer.HEADERS, leaving, pauses, limits),
+        new UpstreamNotices(
+            ForwardTestServer.HEADERS,
+            leaving,
+            pauses,
+            limits,
+            new LoadReports(
+                ForwardTestServer.HEADERS,
+                new UpstreamEstimates(clock),
+                new InvalidInputLog(clock))),
         upstream -> !takenOut.contains(upstream.dataCentre()) && limits.tryTake(upstream),
         TrafficFixture.withoutRollouts(clock),
         clock);
--- a/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
+++ b/src/test/java/org/ragwortpick/forward/RepeatedBatchResponseTest.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
+import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
@@ -60,7 +61,11 @@
                 ForwardTestServer.HEADERS,
                 new LeavingUpstreams(clock),
                 new RequestedPauses(clock, new SplittableRandom(1)),
-                LimitsFixture.ofSingleVm(clock)),
+                LimitsFixture.ofSingleVm(clock),
+                new LoadReports(
+                    ForwardTestServer.HEADERS,
+                    new UpstreamEstimates(clock),
+                    new InvalidInputLog(clock))),
             upstream -> true,
             TrafficFixture.withoutRollouts(clock),
             clock);
