Read the setting overloadControl

Cause: admission by the whole path must be switched by deployment. Change: entry setting overloadControl with off, on and auto (default); an invalid value is reported with key, value and remedy. Result: ForwardingSettingsReaderTest passes.

--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -71,6 +71,7 @@
    * @param retryRatioPercent retry budget in percent of the requests of all VMs
    * @param retryConstant retries allowed in addition to the ratio, divided among all VMs
    * @param processorPercent processor of the VM in percent of a core; 0 if it is not stated
+   * @param overloadControl when requests are admitted by their whole path
    */
   public record EntryRole(
       HostPort callerAddress,
@@ -78,5 +79,6 @@
       long stopTimeoutMs,
       int retryRatioPercent,
       int retryConstant,
-      int processorPercent) {}
+      int processorPercent,
+      OverloadControl overloadControl) {}
 }
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -133,7 +133,24 @@
         readStopTimeoutMs(reader, environment.getOrDefault(KILL_AFTER_SECONDS, "")),
         wholePercent(ratio),
         (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
-        reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent));
+        reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent),
+        readOverloadControl(reader));
+  }
+
+  private static OverloadControl readOverloadControl(ObjectReader reader) {
+    String value = reader.optionalString("overloadControl", "auto");
+    return switch (value) {
+      case "off" -> OverloadControl.OFF;
+      case "on" -> OverloadControl.ON;
+      case "auto" -> OverloadControl.AUTO;
+      default -> {
+        reader.addInvalidValue(
+            "overloadControl",
+            ObjectReader.quoted(value),
+            "write \"off\", \"on\" or \"auto\", or remove the key for \"auto\"");
+        yield OverloadControl.AUTO;
+      }
+    };
   }
 
   /** Rounds down, so that no more is allowed than the ratio states; 0.29 is 29 percent. */
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -77,6 +77,21 @@
     }
   }
 
+  @Test
+  public void overloadControlIsReadAndCheckedByValue() throws IOException {
+    String settings = Files.readString(file);
+    assertEquals(read("8").get().entry().orElseThrow().overloadControl(), OverloadControl.AUTO);
+    Files.writeString(
+        file, settings.replace("\"entry\": {", "\"entry\": { \"overloadControl\": \"on\","));
+    assertEquals(read("8").get().entry().orElseThrow().overloadControl(), OverloadControl.ON);
+    Files.writeString(
+        file, settings.replace("\"entry\": {", "\"entry\": { \"overloadControl\": \"yes\","));
+    String message = read("8").getLeft().get(0).message();
+    assertTrue(
+        message.contains("overloadControl") && message.contains("yes") && message.contains("auto"),
+        message);
+  }
+
   /** A full disk must not make settings invalid that a process has run with. */
   @Test
   public void folderInUseIsNotProbedAgain() throws IOException {
