--- a/src/main/java/org/ragwortpick/batch/BatchCodec.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCodec.java
@@ -1,9 +1,12 @@
 package org.ragwortpick.batch;
 
 import java.util.List;
+import java.util.Optional;
+import org.ragwortpick.policy.admission.StageBacklogs;
 import org.ragwortpick.proto.PieceFailure;
 import org.ragwortpick.proto.PieceInput;
 import org.ragwortpick.proto.QueueWait;
+import org.ragwortpick.proto.StageBacklog;
 import org.ragwortpick.proto.SubmitPiecesReply;
 import org.ragwortpick.proto.SubmitPiecesRequest;
 
@@ -17,23 +20,33 @@
    *
    * @param work the pieces
    * @param viewAgeMs age of the local VM's view of the upstreams in milliseconds
+   * @param backlogs backlogs that the local VM knows
+   * @param nowMs monotonic time in milliseconds
    * @return the message
    */
-  static SubmitPiecesRequest encode(StageWork work, long viewAgeMs) {
-    return SubmitPiecesRequest.newBuilder()
-        .setService(work.service())
-        .setRequestId(work.requestId())
-        .setStage(work.stage())
-        .setPieceCount(work.pieceCount())
-        .setKey(work.key())
-        .addAllInputs(work.inputs().stream().map(BatchCodec::encode).toList())
-        .setResultBytes(work.resultBytes())
-        .setRemainingMs(work.remainingMs())
-        .setTargetRemainingMs(work.targetRemainingMs())
-        .setPriority(work.priority())
-        .setDataCentre(work.dataCentre())
-        .setViewAgeMs(viewAgeMs)
-        .build();
+  static SubmitPiecesRequest encode(
+      StageWork work, long viewAgeMs, StageBacklogs backlogs, long nowMs) {
+    SubmitPiecesRequest.Builder request =
+        SubmitPiecesRequest.newBuilder()
+            .setService(work.service())
+            .setRequestId(work.requestId())
+            .setStage(work.stage())
+            .setPieceCount(work.pieceCount())
+            .setKey(work.key())
+            .addAllInputs(work.inputs().stream().map(BatchCodec::encode).toList())
+            .setResultBytes(work.resultBytes())
+            .setRemainingMs(work.remainingMs())
+            .setTargetRemainingMs(work.targetRemainingMs())
+            .setPriority(work.priority())
+            .setDataCentre(work.dataCentre())
+            .setViewAgeMs(viewAgeMs);
+    work.path()
+        .ifPresent(
+            path ->
+                request
+                    .setPath(BacklogCodec.encode(path))
+                    .addAllBacklogs(BacklogCodec.encode(backlogs.on(path), nowMs)));
+    return request.build();
   }
 
   private static PieceInput encode(StageInput input) {
@@ -66,7 +79,8 @@
         request.getRemainingMs(),
         request.getTargetRemainingMs(),
         request.getPriority(),
-        request.getDataCentre());
+        request.getDataCentre(),
+        request.hasPath() ? Optional.of(BacklogCodec.decode(request.getPath())) : Optional.empty());
   }
 
   /**
@@ -74,13 +88,16 @@
    *
    * @param end the outcome
    * @param waits recent queue waits to pass on with the reply
+   * @param backlogs backlogs to pass on with the reply
    * @return the message
    */
-  static SubmitPiecesReply encode(SubmissionEnd end, List<QueueWait> waits) {
+  static SubmitPiecesReply encode(
+      SubmissionEnd end, List<QueueWait> waits, List<StageBacklog> backlogs) {
     if (end instanceof SubmissionEnd.Produced produced) {
       return SubmitPiecesReply.newBuilder()
           .addAllHandles(produced.handles())
           .addAllWaits(waits)
+          .addAllBacklogs(backlogs)
           .build();
     }
     SubmissionEnd.Failed failed = (SubmissionEnd.Failed) end;
@@ -96,6 +113,7 @@
         .setFailure(failure)
         .setWaitMs(failed.waitMs())
         .addAllWaits(waits)
+        .addAllBacklogs(backlogs)
         .build();
   }
 
--- a/src/main/java/org/ragwortpick/batch/BatchCollectorService.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCollectorService.java
@@ -2,10 +2,14 @@
 
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
+import java.time.Clock;
+import java.util.List;
 import java.util.concurrent.Executor;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.proto.BatchCollectorGrpc;
 import org.ragwortpick.proto.ReleaseResultsReply;
 import org.ragwortpick.proto.ReleaseResultsRequest;
+import org.ragwortpick.proto.StageBacklog;
 import org.ragwortpick.proto.SubmitPiecesReply;
 import org.ragwortpick.proto.SubmitPiecesRequest;
 
@@ -14,19 +18,30 @@
 
   private final StageCollectors collectors;
   private final QueueWaits waits;
+  private final PathAdmission paths;
   private final Executor loop;
+  private final Clock clock;
 
   /**
    * Creates the service.
    *
    * @param collectors collectors of the local VM
    * @param waits table of queue waits
-   * @param loop thread to which the collectors and the table are confined
+   * @param paths estimates of the local VM
+   * @param loop thread to which the collectors and the tables are confined
+   * @param clock monotonic clock
    */
-  BatchCollectorService(StageCollectors collectors, QueueWaits waits, Executor loop) {
+  BatchCollectorService(
+      StageCollectors collectors,
+      QueueWaits waits,
+      PathAdmission paths,
+      Executor loop,
+      Clock clock) {
     this.collectors = collectors;
     this.waits = waits;
+    this.paths = paths;
     this.loop = loop;
+    this.clock = clock;
   }
 
   @Override
@@ -38,12 +53,15 @@
     // on the loop, so a cancellation may arrive before it.
     call.setOnCancelHandler(() -> loop.execute(cancellation::cancel));
     loop.execute(
-        () ->
-            cancellation.onSubmitted(
-                collectors.submit(
-                    BatchCodec.decode(request),
-                    request.getViewAgeMs(),
-                    end -> reply(call, request, end))));
+        () -> {
+          BacklogCodec.decode(request.getBacklogsList(), clock.millis())
+              .forEach(paths.backlogs()::put);
+          cancellation.onSubmitted(
+              collectors.submit(
+                  BatchCodec.decode(request),
+                  request.getViewAgeMs(),
+                  end -> reply(call, request, end)));
+        });
   }
 
   private void reply(
@@ -54,7 +72,11 @@
       String service = request.getService();
       int priority = request.getPriority();
       waits.put(service, priority, collectors.expectedWaitMs(service, priority));
-      call.onNext(BatchCodec.encode(end, waits.recentWaits()));
+      List<StageBacklog> backlogs =
+          paths.isInForce()
+              ? BacklogCodec.encode(collectors.backlogs(), clock.millis())
+              : List.of();
+      call.onNext(BatchCodec.encode(end, waits.recentWaits(), backlogs));
       call.onCompleted();
     }
   }
--- a/src/main/java/org/ragwortpick/batch/CallTracker.java
+++ b/src/main/java/org/ragwortpick/batch/CallTracker.java
@@ -44,6 +44,7 @@
   private long busyUntilMs;
   private double backlogPiecesPerMs;
   private long backlogSinceMs = -1;
+  private boolean doubtful;
 
   /**
    * Creates the tracker of an upstream.
@@ -122,6 +123,15 @@
     return slowdown;
   }
 
+  /**
+   * Returns whether the outcome of the last call is unknown.
+   *
+   * @return whether the upstream may be gone
+   */
+  boolean isDoubtful() {
+    return doubtful;
+  }
+
   /**
    * Returns the timeout of a call.
    *
@@ -163,6 +173,7 @@
   void onCallAnswered(double statedMs, long tookMs) {
     callsInProgress--;
     backoffMs = 0;
+    doubtful = false;
     double measured = Math.min(MAX_SLOWDOWN, Math.max(1.0, tookMs / statedMs));
     slowdown += MEASUREMENT_WEIGHT * (measured - slowdown);
   }
@@ -224,6 +235,7 @@
     backoffMs = Math.min(MAX_BACKOFF_MS, Math.max(INITIAL_BACKOFF_MS, 2 * backoffMs));
     pausedUntilMs = nowMs + backoffMs;
     if (lost) {
+      doubtful = true;
       slowdown = Math.min(MAX_SLOWDOWN, 2 * slowdown);
     }
   }
--- a/src/main/java/org/ragwortpick/batch/CallTrackers.java
+++ b/src/main/java/org/ragwortpick/batch/CallTrackers.java
@@ -18,9 +18,16 @@
   /** Wait in a queue that no upstream shortens, longer than any deadline. */
   private static final long MAX_WAIT_MS = 3_600_000;
 
+  /** Weight of a new call in the mean duration; the calls of about a second count. */
+  private static final double CALL_WEIGHT = 0.1;
+
+  /** Ratio of two slowdowns from which one upstream counts as faster than another. */
+  private static final double MIN_SPEED_RATIO = 1.5;
+
   private final RequestedPauses requestedPauses;
   private final NamedLimits limits;
   private final Map<String, CallTracker> byUpstream = new LinkedHashMap<>();
+  private double meanCallMs;
 
   /**
    * Creates an instance without trackers.
@@ -133,19 +140,100 @@
     if (byUpstream.isEmpty()) {
       return 0;
     }
+    double piecesPerMs = piecesPerMs(profile, nowMs);
+    return piecesPerMs == 0 ? MAX_WAIT_MS : untilFreeMs(nowMs) + (long) (piecesAhead / piecesPerMs);
+  }
+
+  /**
+   * Returns the time until an upstream is expected to be free.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return time in milliseconds; 0 if one is free or none was used yet
+   */
+  long untilFreeMs(long nowMs) {
+    long freeAtMs =
+        byUpstream.values().stream().mapToLong(CallTracker::busyUntilMs).min().orElse(nowMs);
+    return Math.max(0, freeAtMs - nowMs);
+  }
+
+  /**
+   * Returns the throughput of all upstreams with full calls.
+   *
+   * @param profile batch profile of the service
+   * @param nowMs monotonic time in milliseconds
+   * @return pieces per millisecond; 0 if no upstream was used yet
+   */
+  double piecesPerMs(BatchProfile profile, long nowMs) {
     boolean allPaused =
         byUpstream.values().stream().allMatch(tracker -> tracker.hasRequestedPause(nowMs));
     double piecesPerMs = 0;
-    long freeAtMs = Long.MAX_VALUE;
     for (CallTracker tracker : byUpstream.values()) {
       boolean counts = allPaused || !tracker.hasRequestedPause(nowMs);
       piecesPerMs += counts ? piecesPerMs(tracker, profile) : 0;
-      freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
     }
-    if (piecesPerMs == 0) {
-      return MAX_WAIT_MS;
+    return piecesPerMs;
+  }
+
+  /**
+   * Finds the upstreams that are clearly faster than one.
+   *
+   * @param slow tracker of the one
+   * @param profile batch profile of the service
+   * @return the faster ones together
+   */
+  FasterUpstreams fasterThan(CallTracker slow, BatchProfile profile) {
+    double fullCallMs = StageTimes.callMs(profile, profile.maxPieces());
+    long freeAtMs = Long.MAX_VALUE;
+    double slowdown = 0;
+    int count = 0;
+    for (CallTracker tracker : byUpstream.values()) {
+      if (tracker.slowdown() * MIN_SPEED_RATIO <= slow.slowdown()) {
+        freeAtMs = Math.min(freeAtMs, tracker.busyUntilMs());
+        slowdown = Math.max(slowdown, tracker.slowdown());
+        count++;
+      }
     }
-    return Math.max(0, freeAtMs - nowMs) + (long) (piecesAhead / piecesPerMs);
+    return count == 0
+        ? FasterUpstreams.NONE
+        : new FasterUpstreams(
+            (long) (slow.slowdown() * fullCallMs),
+            (long) (slowdown * fullCallMs),
+            freeAtMs,
+            count * profile.maxPieces());
+  }
+
+  /**
+   * Returns the throughput of the upstreams whose last call was answered.
+   *
+   * @param profile batch profile of the service
+   * @param nowMs monotonic time in milliseconds
+   * @return pieces per millisecond; that of all upstreams if no call was answered
+   */
+  double soundPiecesPerMs(BatchProfile profile, long nowMs) {
+    double sound =
+        byUpstream.values().stream()
+            .filter(tracker -> !tracker.isDoubtful() && !tracker.hasRequestedPause(nowMs))
+            .mapToDouble(tracker -> piecesPerMs(tracker, profile))
+            .sum();
+    return sound == 0 ? piecesPerMs(profile, nowMs) : sound;
+  }
+
+  /**
+   * Records the duration of a call that was answered.
+   *
+   * @param tookMs time in milliseconds
+   */
+  void recordCall(long tookMs) {
+    meanCallMs = meanCallMs == 0 ? tookMs : meanCallMs + CALL_WEIGHT * (tookMs - meanCallMs);
+  }
+
+  /**
+   * Returns the mean duration of recent calls.
+   *
+   * @return time in milliseconds; 0 before the first call
+   */
+  long meanCallMs() {
+    return (long) meanCallMs;
   }
 
   private double piecesPerMs(CallTracker tracker, BatchProfile profile) {
--- a/src/main/java/org/ragwortpick/batch/CollectorCalls.java
+++ b/src/main/java/org/ragwortpick/batch/CollectorCalls.java
@@ -17,6 +17,7 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.proto.BatchCollectorGrpc;
 import org.ragwortpick.proto.ReleaseResultsReply;
 import org.ragwortpick.proto.ReleaseResultsRequest;
@@ -44,6 +45,7 @@
   private final PeerChannels channels;
   private final LongSupplier viewAgeMs;
   private final QueueWaits waits;
+  private final PathAdmission paths;
   private final Executor loop;
   private final Timers timers;
   private final Clock clock;
@@ -58,6 +60,7 @@
    * @param channels channels to other VMs
    * @param viewAgeMs age of the local VM's view of the upstreams in milliseconds
    * @param waits receives the queue waits that the collector states
+   * @param paths gives the backlogs to pass on and receives those that the collector states
    * @param loop thread to which this object is confined
    * @param timers timers on that thread
    * @param clock monotonic clock
@@ -67,6 +70,7 @@
       PeerChannels channels,
       LongSupplier viewAgeMs,
       QueueWaits waits,
+      PathAdmission paths,
       Executor loop,
       Timers timers,
       Clock clock) {
@@ -74,6 +78,7 @@
     this.channels = channels;
     this.viewAgeMs = viewAgeMs;
     this.waits = waits;
+    this.paths = paths;
     this.loop = loop;
     this.timers = timers;
     this.clock = clock;
@@ -121,7 +126,9 @@
         });
     BatchCollectorGrpc.newStub(channel)
         .withDeadlineAfter(work.remainingMs(), TimeUnit.MILLISECONDS)
-        .submit(BatchCodec.encode(work, viewAgeMs.getAsLong()), observer);
+        .submit(
+            BatchCodec.encode(work, viewAgeMs.getAsLong(), paths.backlogs(), clock.millis()),
+            observer);
     scheduleProbe(PROBE_AFTER_MS);
   }
 
@@ -171,6 +178,7 @@
   private void onReply(CollectorCallListener listener, SubmitPiecesReply reply) {
     lastMessageAtMs = clock.millis();
     waits.merge(reply.getWaitsList());
+    BacklogCodec.decode(reply.getBacklogsList(), clock.millis()).forEach(paths.backlogs()::put);
     if (pending.remove(listener)) {
       listener.onReply(BatchCodec.decode(reply));
     }
--- a/src/main/java/org/ragwortpick/batch/FreeSlot.java
+++ b/src/main/java/org/ragwortpick/batch/FreeSlot.java
@@ -10,6 +10,7 @@
  * @param minCallMs minimum duration of a call in milliseconds
  * @param maxWaitMs maximum time in milliseconds that a piece waits for an upstream in its preferred
  *     data centre
+ * @param faster upstreams that are faster than this one; none without overload control
  */
 record FreeSlot(
     String dataCentre,
@@ -17,4 +18,5 @@
     long freeResultBytes,
     long nowMs,
     long minCallMs,
-    long maxWaitMs) {}
+    long maxWaitMs,
+    FasterUpstreams faster) {}
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -1,7 +1,6 @@
 package org.ragwortpick.batch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -11,23 +10,12 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.ragwortpick.policy.admission.ServedShares;
+import org.ragwortpick.policy.admission.WorkOwner;
 
-/**
- * Queue of the pieces of one stage service. Pieces that can still meet the target latency of their
- * request come before those that cannot, then pieces are ordered by priority, then by target time.
- *
- * <p>The order is made for a burst on a stage service whose cost per call exceeds the cost per
- * piece: work that has already missed its target must not delay requests that can still meet
- * theirs.
- */
+/** Queue of the pieces of one stage service, from which a {@link PieceOrder} fills the calls. */
 final class PieceQueue {
 
-  /**
-   * Handicap of a piece, in the order by target time, at upstreams outside the data centre of its
-   * inputs.
-   */
-  private static final long OTHER_DATA_CENTRE_HANDICAP_MS = 400;
-
   private final List<WaitingPiece> waiting = new ArrayList<>();
 
   /**
@@ -61,6 +49,77 @@
         .count();
   }
 
+  /**
+   * Counts the queued pieces of each priority. Those that have missed their target count too: new
+   * work that is admitted while they wait would keep them waiting until their deadline.
+   *
+   * @return number of pieces by priority
+   */
+  Map<Integer, Integer> countByPriority() {
+    Map<Integer, Integer> counts = new HashMap<>();
+    waiting.stream()
+        .map(WaitingPiece::submission)
+        .filter(submission -> !submission.isEnded())
+        .forEach(submission -> counts.merge(submission.work().priority(), 1, Integer::sum));
+    return counts;
+  }
+
+  /**
+   * Counts the pieces that go before the pieces of a submission in the order of fair shares.
+   *
+   * @param asking the submission, queued or not
+   * @param served recent work of each owner
+   * @param onTimeFromMs monotonic time in milliseconds; pieces with earlier targets and another
+   *     priority go behind
+   * @return number of pieces
+   */
+  long countAhead(Submission asking, ServedShares served, long onTimeFromMs) {
+    StageWork work = asking.work();
+    long ahead = 0;
+    long own = 0;
+    Map<WorkOwner, Integer> others = new HashMap<>();
+    for (WaitingPiece piece : waiting) {
+      Submission submission = piece.submission();
+      StageWork queued = submission.work();
+      boolean counts =
+          !submission.isEnded()
+              && (submission.targetAtMs() >= onTimeFromMs || queued.priority() == work.priority())
+              && queued.priority() <= work.priority();
+      if (!counts) {
+        continue;
+      }
+      boolean earlier = submission != asking && submission.targetAtMs() <= asking.targetAtMs();
+      if (queued.priority() < work.priority() || !queued.isNew() && work.isNew()) {
+        ahead++;
+      } else if (queued.isNew() == work.isNew() && submission.owner().equals(asking.owner())) {
+        own += earlier ? 1 : 0;
+      } else if (queued.isNew() == work.isNew()) {
+        others.merge(submission.owner(), 1, Integer::sum);
+      }
+    }
+    double rank = served.of(asking.owner()) + own;
+    for (Map.Entry<WorkOwner, Integer> other : others.entrySet()) {
+      double turns = rank - served.of(other.getKey());
+      ahead += (long) Math.max(0, Math.min(other.getValue(), turns));
+    }
+    return ahead + own;
+  }
+
+  /**
+   * Lists the submissions that meet a condition.
+   *
+   * @param condition selects among the submissions that have not ended
+   * @return the submissions, which stay queued
+   */
+  List<Submission> find(Predicate<Submission> condition) {
+    return waiting.stream()
+        .map(WaitingPiece::submission)
+        .filter(submission -> !submission.isEnded())
+        .distinct()
+        .filter(condition)
+        .toList();
+  }
+
   /**
    * Removes the pieces that belong to ended submissions or cannot be produced before their
    * deadline.
@@ -86,7 +145,8 @@
 
   /**
    * Lists the submissions whose target time has passed while the pieces before them fill more than
-   * one call.
+   * one call. Work with a known path is not listed: it was admitted by that path, waits behind the
+   * rest and is served when the queue is short again.
    *
    * @param targetAtMs monotonic time in milliseconds; submissions with an earlier target time are
    *     overdue
@@ -102,6 +162,7 @@
     return waiting.stream()
         .map(WaitingPiece::submission)
         .filter(submission -> !submission.isEnded() && submission.targetAtMs() < targetAtMs)
+        .filter(submission -> submission.work().path().isEmpty())
         .distinct()
         .toList();
   }
@@ -113,22 +174,11 @@
    * @return submissions whose pieces were removed
    */
   List<Submission> removeIf(Predicate<Submission> condition) {
-    List<Submission> removed =
-        waiting.stream()
-            .map(WaitingPiece::submission)
-            .filter(submission -> !submission.isEnded())
-            .distinct()
-            .filter(condition)
-            .toList();
+    List<Submission> removed = find(condition);
     waiting.removeIf(piece -> removed.contains(piece.submission()));
     return removed;
   }
 
-  private static boolean prefers(WaitingPiece piece, String dataCentre) {
-    String preferred = piece.submission().work().dataCentre();
-    return preferred.isEmpty() || preferred.equals(dataCentre);
-  }
-
   /**
    * Returns whether a queued piece prefers a data centre.
    *
@@ -136,28 +186,37 @@
    * @return whether a queued piece prefers it or has no preference
    */
   boolean anyPrefers(String dataCentre) {
-    return waiting.stream().anyMatch(piece -> prefers(piece, dataCentre));
+    return waiting.stream().anyMatch(piece -> piece.prefers(dataCentre));
   }
 
   /**
    * Removes the next batch for one upstream. Pieces that prefer another data centre stay queued if
-   * an upstream there is free soon, so that their inputs do not cross data centres.
+   * an upstream there is free soon, so that their inputs do not cross data centres. Pieces that
+   * miss their target only because this upstream is slow stay for a faster one.
    *
    * @param slot free slot of the upstream
+   * @param order order of the pieces
    * @param freeAtMs gives the monotonic time in milliseconds at which an upstream of a data centre
    *     is free; {@code Long.MAX_VALUE} if it has no upstream
    * @return pieces in order; empty if none fits
    */
-  List<WaitingPiece> takeBatch(FreeSlot slot, ToLongFunction<String> freeAtMs) {
-    waiting.sort(orderAt(slot));
+  List<WaitingPiece> takeBatch(FreeSlot slot, PieceOrder order, ToLongFunction<String> freeAtMs) {
+    order.sort(waiting, slot);
     Map<Submission, List<WaitingPiece>> piecesBySubmission = new LinkedHashMap<>();
     Map<String, Integer> stayingByDataCentre = new HashMap<>();
+    int stayingForFaster = 0;
     for (WaitingPiece piece : waiting) {
       String preferred = piece.submission().work().dataCentre();
       boolean stays =
-          !prefers(piece, slot.dataCentre())
+          !piece.prefers(slot.dataCentre())
               && shouldStay(piece, slot, freeAtMs.applyAsLong(preferred))
               && stayingByDataCentre.merge(preferred, 1, Integer::sum) <= slot.maxPieces();
+      if (!stays
+          && stayingForFaster < slot.faster().pieces()
+          && slot.faster().areBetterFor(piece, slot.nowMs())) {
+        stayingForFaster++;
+        stays = true;
+      }
       if (!stays) {
         piecesBySubmission
             .computeIfAbsent(piece.submission(), submission -> new ArrayList<>())
@@ -216,15 +275,4 @@
     int taken = (int) Math.max(0, Math.min(Math.min(wanted, maxPieces), capacityBytes / bytes));
     return List.copyOf(group.getValue().subList(0, taken));
   }
-
-  private static Comparator<WaitingPiece> orderAt(FreeSlot slot) {
-    return Comparator.comparing(
-            (WaitingPiece piece) ->
-                piece.submission().targetAtMs() - slot.nowMs() < slot.minCallMs())
-        .thenComparingInt(piece -> piece.submission().work().priority())
-        .thenComparingLong(
-            piece ->
-                piece.submission().targetAtMs()
-                    + (prefers(piece, slot.dataCentre()) ? 0 : OTHER_DATA_CENTRE_HANDICAP_MS));
-  }
 }
--- a/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
+++ b/src/main/java/org/ragwortpick/batch/RemoteStageRunner.java
@@ -14,6 +14,7 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.sync.VmRecord;
 
 /**
@@ -53,6 +54,7 @@
   private final Map<HostPort, Long> skippedUntilMs = new HashMap<>();
   private final Map<HostPort, CollectorCalls> callsByCollector = new HashMap<>();
   private final QueueWaits waits;
+  private final PathAdmission paths;
 
   /**
    * Creates the runner.
@@ -65,6 +67,7 @@
    * @param loop thread to which the runner and the local collectors are confined
    * @param timers timers on that thread
    * @param clock monotonic clock
+   * @param paths estimates of the local VM
    */
   public RemoteStageRunner(
       HostPort localAddress,
@@ -74,7 +77,8 @@
       PeerChannels channels,
       Executor loop,
       Timers timers,
-      Clock clock) {
+      Clock clock,
+      PathAdmission paths) {
     this.localAddress = localAddress;
     this.vms = vms;
     this.localCollectors = localCollectors;
@@ -84,6 +88,7 @@
     this.timers = timers;
     this.clock = clock;
     this.waits = new QueueWaits(clock);
+    this.paths = paths;
   }
 
   /**
@@ -92,7 +97,7 @@
    * @return the gRPC service
    */
   public BindableService service() {
-    return new BatchCollectorService(localCollectors, waits, loop);
+    return new BatchCollectorService(localCollectors, waits, paths, loop, clock);
   }
 
   @Override
@@ -136,7 +141,7 @@
   }
 
   private CollectorCalls newCalls(HostPort collector) {
-    return new CollectorCalls(collector, channels, viewAgeMs, waits, loop, timers, clock);
+    return new CollectorCalls(collector, channels, viewAgeMs, waits, paths, loop, timers, clock);
   }
 
   /** Submitted work, which moves to the next collector if one fails. */
@@ -174,7 +179,7 @@
       }
       collector = chosen.get();
       attempts++;
-      StageWork remainingWork = remainingWork(elapsedMs);
+      StageWork remainingWork = work.after(elapsedMs);
       if (collector.equals(localAddress)) {
         cancel = localCollectors.submit(remainingWork, viewAgeMs.getAsLong(), this::onReply);
       } else {
@@ -184,21 +189,6 @@
       }
     }
 
-    private StageWork remainingWork(long elapsedMs) {
-      return new StageWork(
-          work.service(),
-          work.requestId(),
-          work.stage(),
-          work.pieceCount(),
-          work.key(),
-          work.inputs(),
-          work.resultBytes(),
-          work.remainingMs() - elapsedMs,
-          work.targetRemainingMs() - elapsedMs,
-          work.priority(),
-          work.dataCentre());
-    }
-
     @Override
     public void onStarted(Runnable cancelCall) {
       cancel = cancelCall;
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -14,6 +14,8 @@
 import org.jboss.logging.Logger;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.logging.DecisionLine;
+import org.ragwortpick.policy.admission.PathAdmission;
+import org.ragwortpick.policy.admission.StageBacklog;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
@@ -61,6 +63,8 @@
   private final PieceQueue queue = new PieceQueue();
   private final NamedLimits namedLimits;
   private final CallTrackers trackers;
+  private final StageAdmission admission;
+  private final StageRefusalLog refusalLog;
   private Timers.Timer redispatch = () -> {};
   private long redispatchAtMs = Long.MAX_VALUE;
   private long dispatchedAtMs = Long.MIN_VALUE / 2;
@@ -79,6 +83,7 @@
    * @param inputReleaser releases results of other services
    * @param timers timers on the thread of the collector
    * @param clock monotonic clock
+   * @param paths estimates of the local VM, which state whether overload control is in force
    */
   public StageCollector(
       String service,
@@ -91,7 +96,8 @@
       NamedLimits limits,
       ResultReleaser inputReleaser,
       Timers timers,
-      Clock clock) {
+      Clock clock,
+      PathAdmission paths) {
     this.service = service;
     this.profile = profile;
     this.upstreams = upstreams;
@@ -103,6 +109,8 @@
     this.inputReleaser = inputReleaser;
     this.timers = timers;
     this.clock = clock;
+    this.admission = new StageAdmission(service, queue, trackers, paths, clock);
+    this.refusalLog = new StageRefusalLog(service, queue);
   }
 
   /**
@@ -128,42 +136,24 @@
       submission.end(new SubmissionEnd.Failed(SubmissionEnd.Cause.UNAVAILABLE, 0));
       return () -> {};
     }
-    Optional<SubmissionEnd.Failed> refusal = refusal(work, limits.get());
+    Optional<SubmissionEnd.Failed> refusal = admission.refusal(submission, limits.get());
     if (refusal.isPresent()) {
-      DecisionLine.of("stage refused")
-          .with("request", work.requestId())
-          .with("stage", work.stage())
-          .with("service", service)
-          .with("cause", refusal.get().cause())
-          .with("waitMs", refusal.get().waitMs())
-          .with("targetRemainingMs", work.targetRemainingMs())
-          .with("remainingMs", work.remainingMs())
-          .with("waitingPieces", queue.size())
-          .info(LOG);
+      refusalLog.write(work, refusal.get(), "on arrival");
       submission.end(refusal.get());
       return () -> {};
     }
     queue.add(submission.pieces());
+    admission.onAdmitted(submission, limits.get());
+    admission.shed(limits.get(), this::refuseQueued);
     dispatchIfUseful();
     return () -> cancel(submission);
   }
 
-  /**
-   * Refuses work that cannot meet its deadline. Work without inputs has cost nothing yet, so it is
-   * refused too if the queue alone makes it miss the target latency: otherwise all requests of a
-   * burst would miss it.
-   */
-  private Optional<SubmissionEnd.Failed> refusal(StageWork work, BatchProfile limits) {
-    long waitMs = expectedWaitMs(work.priority());
-    long callMs = (long) StageTimes.callMs(limits, work.pieceCount());
-    if (waitMs + callMs > work.remainingMs()) {
-      return Optional.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, waitMs));
-    }
-    boolean queueMissesTarget =
-        callMs <= work.targetRemainingMs() && waitMs + callMs > work.targetRemainingMs();
-    return work.inputs().isEmpty() && queueMissesTarget
-        ? Optional.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.OVERLOADED, waitMs))
-        : Optional.empty();
+  /** Refuses work that waits in the queue and has not started. */
+  private void refuseQueued(Submission submission, SubmissionEnd.Failed refusal) {
+    refusalLog.write(submission.work(), refusal, "in the queue");
+    admission.onNotServed(submission);
+    submission.end(refusal);
   }
 
   /**
@@ -179,8 +169,18 @@
         .orElse(0L);
   }
 
+  /**
+   * Returns capacity and queue.
+   *
+   * @return the backlog; empty if the service has no profile or no upstream was used yet
+   */
+  Optional<StageBacklog> backlog() {
+    return profile.get().flatMap(admission::backlog);
+  }
+
   private void cancel(Submission submission) {
     if (!submission.isEnded()) {
+      admission.onNotServed(submission);
       submission.cancel();
       release(submission.producedHandles());
     }
@@ -246,13 +246,15 @@
       FreeSlot slot =
           new FreeSlot(
               tracker.upstream().dataCentre(),
-              limits.get().maxPieces(),
+              admission.maxPieces(tracker, limits.get()),
               tracker.resultCapacity().freeBytes(limits.get().resultRoomBytes(), nowMs),
               nowMs,
               minCallMs,
-              (long) StageTimes.callMs(limits.get(), limits.get().maxPieces()));
-      List<WaitingPiece> batch = queue.takeBatch(slot, trackers::freeAtMs);
+              (long) StageTimes.callMs(limits.get(), limits.get().maxPieces()),
+              admission.fasterThan(tracker, limits.get()));
+      List<WaitingPiece> batch = queue.takeBatch(slot, admission.order(), trackers::freeAtMs);
       if (!batch.isEmpty()) {
+        admission.onSent(batch);
         send(
             tracker,
             new SentBatch(
@@ -265,6 +267,7 @@
             limits.get());
       }
     }
+    admission.publishBacklog(limits.get());
     if (queue.size() > 0) {
       scheduleRedispatch(nowMs + REDISPATCH_INTERVAL_MS);
     }
@@ -356,6 +359,7 @@
     if (outcome instanceof BatchOutcome.Answered answered) {
       sent.logAnswered(answered.results(), nowMs, queue.size());
       tracker.onCallAnswered(sent.statedMs(), nowMs - sent.sentAtMs());
+      trackers.recordCall(nowMs - sent.sentAtMs());
       int pieces = sent.pieces().size();
       tracker.measureThroughput(pieces, nowMs, queue.size() >= limits.maxPieces());
       long expiresAtMs = nowMs + limits.resultLifetimeMs();
@@ -423,6 +427,7 @@
           .with("detail", detail)
           .with("waitingPieces", queue.size())
           .info(LOG);
+      admission.onNotServed(submission);
       List<String> produced = submission.producedHandles();
       submission.end(new SubmissionEnd.Failed(cause, expectedWaitMs(submission.work().priority())));
       release(produced);
--- a/src/main/java/org/ragwortpick/batch/StageCollectors.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollectors.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.ragwortpick.policy.admission.StageBacklog;
 
 /** Registry of the local VM's collectors, created on first use. Confined to one thread. */
 public final class StageCollectors {
@@ -47,6 +48,15 @@
     return collector == null ? 0 : collector.expectedWaitMs(priority);
   }
 
+  /**
+   * Lists the backlogs of the collectors.
+   *
+   * @return one backlog for each collector whose capacity is known
+   */
+  List<StageBacklog> backlogs() {
+    return collectors.values().stream().flatMap(collector -> collector.backlog().stream()).toList();
+  }
+
   /**
    * Releases results.
    *
--- a/src/main/java/org/ragwortpick/batch/Submission.java
+++ b/src/main/java/org/ragwortpick/batch/Submission.java
@@ -4,6 +4,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
+import org.ragwortpick.policy.admission.RequestPath;
+import org.ragwortpick.policy.admission.WorkOwner;
 
 /**
  * State of the pieces of one stage of one request at the collector. Confined to the thread of the
@@ -12,15 +14,17 @@
 final class Submission {
 
   private final StageWork work;
+  private final WorkOwner owner;
   private final long viewAgeMs;
   private final long arrivedAtMs;
   private final long deadlineAtMs;
-  private final long targetAtMs;
+  private long targetAtMs;
   private final String[] handles;
   private final Consumer<SubmissionEnd> whenEnded;
   private final boolean[] inputsFetched;
   private int missingCount;
   private boolean inputsReleased;
+  private boolean started;
   private boolean ended;
 
   /**
@@ -33,6 +37,7 @@
    */
   Submission(StageWork work, long viewAgeMs, long nowMs, Consumer<SubmissionEnd> whenEnded) {
     this.work = work;
+    this.owner = work.owner();
     this.viewAgeMs = viewAgeMs;
     this.arrivedAtMs = nowMs;
     this.deadlineAtMs = nowMs + work.remainingMs();
@@ -52,6 +57,15 @@
     return work;
   }
 
+  /**
+   * Returns the owner of the work.
+   *
+   * @return priority and workspace
+   */
+  WorkOwner owner() {
+    return owner;
+  }
+
   /**
    * Returns the age of the sender's view when the pieces arrived.
    *
@@ -89,6 +103,38 @@
     return targetAtMs;
   }
 
+  /**
+   * Returns the time until which a refusal is early enough for the caller.
+   *
+   * @return monotonic time in milliseconds; the time of arrival if it has passed or is not known
+   */
+  long refusableUntilMs() {
+    return arrivedAtMs + work.path().map(RequestPath::decideWithinMs).orElse(0L);
+  }
+
+  /** Records that a piece was sent to an upstream. */
+  void recordStart() {
+    started = true;
+  }
+
+  /**
+   * Returns whether a piece was sent to an upstream.
+   *
+   * @return whether work was spent on the submission
+   */
+  boolean isStarted() {
+    return started;
+  }
+
+  /**
+   * Replaces the time at which the pieces are needed.
+   *
+   * @param atMs monotonic time in milliseconds
+   */
+  void setTargetAtMs(long atMs) {
+    targetAtMs = atMs;
+  }
+
   /**
    * Creates the queue entries of all pieces.
    *
--- a/src/main/java/org/ragwortpick/batch/WaitingPiece.java
+++ b/src/main/java/org/ragwortpick/batch/WaitingPiece.java
@@ -9,6 +9,8 @@
  */
 record WaitingPiece(Submission submission, int piece, int failures) {
 
+  private static final long OTHER_DATA_CENTRE_HANDICAP_MS = 400;
+
   /**
    * Creates a copy with one more failure.
    *
@@ -18,6 +20,39 @@
     return new WaitingPiece(submission, piece, failures + 1);
   }
 
+  /**
+   * Returns whether the piece may run in a data centre without traffic between data centres.
+   *
+   * @param dataCentre the data centre
+   * @return whether the piece prefers it or has no preference
+   */
+  boolean prefers(String dataCentre) {
+    String preferred = submission.work().dataCentre();
+    return preferred.isEmpty() || preferred.equals(dataCentre);
+  }
+
+  /**
+   * Returns whether the piece misses its target even if it starts now.
+   *
+   * @param slot slot that could take it
+   * @return whether it is late
+   */
+  boolean isLate(FreeSlot slot) {
+    return submission.targetAtMs() - slot.nowMs() < slot.minCallMs();
+  }
+
+  /**
+   * Returns the time by which pieces are ordered at a slot. A piece has a handicap at upstreams
+   * outside the data centre of its inputs.
+   *
+   * @param slot slot that could take it
+   * @return monotonic time in milliseconds
+   */
+  long orderAtMs(FreeSlot slot) {
+    long handicapMs = prefers(slot.dataCentre()) ? 0 : OTHER_DATA_CENTRE_HANDICAP_MS;
+    return submission.targetAtMs() + handicapMs;
+  }
+
   /**
    * Creates the entry of the piece in a call to an upstream.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -25,6 +25,7 @@
  * @param notices reads what upstreams state about themselves
  * @param quarantine holds back prompt parts that end upstreams
  * @param stages runs stages
+ * @param overloadControl whether requests are admitted by their whole path
  * @param responseTimes average response times by route
  * @param resultLocator locates results of stages
  * @param callClient sends calls to upstreams
@@ -49,6 +50,7 @@
     UpstreamNotices notices,
     ContentQuarantine quarantine,
     StageRunner stages,
+    BooleanSupplier overloadControl,
     ResponseTimes responseTimes,
     ResultLocator resultLocator,
     HttpCallClient callClient,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -36,6 +36,7 @@
   private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
   private String upstreamId = "";
+  private long pathMs;
   private long sentAtMs;
   private long firstByteMs;
   private boolean attemptWritten;
@@ -112,6 +113,7 @@
       return;
     }
     String key = headers.getFirst(dependencies.headers().pieceKey());
+    pathMs = graph.minTotalMs() + dependencies.responseTimes().averageMs(request.route().name());
     StageGraphRun run =
         new StageGraphRun(
             request,
@@ -121,6 +123,7 @@
             dependencies.chooser().likelyDataCentre(service, prefix),
             dependencies.resultLocator(),
             dependencies.stages(),
+            dependencies.overloadControl().getAsBoolean(),
             dependencies.clock()::millis,
             this::onStagesEnded);
     stages = Optional.of(run);
@@ -133,8 +136,7 @@
     }
     if (end instanceof SubmissionEnd.Failed failed) {
       refuse(
-          Refusal.unavailable(
-              "a stage ended with " + failed.cause(), retryTimes.afterStage(failed, remainingMs())),
+          Refusal.unavailable("a stage ended with " + failed.cause(), retryAfterStageMs(failed)),
           "stage_" + failed.cause());
       return;
     }
@@ -143,6 +145,12 @@
     startAttempt();
   }
 
+  private long retryAfterStageMs(SubmissionEnd.Failed failed) {
+    return dependencies.overloadControl().getAsBoolean()
+        ? retryTimes.afterPathRefused(failed, remainingMs(), pathMs)
+        : retryTimes.afterStage(failed, remainingMs());
+  }
+
   private boolean refuseIfHeld() {
     Optional<HeldContent> held = gate.held();
     held.ifPresent(
--- a/src/main/java/org/ragwortpick/forward/RetryTimes.java
+++ b/src/main/java/org/ragwortpick/forward/RetryTimes.java
@@ -65,6 +65,23 @@
     return Math.max(MIN_MS, Math.min(drainMs, remainingMs / DEADLINE_DIVISOR));
   }
 
+  /**
+   * Returns the retry time under overload control, where the stated wait is that of the whole path.
+   * A request that is sent again then still needs the time of its path before its deadline.
+   *
+   * @param failed end of the stage
+   * @param remainingMs time that is left to the caller in milliseconds
+   * @param pathMs time of the path without waits in milliseconds
+   * @return time in milliseconds
+   */
+  long afterPathRefused(SubmissionEnd.Failed failed, long remainingMs, long pathMs) {
+    if (failed.cause() != SubmissionEnd.Cause.OVERLOADED) {
+      return MIN_MS;
+    }
+    long drainMs = Math.max(MIN_QUEUE_DRAIN_MS, QUEUE_DRAIN_FACTOR * failed.waitMs());
+    return Math.max(MIN_MS, Math.min(drainMs, remainingMs - pathMs - failed.waitMs()));
+  }
+
   /**
    * Returns the retry time while no upstream may be asked.
    *
--- a/src/main/java/org/ragwortpick/forward/StageGraph.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraph.java
@@ -1,12 +1,15 @@
 package org.ragwortpick.forward;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import java.util.stream.IntStream;
 import org.ragwortpick.batch.StageTimes;
+import org.ragwortpick.policy.admission.PathStage;
 import org.ragwortpick.routing.BatchProfile;
 import org.ragwortpick.routing.Route;
 import org.ragwortpick.routing.RouteStage;
@@ -88,6 +91,31 @@
         .count();
   }
 
+  /**
+   * Lists the stages that need the results of a stage, directly or through other stages.
+   *
+   * @param stage position of the stage
+   * @return stages with pieces, in the order of the route
+   */
+  List<PathStage> following(int stage) {
+    List<PathStage> following = new ArrayList<>();
+    Set<Integer> reached = new HashSet<>(Set.of(stage));
+    for (int next = stage + 1; next < stages.size(); next++) {
+      RouteStage routeStage = stages.get(next);
+      if (routeStage.after().stream().anyMatch(reached::contains)) {
+        reached.add(next);
+        following.add(
+            new PathStage(
+                next,
+                routeStage.service(),
+                pieceCounts.get(next),
+                minDurationsMs.get(next),
+                routeStage.after()));
+      }
+    }
+    return following;
+  }
+
   /**
    * Returns the duration of the longest chain of stages that follow a stage.
    *
--- a/src/main/java/org/ragwortpick/forward/StageGraphRun.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -12,7 +13,9 @@
 import org.ragwortpick.batch.StageTicket;
 import org.ragwortpick.batch.StageWork;
 import org.ragwortpick.batch.SubmissionEnd;
+import org.ragwortpick.policy.admission.RequestPath;
 import org.ragwortpick.routing.RouteStage;
+import org.ragwortpick.routing.RoutedWorkspace;
 
 /**
  * Runs the stages of one request, each as soon as its inputs exist, and releases results once all
@@ -26,6 +29,12 @@
    */
   private static final long LARGE_TRANSFER_BYTES = 100_000;
 
+  /** A refusal is sent within the latency objective divided by this number. */
+  private static final long REFUSAL_DIVISOR = 8;
+
+  /** Time in which the refusal of a collector reaches the caller. */
+  private static final long REFUSAL_MARGIN_MS = 20;
+
   private final CallerRequest request;
   private final String pieceKey;
   private final StageGraph graph;
@@ -33,6 +42,7 @@
   private final String responseDataCentre;
   private final ResultLocator resultLocator;
   private final StageRunner runner;
+  private final boolean overloadControl;
   private final LongSupplier nowMs;
   private final Consumer<SubmissionEnd> whenEnded;
   private final StageTicket[] tickets;
@@ -51,6 +61,7 @@
    *     if it is not known
    * @param resultLocator locates results
    * @param runner runs the stages
+   * @param overloadControl whether collectors decide by the whole path of the request
    * @param nowMs returns the monotonic time in milliseconds
    * @param whenEnded receives the handles of the last stages, or the failure
    */
@@ -62,6 +73,7 @@
       String responseDataCentre,
       ResultLocator resultLocator,
       StageRunner runner,
+      boolean overloadControl,
       LongSupplier nowMs,
       Consumer<SubmissionEnd> whenEnded) {
     this.request = request;
@@ -71,6 +83,7 @@
     this.responseDataCentre = responseDataCentre;
     this.resultLocator = resultLocator;
     this.runner = runner;
+    this.overloadControl = overloadControl;
     this.nowMs = nowMs;
     this.whenEnded = whenEnded;
     this.tickets = new StageTicket[graph.stages().size()];
@@ -104,8 +117,11 @@
         routeStage.after().stream().flatMap(preceding -> inputsOf(preceding).stream()).toList();
     long submittedAtMs = nowMs.getAsLong();
     int priority = request.priority();
+    // Under overload control the collector estimates the waits of later stages itself.
     long followingMs =
-        graph.followingMs(stage, service -> runner.expectedWaitMs(service, priority)) + responseMs;
+        graph.followingMs(
+                stage, service -> overloadControl ? 0 : runner.expectedWaitMs(service, priority))
+            + responseMs;
     StageWork work =
         new StageWork(
             routeStage.service(),
@@ -118,10 +134,24 @@
             request.deadlineAtMs() - submittedAtMs - graph.followingMs(stage, service -> 0),
             request.targetAtMs() - submittedAtMs - followingMs,
             priority,
-            preferredDataCentre(stage, inputs));
+            preferredDataCentre(stage, inputs),
+            overloadControl ? Optional.of(path(stage, submittedAtMs)) : Optional.empty());
     tickets[stage] = runner.submit(work, end -> onStageEnded(stage, end));
   }
 
+  private RequestPath path(int stage, long nowAtMs) {
+    long decideAtMs =
+        request.arrivedAtMs()
+            + request.route().targetLatencyMs() / REFUSAL_DIVISOR
+            - REFUSAL_MARGIN_MS;
+    return new RequestPath(
+        request.workspace().map(RoutedWorkspace::name).orElse(""),
+        Math.max(0, decideAtMs - nowAtMs),
+        request.targetAtMs() - nowAtMs,
+        responseMs,
+        graph.following(stage));
+  }
+
   /**
    * A stage without inputs and with large results prefers the data centre that needs them; a stage
    * with large inputs prefers the data centre that holds them.
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -43,6 +43,7 @@
 import org.ragwortpick.forward.UpstreamNotices;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.budget.SharedRetryConstant;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
@@ -110,6 +111,7 @@
   private final NamedLimits limits;
   private final UpstreamNotices notices;
   private final ContentQuarantine quarantine;
+  private final PathAdmission paths;
   private final RemoteStageRunner stages;
   private final ReadDelay readDelay;
   private final RunsInFlight runsInFlight = new RunsInFlight();
@@ -179,6 +181,7 @@
     this.quarantine =
         new ContentQuarantine(
             sync.crashEvidence(), settings.peerAddress().toString(), entryVms::names, clock);
+    this.paths = new PathAdmission(role.overloadControl().inForce(() -> false), clock);
     this.stages = createStages(settings, protocol, channels);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
@@ -218,7 +221,8 @@
         channels,
         ioThread,
         timers,
-        clock);
+        clock,
+        paths);
   }
 
   private UpstreamChooser createChooser(ForwardingSettings settings, RandomGenerator random) {
@@ -272,6 +276,14 @@
         "ragwortpick_limited_upstreams",
         "Upstreams that named in a response how many requests a second they take",
         limits::count);
+    gauges.register(
+        "ragwortpick_overload_control",
+        "1 while requests are admitted and ordered by their whole path, 0 otherwise",
+        () -> paths.isInForce() ? 1 : 0);
+    gauges.register(
+        "ragwortpick_announced_requests",
+        "Requests that the collectors of this VM admitted and that have later stages ahead",
+        paths::announcedRequests);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -305,7 +317,8 @@
         limits,
         this::release,
         timers,
-        clock);
+        clock,
+        paths);
   }
 
   private ForwardDependencies dependencies(
@@ -323,6 +336,7 @@
         notices,
         quarantine,
         stages,
+        paths::isInForce,
         new ResponseTimes(),
         new ResultLocator(sync::announced),
         httpCallClient,
--- a/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.NamedLimits;
 import org.ragwortpick.policy.limit.RequestedPauses;
@@ -55,7 +56,8 @@
             limits,
             (service, handles) -> {},
             time,
-            time.clock());
+            time.clock(),
+            new PathAdmission(() -> false, time.clock()));
   }
 
   private void submit(String id, long targetMs) {
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.RoutingFixture;
@@ -53,7 +54,8 @@
             LimitsFixture.ofSingleVm(time.clock()),
             (service, handles) -> {},
             time,
-            time.clock());
+            time.clock(),
+            new PathAdmission(() -> false, time.clock()));
   }
 
   private static Upstream upstream(String id) {
--- a/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
+++ b/src/test/java/org/ragwortpick/batch/RemoteStageRunnerTest.java
@@ -19,6 +19,7 @@
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.entry.ExecutorTimers;
 import org.ragwortpick.peer.PeerChannels;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.proto.BatchCollectorGrpc;
 import org.ragwortpick.proto.PieceFailure;
 import org.ragwortpick.proto.ReleaseResultsReply;
@@ -66,7 +67,8 @@
             channels,
             loop,
             new ExecutorTimers(loop),
-            new MonotonicClock());
+            new MonotonicClock(),
+            new PathAdmission(() -> false, new MonotonicClock()));
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/batch/SimulatedStageService.java
+++ b/src/test/java/org/ragwortpick/batch/SimulatedStageService.java
@@ -14,6 +14,9 @@
  */
 final class SimulatedStageService implements BatchTransport {
 
+  /** Slowdown of an upstream that does not respond. */
+  static final double GONE = Double.MAX_VALUE;
+
   private static final long ROUND_TRIP_MS = 2;
 
   private final VirtualTime time;
@@ -22,6 +25,8 @@
   private final Map<String, Long> freeAtMs = new HashMap<>();
   private final Map<String, Long> usedBytes = new HashMap<>();
   private final Map<String, String> producers = new HashMap<>();
+  private final Map<String, Double> slowdowns = new HashMap<>();
+  private final Map<String, Double> workMsByRequest = new HashMap<>();
   private int nextHandle;
 
   SimulatedStageService(VirtualTime time, BatchProfile profile, long resultBytes) {
@@ -36,7 +41,14 @@
     String id = upstream.id();
     long nowMs = time.clock().millis();
     long startMs = Math.max(nowMs + ROUND_TRIP_MS / 2, freeAtMs.getOrDefault(id, 0L));
-    double workMs = StageTimes.callMs(profile, pieces.size());
+    double slowdown = slowdowns.getOrDefault(id, 1.0);
+    if (slowdown == GONE) {
+      time.schedule(timeoutMs, () -> whenDone.accept(new BatchOutcome.Lost()));
+      return;
+    }
+    double workMs = slowdown * StageTimes.callMs(profile, pieces.size());
+    pieces.forEach(
+        piece -> workMsByRequest.merge(piece.requestId(), workMs / pieces.size(), Double::sum));
     freeAtMs.put(id, startMs + (long) workMs);
     time.schedule(
         startMs - nowMs,
@@ -72,6 +84,16 @@
         });
   }
 
+  /** Sets the duration of the calls of an upstream as a multiple of the stated one. */
+  void setSlowdown(String upstreamId, double factor) {
+    slowdowns.put(upstreamId, factor);
+  }
+
+  /** Returns the upstream time that was spent on the pieces of a request. */
+  double workMsOf(String requestId) {
+    return workMsByRequest.getOrDefault(requestId, 0.0);
+  }
+
   /** Returns the id of the upstream that produced a result. */
   String producerOf(String handle) {
     return producers.get(handle);
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
@@ -64,7 +65,8 @@
             LimitsFixture.ofSingleVm(time.clock()),
             (service, handles) -> inputsReleased.addAll(handles),
             time,
-            time.clock());
+            time.clock(),
+            new PathAdmission(() -> false, time.clock()));
   }
 
   /** Makes the collector the only one for the whole handover time. */
--- a/src/test/java/org/ragwortpick/batch/StageLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageLoadTest.java
@@ -10,6 +10,7 @@
 import java.util.function.ToDoubleFunction;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.routing.BatchProfile;
@@ -154,7 +155,8 @@
             LimitsFixture.ofSingleVm(time.clock()),
             (other, handles) -> {},
             time,
-            time.clock());
+            time.clock(),
+            new PathAdmission(() -> false, time.clock()));
     List<Outcome> outcomes =
         schedule(
             time,
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -149,6 +149,7 @@
                         () -> List.of("vm"),
                         clock),
                     new CountedStages(),
+                    () -> false,
                     new ResponseTimes(),
                     new ResultLocator(service -> List.of()),
                     callClient,
--- a/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
+++ b/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
@@ -65,7 +65,7 @@
             service -> Optional.of(RoutingFixture.batch(10, 100, 10, 10_000)));
     StageGraphRun run =
         new StageGraphRun(
-            request, "key", graph, 50, "dc-9", RESULT_LOCATOR, runner, () -> 0, ends::add);
+            request, "key", graph, 50, "dc-9", RESULT_LOCATOR, runner, false, () -> 0, ends::add);
     run.start();
     return run;
   }
