Leave stages without pieces out of the path of a request

Cause: a skipped stage counted with the wait and call duration of its service, and its followers as dependent on it.

--- a/src/main/java/org/ragwortpick/forward/StageGraph.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraph.java
@@ -102,7 +102,8 @@
     Set<Integer> reached = new HashSet<>(Set.of(stage));
     for (int next = stage + 1; next < stages.size(); next++) {
       RouteStage routeStage = stages.get(next);
-      if (routeStage.after().stream().anyMatch(reached::contains)) {
+      // A stage without pieces ends at once, so what follows only that one waits for nothing.
+      if (pieceCounts.get(next) > 0 && routeStage.after().stream().anyMatch(reached::contains)) {
         reached.add(next);
         following.add(
             new PathStage(
--- a/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
+++ b/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
@@ -14,6 +14,8 @@
 import org.ragwortpick.batch.StageTicket;
 import org.ragwortpick.batch.StageWork;
 import org.ragwortpick.batch.SubmissionEnd;
+import org.ragwortpick.policy.admission.PathStage;
+import org.ragwortpick.policy.admission.RequestPath;
 import org.ragwortpick.routing.Route;
 import org.ragwortpick.routing.RouteStage;
 import org.ragwortpick.routing.RoutingFixture;
@@ -45,6 +47,10 @@
   }
 
   private StageGraphRun start(Integer... counts) {
+    return start(false, counts);
+  }
+
+  private StageGraphRun start(boolean overloadControl, Integer... counts) {
     Route route = RoutingFixture.streaming(1, STAGES);
     CallerRequest request =
         new CallerRequest(
@@ -65,7 +71,16 @@
             service -> Optional.of(RoutingFixture.batch(10, 100, 10, 10_000)));
     StageGraphRun run =
         new StageGraphRun(
-            request, "key", graph, 50, "dc-9", RESULT_LOCATOR, runner, false, () -> 0, ends::add);
+            request,
+            "key",
+            graph,
+            50,
+            "dc-9",
+            RESULT_LOCATOR,
+            runner,
+            overloadControl,
+            () -> 0,
+            ends::add);
     run.start();
     return run;
   }
@@ -90,6 +105,19 @@
     assertEquals(ends, List.of(new SubmissionEnd.Produced(List.of("s0-0", "s0-1", "s3"))));
   }
 
+  /** Without the later stages, a collector admits requests that fail after their first stage. */
+  @Test
+  public void pathIsStatedUnderOverloadControlOnly() {
+    start(2, 1, 2, 1);
+    assertEquals(runner.submitted.get(0).work.path(), Optional.empty());
+    start(true, 2, 1, 2, 1);
+    RequestPath path = runner.submitted.get(3).work.path().orElseThrow();
+    assertEquals(path.following().stream().map(PathStage::stage).toList(), List.of(2, 3));
+    assertEquals(path.responseMs(), 50);
+    start(true, 2, 1, 0, 1);
+    assertEquals(runner.submitted.get(6).work.path().orElseThrow().following(), List.of());
+  }
+
   @Test
   public void stagesPreferDataCentreOfLargeInputs() {
     StageGraphRun run = start(1, 1, 1, 2);
