--- a/src/main/java/org/ragwortpick/control/RolloutKeeper.java
+++ b/src/main/java/org/ragwortpick/control/RolloutController.java
@@ -22,9 +22,9 @@
  * Advances the rollouts on the leader. Each replica measures how long a rollout has been running
  * since it learnt of its last progress, so that the time goes on when the leader changes.
  */
-public final class RolloutKeeper {
+public final class RolloutController {
 
-  private static final Logger LOG = Logger.getLogger(RolloutKeeper.class);
+  private static final Logger LOG = Logger.getLogger(RolloutController.class);
 
   private static final long POLL_INTERVAL_MS = 250;
 
@@ -42,7 +42,7 @@
   private final Map<String, Watch> watches = new HashMap<>();
 
   /**
-   * Creates the keeper.
+   * Creates the controller.
    *
    * @param machine local state machine of the group {@code config}
    * @param administration administration on the local replica
@@ -53,7 +53,7 @@
    * @param hasUpstream whether a service has an upstream of a version
    * @param clock monotonic clock
    */
-  public RolloutKeeper(
+  public RolloutController(
       ConfigurationStateMachine machine,
       LeaderAdministration administration,
       LeaderLease lease,
@@ -176,7 +176,7 @@
           .advanceRollout(service, progressed, next)
           .whenComplete(
               (result, failure) -> {
-                synchronized (RolloutKeeper.this) {
+                synchronized (RolloutController.this) {
                   proposing = false;
                 }
                 if (failure != null || result.isLeft()) {
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -75,6 +75,7 @@
    * @param retryConstant retries allowed in addition to the ratio, divided among all VMs
    * @param processorPercent processor of the VM in percent of a core; 0 if it is not stated
    * @param maxFileDescriptors file descriptors that the VM may open; 0 if they are not stated
+   * @param overloadControl when requests are admitted by their whole path
    */
   public record EntryRole(
       HostPort callerAddress,
@@ -83,5 +84,6 @@
       int retryRatioPercent,
       int retryConstant,
       int processorPercent,
-      int maxFileDescriptors) {}
+      int maxFileDescriptors,
+      OverloadControl overloadControl) {}
 }
--- a/src/main/java/org/ragwortpick/sync/VmCapacities.java
+++ b/src/main/java/org/ragwortpick/sync/VmCapacities.java
@@ -39,11 +39,18 @@
             .filter(vm -> vm.control() || !vm.servesCallers())
             .map(vm -> vm.peerAddress().host())
             .collect(Collectors.toSet());
-    this.equal = entryVms.stream().mapToDouble(this::processorPercent).distinct().count() <= 1;
+    this.equal =
+        entryVms.stream()
+                .filter(vm -> !controlHosts.contains(vm.peerAddress().host()))
+                .mapToDouble(this::processorPercent)
+                .distinct()
+                .count()
+            <= 1;
   }
 
   /**
-   * Returns whether no known processor differs from another one.
+   * Returns whether no known processor differs from another one. VMs with a control process are
+   * left out, since their processor is sized for it.
    *
    * @return true also if no processor is known
    */
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -27,7 +27,7 @@
 import org.ragwortpick.control.LeaderAdministration;
 import org.ragwortpick.control.PlacementPlan;
 import org.ragwortpick.control.PlacementSource;
-import org.ragwortpick.control.RolloutKeeper;
+import org.ragwortpick.control.RolloutController;
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.rollout.RolloutBounds;
@@ -155,15 +155,15 @@
   }
 
   /**
-   * Creates the keeper that advances the rollouts while the replica leads.
+   * Creates the controller that advances the rollouts while the replica leads.
    *
    * @param bounds bounds of rollouts
    * @param sync sync module of the process
    * @param clock monotonic clock
-   * @return the keeper
+   * @return the controller
    */
-  RolloutKeeper rolloutKeeper(RolloutBounds bounds, SyncNode sync, Clock clock) {
-    return new RolloutKeeper(
+  RolloutController rolloutController(RolloutBounds bounds, SyncNode sync, Clock clock) {
+    return new RolloutController(
         stateMachine,
         administration,
         lease,
--- a/src/main/java/org/ragwortpick/vm/ForwardingControl.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingControl.java
@@ -25,7 +25,7 @@
 import org.ragwortpick.control.ConfigurationVersion;
 import org.ragwortpick.control.RemoteAdministration;
 import org.ragwortpick.control.ReturnRequest;
-import org.ragwortpick.control.RolloutKeeper;
+import org.ragwortpick.control.RolloutController;
 import org.ragwortpick.control.StartRolloutRequest;
 import org.ragwortpick.control.TakeOutRequest;
 import org.ragwortpick.edge.ControlOperations;
@@ -71,7 +71,7 @@
   private final OperatorListener operators;
   private final Undertow directory;
   private final ScheduledExecutorService scheduler;
-  private final Optional<RolloutKeeper> rollouts;
+  private final Optional<RolloutController> rollouts;
   private AutoCloseable rolloutPolls = () -> {};
 
   /**
@@ -102,9 +102,9 @@
     this.scheduler = scheduler;
     this.rollouts =
         role.rolloutBounds()
-            .flatMap(bounds -> replica.map(local -> local.rolloutKeeper(bounds, sync, clock)));
+            .flatMap(bounds -> replica.map(local -> local.rolloutController(bounds, sync, clock)));
     rollouts.ifPresent(
-        keeper ->
+        controller ->
             new EntryGauges(registry)
                 .register(
                     "ragwortpick_running_rollouts",
@@ -150,7 +150,7 @@
     replica.ifPresent(ControlReplica::start);
     directory.start();
     operators.start(directory.getWorker());
-    rollouts.ifPresent(keeper -> rolloutPolls = keeper.start(scheduler));
+    rollouts.ifPresent(controller -> rolloutPolls = controller.start(scheduler));
   }
 
   @Override
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -46,6 +46,7 @@
 import org.ragwortpick.forward.UpstreamNotices;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.budget.SharedRetryConstant;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
@@ -120,6 +121,7 @@
   private final NamedLimits limits;
   private final UpstreamNotices notices;
   private final ContentQuarantine quarantine;
+  private final PathAdmission paths;
   private final RemoteStageRunner stages;
   private final ReadDelay readDelay;
   private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
@@ -213,6 +215,9 @@
     this.quarantine =
         new ContentQuarantine(
             sync.crashEvidence(), settings.peerAddress().toString(), entryVms::names, clock);
+    this.paths =
+        new PathAdmission(
+            role.overloadControl().inForce(estimates.workTimes()::anyReported), clock);
     this.stages = createStages(settings, protocol, channels);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
@@ -254,7 +259,8 @@
         channels,
         ioThread,
         timers,
-        clock);
+        clock,
+        paths);
   }
 
   private UpstreamChooser createChooser(ForwardingSettings settings, RandomGenerator random) {
@@ -314,6 +320,14 @@
         limits::count);
     gauges.registerCallers(responseMemory, httpCallClient, server);
     gauges.registerEstimates(estimates);
+    gauges.register(
+        "ragwortpick_overload_control",
+        "1 while requests are admitted and ordered by their whole path, 0 otherwise",
+        () -> paths.isInForce() ? 1 : 0);
+    gauges.register(
+        "ragwortpick_announced_requests",
+        "Requests that the collectors of this VM admitted and that have later stages ahead",
+        paths::announcedRequests);
   }
 
   private int countHeld(Predicate<HeldContent> kind) {
@@ -348,7 +362,8 @@
         versions,
         this::release,
         timers,
-        clock);
+        clock,
+        paths);
   }
 
   private ForwardDependencies dependencies(
@@ -368,6 +383,7 @@
         notices,
         quarantine,
         stages,
+        paths::isInForce,
         new ResponseTimes(),
         new ResultLocator(sync::announced),
         httpCallClient,
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.VirtualTime;
+import org.ragwortpick.policy.admission.PathAdmission;
 import org.ragwortpick.policy.limit.LimitsFixture;
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.rollout.VersionGate;
@@ -55,7 +56,8 @@
             VersionGate.OPEN,
             (service, handles) -> {},
             time,
-            time.clock());
+            time.clock(),
+            new PathAdmission(() -> false, time.clock()));
   }
 
   private static Upstream upstream(String id) {
--- a/src/test/java/org/ragwortpick/control/RolloutKeeperTest.java
+++ b/src/test/java/org/ragwortpick/control/RolloutControllerTest.java
@@ -16,7 +16,7 @@
 import org.testng.annotations.Test;
 
 /** Guards against time and counts that are lost, or counted twice, when VMs fail. */
-public final class RolloutKeeperTest {
+public final class RolloutControllerTest {
 
   private static final long DURATION_MS = 60_000;
   private static final long POLL_MS = 250;
@@ -24,7 +24,7 @@
 
   private final List<VersionReport> reports = new ArrayList<>();
   private ControlFixture control;
-  private RolloutKeeper leader;
+  private RolloutController leader;
 
   @BeforeMethod
   public void startRollout() {
@@ -38,11 +38,11 @@
             .administration()
             .startRollout(
                 new StartRolloutRequest(SERVICE, "2", DURATION_MS, 1), ControlFixture.TIMEOUT_MS));
-    leader = keeper();
+    leader = controller();
   }
 
-  private RolloutKeeper keeper() {
-    return new RolloutKeeper(
+  private RolloutController controller() {
+    return new RolloutController(
         control.machine(),
         control.administration(),
         control.lease(),
@@ -57,10 +57,10 @@
     return control.machine().current().configuration().rollouts().get(SERVICE);
   }
 
-  private void poll(RolloutKeeper keeper, long durationMs) {
+  private void poll(RolloutController controller, long durationMs) {
     for (long atMs = 0; atMs < durationMs; atMs += POLL_MS) {
       control.clock().advanceMs(POLL_MS);
-      keeper.poll();
+      controller.poll();
     }
   }
 
@@ -89,7 +89,7 @@
 
   @Test
   public void timeGoesOnWithNextLeader() {
-    RolloutKeeper next = keeper();
+    RolloutController next = controller();
     poll(leader, 20_000);
     next.poll();
     poll(next, 20_000);
@@ -102,7 +102,7 @@
   public void timeGoesOnAfterRestartOfAllVms() {
     poll(leader, 20_000);
     control.machine().restore(control.machine().snapshot());
-    poll(keeper(), 5_000);
+    poll(controller(), 5_000);
     long elapsedMs = rollout().elapsedMs();
     assertTrue(elapsedMs > 21_000 && elapsedMs <= 25_250, "" + elapsedMs);
   }
@@ -120,7 +120,7 @@
     replaceReport(report(1, 1_000, 40, 0));
     poll(leader, 1_000);
     replaceReport(report(2, 1_200, 60, 20));
-    RolloutKeeper next = keeper();
+    RolloutController next = controller();
     poll(next, POLL_MS);
     assertEquals(rollout().state(), Rollout.State.ROLLED_BACK);
   }
--- a/src/test/java/org/ragwortpick/sync/WeightedAddressesTest.java
+++ b/src/test/java/org/ragwortpick/sync/WeightedAddressesTest.java
@@ -86,6 +86,21 @@
     }
   }
 
+  /** VMs that run control processes are sized for them and must not change what callers get. */
+  @Test
+  public void largerVmsWithControlProcessesGiveTheSameAddresses() {
+    List<VmRecord> equal = vms(VMS, i -> 50);
+    List<VmRecord> withControl = new ArrayList<>(vms(VMS, i -> i < 6 ? 96 : 50));
+    for (int i = 0; i < 6; i++) {
+      HostPort peer = new HostPort(withControl.get(i).peerAddress().host(), 7_601);
+      withControl.add(
+          new VmRecord("c" + i, 1, 1, "a", HostPort.NONE, peer, VmState.READY, 0, true, 0));
+    }
+    for (int caller = 0; caller < CALLERS; caller++) {
+      assertEquals(addresses(withControl, caller), addresses(equal, caller));
+    }
+  }
+
   /** A VM that does not state its processor must neither be avoided nor overloaded. */
   @Test
   public void unknownProcessorCountsLikeTheAverage() {
