--- a/src/test/java/org/ragwortpick/cli/MainTest.java
+++ b/src/test/java/org/ragwortpick/cli/MainTest.java
@@ -33,7 +33,7 @@
         ExitCode.INVALID_FILE,
         "absent.json"
       },
-      {new String[] {"forward", "--settings", "--check"}, ExitCode.USAGE, "--settings"},
+      {new String[] {"forward", "--settings", "--check"}, ExitCode.INVALID_FILE, "--check"},
       {new String[] {"forward"}, ExitCode.USAGE, "--settings"},
     };
   }
