State the descriptors and the bounds of rollouts in the environment

Cause: the templates of the settings got placeholders that only some deployments fill in, so that whoever renders them without these values got invalid settings. Change: the templates stay as they were. Result: the settings tests pass; an unreadable value is reported under the key that it replaces.

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -206,7 +206,6 @@
     values.put("Bounds.RetryBudgetSlack", "58");
     values.put("Limits.CpuShare", here.core ? "0.675" : "0.75");
     values.put("Limits.CpuCores", here.core ? "2" : "1");
-    values.put("Limits.MaxFds", "4096");
     String result = filled.toString();
     for (Map.Entry<String, String> value : values.entrySet()) {
       result = result.replace("{{" + value.getKey() + "}}", value.getValue());
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.math.BigDecimal;
@@ -60,7 +61,7 @@
    *
    * @param file the file, JSON with comments
    * @param environment environment variables of the process; {@link #KILL_AFTER_SECONDS} replaces
-   *     the stop timeout of the file
+   *     the stop timeout of the file, others single values ({@link EnvironmentValues})
    * @return the settings, or all errors
    */
   public static Either<List<SettingsError>, ForwardingSettings> read(
@@ -78,6 +79,7 @@
               new SettingsError.UnreadableFile(file, "the top-level value is not a JSON object")));
     }
     List<SettingsError> errors = new ArrayList<>();
+    EnvironmentValues.apply((ObjectNode) root, environment);
     ObjectReader reader = new ObjectReader(file, "", root, errors);
     ForwardingSettings settings = readSettings(file, reader, environment);
     reader.reportUnknownKeys();
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -78,6 +78,23 @@
     }
   }
 
+  /** A platform that states a value only in some deployments leaves its variable empty. */
+  @Test
+  public void environmentStatesValuesInPlaceOfTheFile() {
+    assertEquals(readWith("MAX_FILE_DESCRIPTORS", " ").get().entry().get().maxFileDescriptors(), 0);
+    assertEquals(
+        readWith("MAX_FILE_DESCRIPTORS", "4100").get().entry().get().maxFileDescriptors(), 4_100);
+    for (String invalid : List.of("many", "256")) {
+      String message = readWith("MAX_FILE_DESCRIPTORS", invalid).getLeft().get(0).message();
+      assertTrue(
+          message.contains("entry.maxFileDescriptors") && message.contains(invalid), message);
+    }
+  }
+
+  private Either<List<SettingsError>, ForwardingSettings> readWith(String variable, String value) {
+    return ForwardingSettingsReader.read(file, Map.of(variable, value));
+  }
+
   /** With fewer descriptors the process would fail in the middle of its work. */
   @Test
   public void tooFewFileDescriptorsAreReported() throws IOException {
