--- a/src/test/java/org/ragwortpick/rollout/RolloutTrialTest.java
+++ b/src/test/java/org/ragwortpick/rollout/RolloutTrialTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.ragwortpick.config.Rollout;
 import org.ragwortpick.rollout.PlayedRollout.Behaviour;
 import org.ragwortpick.rollout.PlayedRollout.Response;
@@ -67,6 +68,22 @@
     }
   }
 
+  /** Its next incarnation counts from zero, and the requests of the earlier one have happened. */
+  @Test
+  public void countsOfVmThatRestartsAreKept() {
+    RolloutTrial trial = new RolloutTrial(PlayedRollout.BOUNDS, PlayedRollout.DURATION_MS);
+    trial.observe(report(1, 5, 1_000));
+    trial.observe(report(2, 1, 10));
+    trial.observe(report(2, 2, 30));
+    trial.observe(report(1, 6, 1_001));
+    assertEquals(trial.evidence().get(0).longValue(), 1_030);
+  }
+
+  private static VersionReport report(long incarnation, long sequence, long sentOld) {
+    return new VersionReport(
+        "vm", incarnation, sequence, "s", 1, false, 0, sentOld, 0, List.of());
+  }
+
   @Test(dataProvider = "fleets")
   public void goodVersionIsCompletedInTime(int requestsPerSecond, int vms) {
     for (long seed = 0; seed < SEEDS; seed++) {
