--- a/src/test/java/org/ragwortpick/rollout/RolloutTrialTest.java
+++ b/src/test/java/org/ragwortpick/rollout/RolloutTrialTest.java
@@ -80,8 +80,7 @@
   }
 
   private static VersionReport report(long incarnation, long sequence, long sentOld) {
-    return new VersionReport(
-        "vm", incarnation, sequence, "s", 1, false, 0, sentOld, 0, List.of());
+    return new VersionReport("vm", incarnation, sequence, "s", 1, false, 0, sentOld, 0, List.of());
   }
 
   @Test(dataProvider = "fleets")
