Mend faults that the review of the new parts found

Cause: announced requests without later stages were kept for good; decayed counts read in the moment of a reset of their scale were up to 2^100 times too large; the throughput measured across a lost call counted its timeout; work whose request had ended was refused again; overdue work with a known path was kept where overload control is off; a work time close to 0 made an upstream look infinitely fast; a body above the limit got 503 in place of 413 if the memory bound was lower; an incomplete response waited without limit for a caller that does not read; a rollout could complete without an upstream of the new version, and a proposal that threw an exception ended all later ones. Change: each of these.

--- a/src/main/java/org/ragwortpick/batch/CallTracker.java
+++ b/src/main/java/org/ragwortpick/batch/CallTracker.java
@@ -231,6 +231,8 @@
    * @param lost whether the outcome of the call is unknown; doubles the slowdown
    */
   void onCallFailed(long nowMs, boolean lost) {
+    // The time of a failed call says nothing about the throughput.
+    backlogSinceMs = -1;
     callsInProgress--;
     backoffMs = Math.min(MAX_BACKOFF_MS, Math.max(INITIAL_BACKOFF_MS, 2 * backoffMs));
     pausedUntilMs = nowMs + backoffMs;
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -151,9 +151,10 @@
    * @param targetAtMs monotonic time in milliseconds; submissions with an earlier target time are
    *     overdue
    * @param maxPieces maximum number of pieces per call
+   * @param keepsKnownPaths whether work with a known path is not listed
    * @return overdue submissions
    */
-  List<Submission> findOverdue(long targetAtMs, int maxPieces) {
+  List<Submission> findOverdue(long targetAtMs, int maxPieces, boolean keepsKnownPaths) {
     long onTime =
         waiting.stream().filter(piece -> piece.submission().targetAtMs() >= targetAtMs).count();
     if (onTime <= maxPieces) {
@@ -162,7 +163,7 @@
     return waiting.stream()
         .map(WaitingPiece::submission)
         .filter(submission -> !submission.isEnded() && submission.targetAtMs() < targetAtMs)
-        .filter(submission -> submission.work().path().isEmpty())
+        .filter(submission -> !keepsKnownPaths || submission.work().path().isEmpty())
         .distinct()
         .toList();
   }
--- a/src/main/java/org/ragwortpick/batch/StageAdmission.java
+++ b/src/main/java/org/ragwortpick/batch/StageAdmission.java
@@ -89,6 +89,15 @@
     return paths.isInForce() && tracker.isDoubtful() ? 1 : limits.maxPieces();
   }
 
+  /**
+   * Returns whether overload control is in force.
+   *
+   * @return false if work is served as without it
+   */
+  boolean isInForce() {
+    return paths.isInForce();
+  }
+
   private boolean isControlled(StageWork work) {
     return paths.isInForce() && work.path().isPresent();
   }
@@ -238,6 +247,10 @@
                     .reversed())
             .toList();
     for (Submission queued : candidates) {
+      if (queued.isEnded()) {
+        // The refusal of another stage of its request has ended it.
+        continue;
+      }
       // Its own later stages are no work before it.
       paths.withdraw(queued.work().requestId());
       Optional<SubmissionEnd.Failed> refusal = refusalOfNew(queued, limits);
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -237,7 +237,7 @@
         .removeLate(nowMs, minCallMs)
         .forEach(late -> fail(late, SubmissionEnd.Cause.LATE, "its deadline cannot be met"));
     queue
-        .findOverdue(nowMs - MAX_TARGET_OVERRUN_MS, limits.get().maxPieces())
+        .findOverdue(nowMs - MAX_TARGET_OVERRUN_MS, limits.get().maxPieces(), admission.isInForce())
         .forEach(work -> fail(work, SubmissionEnd.Cause.OVERLOADED, "target missed in the queue"));
     failUnpermittedWork(nowMs);
     long chosenAtRevision = revision.getAsLong();
--- a/src/main/java/org/ragwortpick/control/RolloutController.java
+++ b/src/main/java/org/ragwortpick/control/RolloutController.java
@@ -1,10 +1,12 @@
 package org.ragwortpick.control;
 
+import io.vavr.control.Either;
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,9 @@
   /** Interval at which the progress is replicated; each one reaches all VMs. */
   private static final long PROGRESS_INTERVAL_MS = 1_500;
 
+  /** Time after which a proposal without an outcome no longer holds back the next one. */
+  private static final long PROPOSAL_TIMEOUT_MS = 5_000;
+
   private final ConfigurationStateMachine machine;
   private final LeaderAdministration administration;
   private final LeaderLease lease;
@@ -172,8 +177,8 @@
 
     private void propose(String service, Rollout progressed, Rollout.State next) {
       proposing = true;
-      administration
-          .advanceRollout(service, progressed, next)
+      startProposal(service, progressed, next)
+          .orTimeout(PROPOSAL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
           .whenComplete(
               (result, failure) -> {
                 synchronized (RolloutController.this) {
@@ -187,6 +192,15 @@
               });
     }
 
+    private CompletableFuture<Either<AdministrationError, AcceptedChange>> startProposal(
+        String service, Rollout progressed, Rollout.State next) {
+      try {
+        return administration.advanceRollout(service, progressed, next).toCompletableFuture();
+      } catch (RuntimeException e) {
+        return CompletableFuture.failedFuture(e);
+      }
+    }
+
     private void log(String service, long elapsedMs, RolloutTrial.Decision decision) {
       List<Long> evidence = trial.evidence();
       DecisionLine.of("rollout decided")
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -105,11 +105,13 @@
       refuse(exchange, Refusal.STOPPING);
       return;
     }
-    if (!dependencies.responseMemory().hasRoomFor(exchange.getRequestContentLength())) {
+    long bodyBytes = exchange.getRequestContentLength();
+    boolean exceedsLimit = bodyBytes > table.limits().maxBodyBytes();
+    if (!exceedsLimit && !dependencies.responseMemory().hasRoomFor(bodyBytes)) {
       refuse(exchange, Refusal.NO_MEMORY);
       return;
     }
-    ResponseMemory.Share memory = openShare(exchange);
+    ResponseMemory.Share memory = openShare(exchange, exceedsLimit ? 0 : bodyBytes);
     Optional<RoutedWorkspace> owner = workspace;
     BodyReader.read(
         exchange,
@@ -141,9 +143,9 @@
   }
 
   /** Counts what the request holds until the last byte of its response is written. */
-  private ResponseMemory.Share openShare(HttpServerExchange exchange) {
+  private ResponseMemory.Share openShare(HttpServerExchange exchange, long bodyBytes) {
     ResponseMemory.Share memory = dependencies.responseMemory().open();
-    memory.setRequestBytes(exchange.getRequestContentLength());
+    memory.setRequestBytes(bodyBytes);
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
           memory.close();
--- a/src/main/java/org/ragwortpick/forward/ResponseRelay.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseRelay.java
@@ -156,6 +156,13 @@
     flush();
   }
 
+  /** Ends an incomplete response whose caller has not taken all bytes yet. */
+  void abortIfUnfinished() {
+    if (!pending.isEmpty()) {
+      abort();
+    }
+  }
+
   /**
    * Ends an incomplete response at once by closing the connection, with a reset if a plain close
    * would mark the response as complete.
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -284,6 +284,9 @@
       // Closing the caller's connection would otherwise end the run as left by its caller.
       listener.onResponseEnded(end);
       relay.finishIncomplete();
+      // A caller that does not read must not hold its connection for good.
+      long remainingMs = request.deadlineAtMs() - dependencies.clock().millis();
+      dependencies.timers().schedule(Math.max(0, remainingMs), relay::abortIfUnfinished);
     }
   }
 
--- a/src/main/java/org/ragwortpick/policy/admission/DecayingCounts.java
+++ b/src/main/java/org/ragwortpick/policy/admission/DecayingCounts.java
@@ -89,7 +89,9 @@
    * @return the decayed amount
    */
   public double get(K key) {
-    return scaledAmounts.getOrDefault(key, 0.0) / scale();
+    // The scale may be reset, which changes the amounts.
+    double factor = scale();
+    return scaledAmounts.getOrDefault(key, 0.0) / factor;
   }
 
   /**
@@ -117,10 +119,11 @@
    * @return the decayed sum
    */
   public double total() {
+    double factor = scale();
     double sum = 0;
     for (double scaled : scaledAmounts.values()) {
       sum += scaled;
     }
-    return sum / scale();
+    return sum / factor;
   }
 }
--- a/src/main/java/org/ragwortpick/policy/admission/PathAdmission.java
+++ b/src/main/java/org/ragwortpick/policy/admission/PathAdmission.java
@@ -220,7 +220,9 @@
       arrivals.add(arrival);
       inboundByService.computeIfAbsent(next.service(), name -> new Inbound(clock)).add(arrival);
     }
-    arrivalsByRequest.put(requestId, arrivals);
+    if (!arrivals.isEmpty()) {
+      arrivalsByRequest.put(requestId, arrivals);
+    }
     inboundByService.values().forEach(inbound -> inbound.removePast(nowMs, arrivalsByRequest));
   }
 
@@ -263,6 +265,9 @@
                 arrivals.remove(arrival);
                 inboundByService.get(service).arrivals.remove(arrival);
               });
+      if (arrivals.isEmpty()) {
+        arrivalsByRequest.remove(requestId);
+      }
     }
   }
 
--- a/src/main/java/org/ragwortpick/policy/limit/UpstreamSpeeds.java
+++ b/src/main/java/org/ragwortpick/policy/limit/UpstreamSpeeds.java
@@ -116,7 +116,8 @@
   private double momentarySpeed(Entry entry) {
     double ageMs = clock.millis() - entry.workTimeAtMs;
     double weight = Math.exp(-ageMs / WORK_TIME_DECAY_MS);
-    return Math.exp(weight * (entry.usualLogWorkTime.mean - entry.logWorkTime));
+    double logSpeed = weight * (entry.usualLogWorkTime.mean - entry.logWorkTime);
+    return Math.max(MIN_SPEED, Math.min(MAX_SPEED, Math.exp(logSpeed)));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
+++ b/src/main/java/org/ragwortpick/rollout/RolloutTrial.java
@@ -121,7 +121,7 @@
       return new Decision(Rollout.State.ROLLED_BACK, "bad");
     }
     return state == Rollout.State.COMPLETING
-        ? decideCompletion(elapsedMs, entryVms)
+        ? decideCompletion(elapsedMs, entryVms, hasNewUpstreams)
         : decideMove(elapsedMs, hasNewUpstreams);
   }
 
@@ -137,7 +137,11 @@
     return new Decision(Rollout.State.RUNNING, "on_trial");
   }
 
-  private Decision decideCompletion(long elapsedMs, Set<String> entryVms) {
+  private Decision decideCompletion(long elapsedMs, Set<String> entryVms, boolean hasNewUpstreams) {
+    if (!hasNewUpstreams) {
+      // The old upstreams stop once the rollout is completed.
+      return new Decision(Rollout.State.ROLLED_BACK, "no_upstream");
+    }
     boolean confirmed =
         entryVms.stream().allMatch(vm -> reports.containsKey(vm) && reports.get(vm).moved());
     if (movedAtMs == NEVER) {
