Do not limit the connections that an entry VM accepts

The limit relies on the high and low water marks of the I/O library; why they held back a connection was not traced.

--- a/src/main/java/org/ragwortpick/entry/http/EntryServer.java
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletionStage;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.WorkCounter;
-import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -31,26 +30,6 @@
   private final Undertow undertow;
   private final WorkCounter work;
 
-  /**
-   * Creates a server that accepts any number of connections.
-   *
-   * @param host IP address to listen on
-   * @param port TCP port; 0 for a free port
-   * @param worker worker whose I/O threads serve the connections
-   * @param buffers buffers for reading and writing
-   * @param handler handler of all requests
-   * @param work counter of the work in flight
-   */
-  public EntryServer(
-      String host,
-      int port,
-      XnioWorker worker,
-      ByteBufferPool buffers,
-      HttpHandler handler,
-      WorkCounter work) {
-    this(host, port, worker, buffers, handler, work, Integer.MAX_VALUE);
-  }
-
   /**
    * Creates a server.
    *
@@ -60,7 +39,6 @@
    * @param buffers buffers for reading and writing
    * @param handler handler of all requests
    * @param work counter of the work in flight
-   * @param maxConnections number of open connections at which no more are accepted until one closes
    */
   public EntryServer(
       String host,
@@ -68,13 +46,10 @@
       XnioWorker worker,
       ByteBufferPool buffers,
       HttpHandler handler,
-      WorkCounter work,
-      int maxConnections) {
+      WorkCounter work) {
     this.work = work;
     this.undertow =
         Undertow.builder()
-            .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
-            .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections - 1)
             .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, true)
             .addHttpListener(port, host)
             .setWorker(worker)
--- a/src/main/java/org/ragwortpick/vm/DescriptorBudget.java
+++ b/src/main/java/org/ragwortpick/vm/DescriptorBudget.java
@@ -4,7 +4,7 @@
  * Division of the file descriptors of a VM among its connections. Each connection of a caller needs
  * at most one more to an upstream while its request runs; the rest is left to other VMs.
  *
- * @param callerConnections largest number of connections of callers
+ * @param callerConnections number of connections that callers may use; not enforced when accepting
  * @param idleUpstreamConnections largest number of idle connections to upstreams
  */
 record DescriptorBudget(int callerConnections, int idleUpstreamConnections) {
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -227,8 +227,7 @@
             worker,
             buffers,
             new ForwardHandler(dependencies(role, protocol, registry, work, remainingMs), random),
-            work,
-            descriptors.callerConnections());
+            work);
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
