Split the gauges, the worker and the end of requests from the entry role

Change: EntryGauges registers all gauges, EntryWorker creates the worker, RequestsAtStop ends what is in flight.

--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -134,12 +134,11 @@
                   arrivedAtMs + timeoutMs);
           start(exchange, table, request, waitedMs, memory);
         },
-        fault ->
-            refuse(
-                exchange,
-                fault == BodyReader.Fault.TOO_LARGE
-                    ? Refusal.BODY_TOO_LARGE
-                    : Refusal.INCOMPLETE_BODY));
+        fault -> refuse(exchange, refusalOf(fault)));
+  }
+
+  private static Refusal refusalOf(BodyReader.Fault fault) {
+    return fault == BodyReader.Fault.TOO_LARGE ? Refusal.BODY_TOO_LARGE : Refusal.INCOMPLETE_BODY;
   }
 
   /** Counts what the request holds until the last byte of its response is written. */
--- a/src/main/java/org/ragwortpick/vm/EntryGauges.java
+++ b/src/main/java/org/ragwortpick/vm/EntryGauges.java
@@ -6,7 +6,13 @@
 import org.ragwortpick.entry.http.EntryServer;
 import org.ragwortpick.entry.upstream.HttpCallClient;
 import org.ragwortpick.forward.ResponseMemory;
+import org.ragwortpick.policy.admission.PathAdmission;
+import org.ragwortpick.policy.limit.LeavingUpstreams;
+import org.ragwortpick.policy.limit.NamedLimits;
+import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamEstimates;
+import org.ragwortpick.policy.quarantine.ContentQuarantine;
+import org.ragwortpick.policy.quarantine.HeldContent;
 
 /** Registers the gauges of the entry role. */
 final class EntryGauges {
@@ -81,4 +87,59 @@
         "Mean of the work times that upstreams reported last, 100 is usual; 0 without reports",
         estimates.speeds()::meanWorkTimePercent);
   }
+
+  /**
+   * Registers the gauges of content that is held back.
+   *
+   * @param quarantine holds the content back
+   */
+  void registerHeldContent(ContentQuarantine quarantine) {
+    register(
+        "ragwortpick_held_prompt_parts",
+        "Prompt parts that are held back because upstreams ended under them",
+        () -> quarantine.held().stream().filter(held -> !held.isRequest()).count());
+    register(
+        "ragwortpick_held_requests",
+        "Requests that are held back, whatever their ids, because upstreams ended under them",
+        () -> quarantine.held().stream().filter(HeldContent::isRequest).count());
+  }
+
+  /**
+   * Registers the gauges of upstreams that may get no or fewer requests.
+   *
+   * @param leaving upstreams that stated that they are leaving
+   * @param pauses pauses that upstreams requested
+   * @param limits limits that upstreams named
+   */
+  void registerUpstreamStates(
+      LeavingUpstreams leaving, RequestedPauses pauses, NamedLimits limits) {
+    register(
+        "ragwortpick_leaving_upstreams",
+        "Upstreams excluded because they stated in a response that they are leaving",
+        leaving::count);
+    register(
+        "ragwortpick_paused_upstreams",
+        "Upstreams that get no requests because they requested a pause in a response",
+        pauses::count);
+    register(
+        "ragwortpick_limited_upstreams",
+        "Upstreams that named in a response how many requests a second they take",
+        limits::count);
+  }
+
+  /**
+   * Registers the gauges of overload control.
+   *
+   * @param paths admission by the whole path of a request
+   */
+  void registerOverloadControl(PathAdmission paths) {
+    register(
+        "ragwortpick_overload_control",
+        "1 while requests are admitted and ordered by their whole path, 0 otherwise",
+        () -> paths.isInForce() ? 1 : 0);
+    register(
+        "ragwortpick_announced_requests",
+        "Requests that the collectors of this VM admitted and that have later stages ahead",
+        paths::announcedRequests);
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -13,10 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.CollectorRole;
@@ -55,7 +53,6 @@
 import org.ragwortpick.policy.limit.RequestedPauses;
 import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
-import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.select.EvenLoadSelector;
 import org.ragwortpick.policy.select.LeastLoadedSelector;
 import org.ragwortpick.policy.select.RendezvousAffinitySelector;
@@ -68,9 +65,6 @@
 import org.ragwortpick.sync.ViewFreshness;
 import org.ragwortpick.sync.VmState;
 import org.ragwortpick.sync.rpc.SyncNode;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -92,9 +86,6 @@
   private static final long OBSERVE_INTERVAL_MS = 500;
   private static final long CLOSE_TIMEOUT_MS = 500;
 
-  /** Time in which the responses to requests in flight are written at the end of a stop. */
-  private static final long ANSWER_TIMEOUT_MS = 200;
-
   /**
    * Load, as a fraction of the slots, by which the engine of a prefix may exceed the least loaded
    * one.
@@ -160,7 +151,7 @@
     this.entryVms = new EntryVms(sync.vmDirectory(), this::configuration);
     this.clock = clock;
     this.work = work;
-    this.worker = createWorker();
+    this.worker = EntryWorker.create();
     this.ioThread = worker.getIoThread();
     this.timers = new IoThreadTimers(ioThread);
     this.descriptors = DescriptorBudget.of(role.maxFileDescriptors());
@@ -178,43 +169,23 @@
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
     this.limits = createLimits(settings.peerAddress().toString());
-    this.notices =
-        new UpstreamNotices(
-            protocol.headers(),
-            leaving,
-            pauses,
-            limits,
-            new LoadReports(protocol.headers(), estimates, invalidInput));
+    this.notices = createNotices(protocol);
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
+    String vm = settings.peerAddress().toString();
     this.retryConstant =
         new SharedRetryConstant(
             role.retryConstant(),
-            settings.peerAddress().toString(),
+            vm,
             entryVms::names,
             freshness::ageMs,
             suspensions::resumedAtMs,
             clock);
     this.collectorRole =
-        new CollectorRole(
-            settings.peerAddress().toString(),
-            sync.vmDirectory()::vms,
-            () -> sync.lifeCycle().state() == VmState.READY,
-            freshness::ageMs,
-            clock);
-    this.versions =
-        new VersionTraffic(
-            this::configuration,
-            freshness::ageMs,
-            sync::announced,
-            clock,
-            random,
-            new RolloutMetrics(registry));
-    sync.versionReports().setOwn(versions::reports);
+        new CollectorRole(vm, sync.vmDirectory()::vms, this::isInService, freshness::ageMs, clock);
+    this.versions = createVersions(random, registry);
     this.chooser = createChooser(settings, random);
-    this.quarantine =
-        new ContentQuarantine(
-            sync.crashEvidence(), settings.peerAddress().toString(), entryVms::names, clock);
+    this.quarantine = new ContentQuarantine(sync.crashEvidence(), vm, entryVms::names, clock);
     this.paths =
         new PathAdmission(
             role.overloadControl().inForce(estimates.workTimes()::anyReported), clock);
@@ -231,6 +202,24 @@
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
+  private VersionTraffic createVersions(RandomGenerator random, PrometheusRegistry registry) {
+    VersionTraffic traffic =
+        new VersionTraffic(
+            this::configuration,
+            freshness::ageMs,
+            sync::announced,
+            clock,
+            random,
+            new RolloutMetrics(registry));
+    sync.versionReports().setOwn(traffic::reports);
+    return traffic;
+  }
+
+  private UpstreamNotices createNotices(EdgeProtocol protocol) {
+    LoadReports reports = new LoadReports(protocol.headers(), estimates, invalidInput);
+    return new UpstreamNotices(protocol.headers(), leaving, pauses, limits, reports);
+  }
+
   private NamedLimits createLimits(String vm) {
     return new NamedLimits(
         sync.upstreamLimits(),
@@ -297,51 +286,11 @@
   }
 
   private void registerGauges(EntryGauges gauges) {
-    gauges.register(
-        "ragwortpick_held_prompt_parts",
-        "Prompt parts that are held back because upstreams ended under them",
-        () -> countHeld(held -> !held.isRequest()));
-    gauges.register(
-        "ragwortpick_held_requests",
-        "Requests that are held back, whatever their ids, because upstreams ended under them",
-        () -> countHeld(HeldContent::isRequest));
-    gauges.register(
-        "ragwortpick_leaving_upstreams",
-        "Upstreams excluded because they stated in a response that they are leaving",
-        leaving::count);
-    gauges.register(
-        "ragwortpick_paused_upstreams",
-        "Upstreams that get no requests because they requested a pause in a response",
-        pauses::count);
-    gauges.register(
-        "ragwortpick_limited_upstreams",
-        "Upstreams that named in a response how many requests a second they take",
-        limits::count);
+    gauges.registerHeldContent(quarantine);
+    gauges.registerUpstreamStates(leaving, pauses, limits);
     gauges.registerCallers(responseMemory, httpCallClient, server);
     gauges.registerEstimates(estimates);
-    gauges.register(
-        "ragwortpick_overload_control",
-        "1 while requests are admitted and ordered by their whole path, 0 otherwise",
-        () -> paths.isInForce() ? 1 : 0);
-    gauges.register(
-        "ragwortpick_announced_requests",
-        "Requests that the collectors of this VM admitted and that have later stages ahead",
-        paths::announcedRequests);
-  }
-
-  private int countHeld(Predicate<HeldContent> kind) {
-    return (int) quarantine.held().stream().filter(kind).count();
-  }
-
-  private static XnioWorker createWorker() throws IOException {
-    return Xnio.getInstance()
-        .createWorker(
-            OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+    gauges.registerOverloadControl(paths);
   }
 
   private StageCollector createCollector(String service, HttpBatchTransport transport) {
@@ -424,13 +373,16 @@
     return state == VmState.STARTING || state == VmState.READY || state == VmState.LEAVING;
   }
 
+  private boolean isInService() {
+    return sync.lifeCycle().state() == VmState.READY;
+  }
+
   private boolean keepsConnections() {
-    return sync.lifeCycle().state() == VmState.READY
-        && descriptors.keepsCallerConnections(server.openConnections());
+    return isInService() && descriptors.keepsCallerConnections(server.openConnections());
   }
 
   private boolean isReady() {
-    return sync.lifeCycle().state() == VmState.READY && configuration().routingTable().isPresent();
+    return isInService() && configuration().routingTable().isPresent();
   }
 
   /**
@@ -459,27 +411,9 @@
     limits.expire();
   }
 
-  /** Answers the requests that are still in flight, and waits until the responses are written. */
-  private void answerRequestsInFlight() {
-    CompletableFuture<Void> answered =
-        CompletableFuture.supplyAsync(runsInFlight::answerAtStop, ioThread)
-            .thenCompose(
-                count -> {
-                  LOG.infof("%d requests were answered because the process ends", count);
-                  return work.whenIdle();
-                });
-    if (!BoundedWait.completes(answered, ANSWER_TIMEOUT_MS)) {
-      ioThread.execute(
-          () ->
-              LOG.warnf(
-                  "%d requests are cut off by the end of the process",
-                  runsInFlight.cutOffAtStop()));
-    }
-  }
-
   @Override
   public void close() {
-    answerRequestsInFlight();
+    new RequestsAtStop(runsInFlight, work, ioThread).answer();
     server.stop();
     readiness.stop();
     httpCallClient.close();
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -120,6 +120,8 @@
     pauses = new RequestedPauses(clock, random);
     NamedLimits limits = LimitsFixture.ofVm(clock, () -> senderRank);
     UpstreamChooser chooser = chooser(random, estimates, leaving, limits, clock);
+    LoadReports reports = new LoadReports(HEADERS, estimates, invalidInput);
+    UpstreamNotices notices = new UpstreamNotices(HEADERS, leaving, pauses, limits, reports);
     RatioRetryBudget budget = new RatioRetryBudget(clock, 100, 10);
     WorkCounter work = new WorkCounter();
     ReadDelay readDelay = new ReadDelay(worker.getIoThread(), clock);
@@ -138,12 +140,7 @@
                     TrafficFixture.withoutRollouts(clock),
                     estimates,
                     invalidInput,
-                    new UpstreamNotices(
-                        HEADERS,
-                        leaving,
-                        pauses,
-                        limits,
-                        new LoadReports(HEADERS, estimates, invalidInput)),
+                    notices,
                     new ContentQuarantine(
                         new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
                         "vm",
