--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -190,7 +190,7 @@
   }
 
   private static OverloadControl readOverloadControl(ObjectReader reader) {
-    String value = reader.optionalString("overloadControl", "auto");
+    String value = reader.optionalString("overloadControl", "off");
     return switch (value) {
       case "off" -> OverloadControl.OFF;
       case "on" -> OverloadControl.ON;
@@ -199,8 +199,8 @@
         reader.addInvalidValue(
             "overloadControl",
             ObjectReader.quoted(value),
-            "write \"off\", \"on\" or \"auto\", or remove the key for \"auto\"");
-        yield OverloadControl.AUTO;
+            "write \"off\", \"on\" or \"auto\", or remove the key for \"off\"");
+        yield OverloadControl.OFF;
       }
     };
   }
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -116,7 +116,7 @@
   @Test
   public void overloadControlIsReadAndCheckedByValue() throws IOException {
     String settings = Files.readString(file);
-    assertEquals(read("8").get().entry().orElseThrow().overloadControl(), OverloadControl.AUTO);
+    assertEquals(read("8").get().entry().orElseThrow().overloadControl(), OverloadControl.OFF);
     Files.writeString(
         file, settings.replace("\"entry\": {", "\"entry\": { \"overloadControl\": \"on\","));
     assertEquals(read("8").get().entry().orElseThrow().overloadControl(), OverloadControl.ON);
