Review scripts: exit with 2 if a case cannot run

Cause: an exception of a case, or a missing build, ended with code 1, which means that the rule was broken.

--- a/review/harness-2/Harness.java
+++ b/review/harness-2/Harness.java
@@ -59,6 +59,12 @@
 
   /** Creates a deployment of so many VMs, one in each zone in turn; the first three run control too. */
   Harness(String caseFolder, int vms) throws IOException {
+    // A case that cannot run must not look like one that broke its rule.
+    Thread.currentThread().setUncaughtExceptionHandler(
+        (thread, e) -> {
+          log("the case could not run: %s", e);
+          finish(2);
+        });
     this.vms = vms;
     this.folder = Files.createTempDirectory("review-2-");
     this.record = new PrintStream(Path.of(caseFolder, "record.txt").toFile(), StandardCharsets.UTF_8);
