--- a/review/harness-2/Harness.java
+++ b/review/harness-2/Harness.java
@@ -129,7 +129,10 @@
   }
 
   /** Starts a process with the command, the environment and the template of its role in the deploy file. */
-  void start(int vm, String role, boolean bootstrap) throws IOException {
+  synchronized void start(int vm, String role, boolean bootstrap) throws IOException {
+    if (closed) {
+      return;
+    }
     String deploy = Files.readString(Path.of("deploy/system.toml"));
     Matcher section = Pattern.compile("(?s)\\[roles\\." + role + "\\](.*?)(?=\\n\\[roles|\\z)").matcher(deploy);
     if (!section.find()) {
@@ -189,10 +192,8 @@
         () -> {
           sleep(restartDelayMs);
           try {
-            if (!closed) {
-              log("process %s is started again", name(vm, role));
-              start(vm, role, false);
-            }
+            log("process %s is started again", name(vm, role));
+            start(vm, role, false);
           } catch (IOException e) {
             log("process %s is not started again: %s", name(vm, role), e);
           }
@@ -388,7 +389,8 @@
     }
   }
 
-  private void endProcesses() {
+  /** Ends all processes; none is started any more after it has begun. */
+  private synchronized void endProcesses() {
     closed = true;
     processes.values().forEach(Process::destroyForcibly);
     for (Process process : processes.values()) {
