Reset a caller's connection if its process ends inside the response

It happened to every response without length and chunks that was in progress when its entry process was killed.

Cause: such a response ends with its connection. The reset that marks an incomplete one was set right before the process itself closed the connection. A process that is killed closes nothing: the kernel closes its sockets, and does it with a FIN. The same holds for any end of a connection that does not pass through ResponseRelay.abort.

Fix: ResponseFraming sets the socket to be reset on close before the head is written, if the response ends with its connection, and back once the socket has taken the last byte of a complete response, before writes are shut down. Whoever closes the socket before that resets it, the kernel included; what the kernel sends after it is whole. Framed responses are untouched; there is one system call at the start and one at the end of the others.

--- a/src/main/java/org/ragwortpick/forward/ResponseRelay.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseRelay.java
@@ -10,11 +10,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Set;
-import org.jboss.logging.Logger;
+import org.ragwortpick.entry.http.ResponseFraming;
 import org.ragwortpick.entry.upstream.BodyFraming;
 import org.ragwortpick.entry.upstream.HttpHead;
 import org.xnio.IoUtils;
-import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -24,8 +23,6 @@
  */
 final class ResponseRelay {
 
-  private static final Logger LOG = Logger.getLogger(ResponseRelay.class);
-
   /** Hop-by-hop headers, which are not forwarded. */
   static final Set<HttpString> CONNECTION_HEADERS =
       Set.of(
@@ -43,9 +40,9 @@
   private final HttpServerExchange exchange;
   private final ResponseMemory.Share memory;
   private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private ResponseFraming framing;
   private StreamSinkChannel channel;
   private int pendingBytes;
-  private boolean endsWithConnection;
   private boolean finished;
   private boolean incomplete;
 
@@ -89,26 +86,19 @@
   void start(HttpHead head) {
     exchange.setStatusCode(head.status());
     copyHeaders(head.headers());
-    setFraming(head.framing());
+    framing = frame(head.framing());
     channel = exchange.getResponseChannel();
     channel.getWriteSetter().set(ready -> flush());
     flush();
   }
 
-  /**
-   * Frames the response so that its caller can tell a complete one, unless the upstream's framing
-   * leaves that open: then the response to the caller leaves it open too.
-   */
-  private void setFraming(BodyFraming framing) {
-    boolean hasLength = exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH);
-    endsWithConnection =
-        framing == BodyFraming.CONNECTION_CLOSE || (!hasLength && !exchange.isHttp11());
-    if (endsWithConnection) {
-      exchange.setPersistent(false);
-    } else if (!hasLength && framing != BodyFraming.NONE) {
-      // Undertow leaves out the chunks on a connection that is not kept.
-      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
-    }
+  /** Frames the response as its upstream did; it states no more about its end. */
+  private ResponseFraming frame(BodyFraming upstream) {
+    return switch (upstream) {
+      case NONE -> ResponseFraming.ofNoBody(exchange);
+      case LENGTH, CHUNKED -> ResponseFraming.ofKnownEnd(exchange);
+      case CONNECTION_CLOSE -> ResponseFraming.ofUnknownEnd(exchange);
+    };
   }
 
   private void copyHeaders(HeaderMap headers) {
@@ -164,25 +154,14 @@
   }
 
   /**
-   * Ends an incomplete response at once by closing the connection, with a reset if a plain close
-   * would mark the response as complete.
+   * Ends an incomplete response at once by closing the connection; {@link ResponseFraming} lets its
+   * caller see that it is incomplete.
    */
   void abort() {
-    if (endsWithConnection) {
-      resetOnClose();
-    }
     IoUtils.safeClose(exchange.getConnection());
     exchange.endExchange();
   }
 
-  private void resetOnClose() {
-    try {
-      exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
-    } catch (IOException e) {
-      LOG.warnf(e, "cannot reset a caller's connection; its incomplete response may look complete");
-    }
-  }
-
   private void flush() {
     if (exchange.isComplete()) {
       return;
@@ -194,10 +173,7 @@
         channel.resumeWrites();
         return;
       }
-      if (finished) {
-        channel.shutdownWrites();
-      }
-      if (!channel.flush()) {
+      if (!channel.flush() || (finished && !shutDown())) {
         channel.resumeWrites();
         return;
       }
@@ -213,6 +189,13 @@
     }
   }
 
+  /** Ends a complete response whose bytes are written; false if the end is not written yet. */
+  private boolean shutDown() throws IOException {
+    framing.onCompleteBodyWritten();
+    channel.shutdownWrites();
+    return channel.flush();
+  }
+
   private boolean writePending() throws IOException {
     while (!pending.isEmpty()) {
       ByteBuffer first = pending.peek();
--- /dev/null
+++ b/src/test/java/org/ragwortpick/forward/ConnectionEndTest.java
@@ -0,0 +1,161 @@
+package org.ragwortpick.forward;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import org.ragwortpick.entry.http.RawUpstream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against the end of a caller's connection that says something else than the response. */
+public final class ConnectionEndTest extends ForwardServerFixture {
+
+  private static final String EVENT = "id: 1\ndata: a\n\n";
+  private static final String EVENTS = "Content-Type: text/event-stream\r\n";
+  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+  private static final String CLOSE = "Connection: close\r\n";
+  private static final String LONG_EVENT = "id: 1\ndata: " + "a".repeat(600_000) + "\n\n";
+  private static final long CLOSED_AT_MS = 10_000;
+  private static final long POLL_MS = 10;
+
+  /** Waits until all responses are written to their sockets. */
+  private void awaitWritten() {
+    for (int i = 0; i < CLOSED_AT_MS / POLL_MS && server().inFlight() > 0; i++) {
+      ForwardTestServer.sleep(POLL_MS);
+    }
+    assertEquals(server().inFlight(), 0, "responses that are not written");
+  }
+
+  private static String chunks(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n0\r\n\r\n";
+  }
+
+  private String request(String version, String path) {
+    return RawCaller.request(server().address(), version, path, "", CLOSED_AT_MS);
+  }
+
+  @DataProvider
+  public static Object[][] responsesThatEndWithConnection() {
+    return new Object[][] {
+      {"HTTP/1.1", "/stream/x", CLOSE, LONG_EVENT},
+      {"HTTP/1.1", "/once/x", CLOSE, LONG_EVENT},
+      {"HTTP/1.0", "/stream/x", CLOSE, LONG_EVENT},
+      {"HTTP/1.0", "/once/x", CLOSE, LONG_EVENT},
+      {"HTTP/1.0", "/stream/x", CHUNKED, chunks(LONG_EVENT)},
+    };
+  }
+
+  @Test(dataProvider = "responsesThatEndWithConnection")
+  public void wholeResponseIsNotResetBeforeSlowCallerHasReadIt(
+      String version, String path, String headers, String body) throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + body)) {
+      server().announce("u1", upstream.address());
+      RawCaller.Response response =
+          RawCaller.send(server().address(), request(version, path), this::awaitWritten);
+      assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
+      assertEquals(response.body().length(), LONG_EVENT.length());
+    }
+  }
+
+  @Test(dataProvider = "responsesThatEndWithConnection")
+  public void wholeResponseIsNotResetByRequestThatFollowsIt(
+      String version, String path, String headers, String body) throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + body)) {
+      server().announce("u1", upstream.address());
+      String request = request(version, path);
+      RawCaller.Response response =
+          RawCaller.send(server().address(), request + request, this::awaitWritten);
+      assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
+      assertEquals(response.body().length(), LONG_EVENT.length());
+    }
+  }
+
+  @DataProvider
+  public static Object[][] statusesWithoutBody() {
+    return new Object[][] {
+      {"POST", "HTTP/1.0", "204 No Content"},
+      {"POST", "HTTP/1.0", "304 Not Modified"},
+      {"HEAD", "HTTP/1.0", "200 OK"},
+      {"POST", "HTTP/1.1", "204 No Content"},
+      {"POST", "HTTP/1.1", "304 Not Modified"},
+      {"HEAD", "HTTP/1.1", "200 OK"},
+    };
+  }
+
+  @Test(dataProvider = "statusesWithoutBody")
+  public void responseWithoutBodyIsNotReset(String method, String version, String status)
+      throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (c, r, headers) -> RawUpstream.head(headers, CLOSE).replace("200 OK", status))) {
+      server().announce("u1", upstream.address());
+      for (String path : new String[] {"/stream/x", "/safe/x"}) {
+        RawCaller.Response response =
+            RawCaller.send(
+                server().address(),
+                RawCaller.request(server().address(), version, path, CLOSE, CLOSED_AT_MS)
+                    .replace("POST", method),
+                this::awaitWritten);
+        assertTrue(response.head().contains(" " + status.toLowerCase()), response.text());
+        assertFalse(response.reset(), path);
+        assertEquals(response.body(), "");
+      }
+    }
+  }
+
+  @DataProvider
+  public static Object[][] streams() {
+    return new Object[][] {
+      {"HTTP/1.1", ""}, {"HTTP/1.0", ""}, {"HTTP/1.0", CHUNKED}, {"HTTP/1.1", CHUNKED},
+    };
+  }
+
+  private RawUpstream startedStream(String headers) throws IOException {
+    String event = headers.equals(CHUNKED) ? "f\r\n" + EVENT + "\r\n" : EVENT;
+    return new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + event);
+  }
+
+  @Test(dataProvider = "streams")
+  public void streamThatEndsAtDeadlineDoesNotLookComplete(String version, String headers)
+      throws Exception {
+    try (RawUpstream upstream = startedStream(headers)) {
+      server().announce("u1", upstream.address());
+      RawCaller.Response response =
+          RawCaller.send(server().address(), version, "/stream/x", "", 500);
+      assertTrue(response.body().contains(EVENT), response.text());
+      assertFalse(response.looksComplete(), response.text());
+    }
+  }
+
+  @Test(dataProvider = "streams")
+  public void streamOfHalfClosedCallerDoesNotLookComplete(String version, String headers)
+      throws Exception {
+    try (RawUpstream upstream = startedStream(headers);
+        Socket socket = new Socket(server().address().host(), server().address().port())) {
+      server().announce("u1", upstream.address());
+      socket.getOutputStream().write(request(version, "/stream/x").getBytes(US_ASCII));
+      StringBuilder received = new StringBuilder();
+      InputStream in = socket.getInputStream();
+      while (received.indexOf(EVENT) < 0) {
+        received.append((char) in.read());
+      }
+      socket.shutdownOutput();
+      boolean reset = false;
+      try {
+        received.append(new String(in.readAllBytes(), US_ASCII));
+      } catch (SocketException e) {
+        reset = true;
+      }
+      RawCaller.Response response = new RawCaller.Response(received.toString(), reset);
+      assertFalse(response.looksComplete(), response.text());
+    }
+  }
+}
--- a/src/test/java/org/ragwortpick/forward/RawCaller.java
+++ b/src/test/java/org/ragwortpick/forward/RawCaller.java
@@ -3,15 +3,18 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.ragwortpick.common.HostPort;
 
 /** Caller on a plain socket, which sees how a response was framed and how its connection ended. */
-final class RawCaller {
+public final class RawCaller {
 
   private static final int READ_TIMEOUT_MS = 10_000;
+  private static final int READ_BYTES = 16 * 1024;
   private static final String HEAD_END = "\r\n\r\n";
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
@@ -27,41 +30,63 @@
   static Response send(
       HostPort address, String version, String path, String connectionHeader, long timeoutMs)
       throws IOException {
-    try (Socket socket = new Socket(address.host(), address.port())) {
+    return send(address, request(address, version, path, connectionHeader, timeoutMs), () -> {});
+  }
+
+  /** Returns a request with the headers of the forwarding server of the tests. */
+  static String request(
+      HostPort address, String version, String path, String connectionHeader, long timeoutMs) {
+    return "POST "
+        + path
+        + " "
+        + version
+        + "\r\nHost: "
+        + address
+        + "\r\nRequest-Id: r1\r\nAccess-Code: k1\r\nTime-Left-Ms: "
+        + timeoutMs
+        + "\r\n"
+        + connectionHeader
+        + "Content-Length: 0\r\n\r\n";
+  }
+
+  /**
+   * Sends a request and reads until its response or the connection ends.
+   *
+   * @param address address of the server
+   * @param request all bytes of the request
+   * @param afterFirstRead called once after the first read, before the others
+   * @return the response
+   * @throws IOException if nothing can be sent, or if nothing arrives for 10 s
+   */
+  public static Response send(HostPort address, String request, Runnable afterFirstRead)
+      throws IOException {
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(READ_BYTES);
+      socket.connect(new InetSocketAddress(address.host(), address.port()));
       socket.setSoTimeout(READ_TIMEOUT_MS);
-      String request =
-          "POST "
-              + path
-              + " "
-              + version
-              + "\r\nHost: "
-              + address
-              + "\r\nRequest-Id: r1\r\nAccess-Code: k1\r\nTime-Left-Ms: "
-              + timeoutMs
-              + "\r\n"
-              + connectionHeader
-              + "Content-Length: 0\r\n\r\n";
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
       ByteArrayOutputStream received = new ByteArrayOutputStream();
-      boolean reset = !readToEnd(socket.getInputStream(), received);
+      boolean reset = !readToEnd(socket.getInputStream(), received, afterFirstRead);
       return new Response(received.toString(StandardCharsets.US_ASCII), reset);
     }
   }
 
   /** Reads until the response or the connection ends; false if the connection was reset. */
-  private static boolean readToEnd(InputStream in, ByteArrayOutputStream received)
-      throws IOException {
+  private static boolean readToEnd(
+      InputStream in, ByteArrayOutputStream received, Runnable afterFirstRead) throws IOException {
+    byte[] buffer = new byte[READ_BYTES];
     try {
-      int value = in.read();
-      while (value >= 0) {
-        received.write(value);
+      int count = in.read(buffer);
+      afterFirstRead.run();
+      while (count >= 0) {
+        received.write(buffer, 0, count);
         if (new Response(received.toString(StandardCharsets.US_ASCII), false).framedAsComplete()) {
           return true;
         }
-        value = in.read();
+        count = in.read(buffer);
       }
       return true;
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       return false;
     }
   }
@@ -72,9 +97,9 @@
    * @param text all bytes
    * @param reset whether the connection was reset
    */
-  record Response(String text, boolean reset) {
+  public record Response(String text, boolean reset) {
 
-    String head() {
+    public String head() {
       int end = text.indexOf(HEAD_END);
       return end < 0 ? text : text.substring(0, end).toLowerCase(Locale.ROOT);
     }
@@ -97,7 +122,7 @@
     }
 
     /** Returns whether its length or its last chunk says that the body is complete. */
-    boolean framedAsComplete() {
+    public boolean framedAsComplete() {
       if (!text.contains(HEAD_END)) {
         return false;
       }
@@ -108,12 +133,17 @@
     }
 
     /** Returns whether only the end of the connection ends the body. */
-    boolean endsWithConnection() {
+    public boolean endsWithConnection() {
       return !chunked() && statedLength() < 0;
     }
 
+    /** Returns whether a caller takes the response for a complete one. */
+    public boolean looksComplete() {
+      return framedAsComplete() || (endsWithConnection() && !reset && text.contains(HEAD_END));
+    }
+
     /** Returns the body without the framing of its chunks. */
-    String body() {
+    public String body() {
       if (!chunked()) {
         return rawBody();
       }
