Let a caller tell a broken event stream of a pipeline by its framing

What callers saw: the event stream of a pipeline, sent to a caller of HTTP/1.0 or with "Connection: close", ended in order wherever it broke off: when its process was killed, when its caller read too slowly, when its connection was closed. The event `done` tells a complete one (docs/api.md), but a client that goes by HTTP alone took the part for the whole.

EventStreamWriter left the framing to Undertow, which writes no chunks on a connection that is not kept, and any close of the connection then ended the response in order.

Fix: ResponseFraming decides here too: chunks for HTTP/1.1, otherwise a socket that is reset on close until the whole stream is written.

--- a/src/main/java/org/ragwortpick/entry/http/EventStreamWriter.java
+++ b/src/main/java/org/ragwortpick/entry/http/EventStreamWriter.java
@@ -23,6 +23,7 @@
   private int pendingBytes;
   private boolean flushScheduled;
   private boolean finished;
+  private ResponseFraming framing;
   private StreamSinkChannel channel;
 
   /**
@@ -89,6 +90,7 @@
   private void openChannel() {
     if (channel == null) {
       exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+      framing = ResponseFraming.ofKnownEnd(exchange);
       channel = exchange.getResponseChannel();
       channel.getWriteSetter().set(ready -> flush());
     }
@@ -116,16 +118,20 @@
         return;
       }
     }
-    if (end) {
-      channel.shutdownWrites();
-    }
-    if (channel.flush()) {
-      channel.suspendWrites();
-      if (end) {
-        exchange.endExchange();
-      }
-    } else {
+    if (!channel.flush() || (end && !shutDown())) {
       channel.resumeWrites();
+      return;
     }
+    channel.suspendWrites();
+    if (end) {
+      exchange.endExchange();
+    }
+  }
+
+  /** Ends a complete stream whose bytes are written; false if the end is not written yet. */
+  private boolean shutDown() throws IOException {
+    framing.onCompleteBodyWritten();
+    channel.shutdownWrites();
+    return channel.flush();
   }
 }
--- a/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
+++ b/src/test/java/org/ragwortpick/entry/http/EntryTestServer.java
@@ -138,6 +138,10 @@
     return address;
   }
 
+  HostPort address() {
+    return server.address();
+  }
+
   HttpRequest.Builder request(String path) {
     return HttpRequest.newBuilder(URI.create("http://" + server.address() + path))
         .header("Workspace", "w1")
--- a/src/test/java/org/ragwortpick/forward/ConnectionEndTest.java
+++ b/src/test/java/org/ragwortpick/forward/ConnectionEndTest.java
@@ -1,14 +1,11 @@
 package org.ragwortpick.forward;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
-import java.net.SocketException;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -58,7 +55,7 @@
         new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + body)) {
       server().announce("u1", upstream.address());
       RawCaller.Response response =
-          RawCaller.send(server().address(), request(version, path), this::awaitWritten);
+          RawCaller.send(server().address(), request(version, path), socket -> awaitWritten());
       assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
       assertEquals(response.body().length(), LONG_EVENT.length());
     }
@@ -72,7 +69,7 @@
       server().announce("u1", upstream.address());
       String request = request(version, path);
       RawCaller.Response response =
-          RawCaller.send(server().address(), request + request, this::awaitWritten);
+          RawCaller.send(server().address(), request + request, socket -> awaitWritten());
       assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
       assertEquals(response.body().length(), LONG_EVENT.length());
     }
@@ -103,7 +100,7 @@
                 server().address(),
                 RawCaller.request(server().address(), version, path, CLOSE, CLOSED_AT_MS)
                     .replace("POST", method),
-                this::awaitWritten);
+                socket -> awaitWritten());
         assertTrue(response.head().contains(" " + status.toLowerCase()), response.text());
         assertFalse(response.reset(), path);
         assertEquals(response.body(), "");
@@ -138,23 +135,10 @@
   @Test(dataProvider = "streams")
   public void streamOfHalfClosedCallerDoesNotLookComplete(String version, String headers)
       throws Exception {
-    try (RawUpstream upstream = startedStream(headers);
-        Socket socket = new Socket(server().address().host(), server().address().port())) {
+    try (RawUpstream upstream = startedStream(headers)) {
       server().announce("u1", upstream.address());
-      socket.getOutputStream().write(request(version, "/stream/x").getBytes(US_ASCII));
-      StringBuilder received = new StringBuilder();
-      InputStream in = socket.getInputStream();
-      while (received.indexOf(EVENT) < 0) {
-        received.append((char) in.read());
-      }
-      socket.shutdownOutput();
-      boolean reset = false;
-      try {
-        received.append(new String(in.readAllBytes(), US_ASCII));
-      } catch (SocketException e) {
-        reset = true;
-      }
-      RawCaller.Response response = new RawCaller.Response(received.toString(), reset);
+      RawCaller.Response response =
+          RawCaller.send(server().address(), request(version, "/stream/x"), Socket::shutdownOutput);
       assertFalse(response.looksComplete(), response.text());
     }
   }
--- a/src/test/java/org/ragwortpick/forward/RawCaller.java
+++ b/src/test/java/org/ragwortpick/forward/RawCaller.java
@@ -30,7 +30,8 @@
   static Response send(
       HostPort address, String version, String path, String connectionHeader, long timeoutMs)
       throws IOException {
-    return send(address, request(address, version, path, connectionHeader, timeoutMs), () -> {});
+    return send(
+        address, request(address, version, path, connectionHeader, timeoutMs), socket -> {});
   }
 
   /** Returns a request with the headers of the forwarding server of the tests. */
@@ -58,7 +59,7 @@
    * @return the response
    * @throws IOException if nothing can be sent, or if nothing arrives for 10 s
    */
-  public static Response send(HostPort address, String request, Runnable afterFirstRead)
+  public static Response send(HostPort address, String request, SocketAction afterFirstRead)
       throws IOException {
     try (Socket socket = new Socket()) {
       socket.setReceiveBufferSize(READ_BYTES);
@@ -66,18 +67,20 @@
       socket.setSoTimeout(READ_TIMEOUT_MS);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
       ByteArrayOutputStream received = new ByteArrayOutputStream();
-      boolean reset = !readToEnd(socket.getInputStream(), received, afterFirstRead);
+      boolean reset = !readToEnd(socket, received, afterFirstRead);
       return new Response(received.toString(StandardCharsets.US_ASCII), reset);
     }
   }
 
   /** Reads until the response or the connection ends; false if the connection was reset. */
   private static boolean readToEnd(
-      InputStream in, ByteArrayOutputStream received, Runnable afterFirstRead) throws IOException {
+      Socket socket, ByteArrayOutputStream received, SocketAction afterFirstRead)
+      throws IOException {
+    InputStream in = socket.getInputStream();
     byte[] buffer = new byte[READ_BYTES];
     try {
       int count = in.read(buffer);
-      afterFirstRead.run();
+      afterFirstRead.apply(socket);
       while (count >= 0) {
         received.write(buffer, 0, count);
         if (new Response(received.toString(StandardCharsets.US_ASCII), false).framedAsComplete()) {
@@ -91,6 +94,13 @@
     }
   }
 
+  /** What a caller does with its connection. */
+  public interface SocketAction {
+
+    /** Applies the action. */
+    void apply(Socket socket) throws IOException;
+  }
+
   /**
    * Response as the caller received it.
    *
