Log a response that ends with its connection when it begins

The only line about a request was written at its end, so a process that was killed left none: from a request's id, on-call could not tell that its response had begun, at which upstream, and that only the end of the connection would have said that it was complete.

`response ends with its connection` is written right after the head of such a response; other responses cost nothing.

--- a/src/main/java/org/ragwortpick/entry/http/ResponseFraming.java
+++ b/src/main/java/org/ragwortpick/entry/http/ResponseFraming.java
@@ -21,10 +21,12 @@
   private static final Logger LOG = Logger.getLogger(ResponseFraming.class);
 
   private final HttpServerExchange exchange;
+  private final boolean endsWithConnection;
   private boolean resetsOnClose;
 
-  private ResponseFraming(HttpServerExchange exchange) {
+  private ResponseFraming(HttpServerExchange exchange, boolean endsWithConnection) {
     this.exchange = exchange;
+    this.endsWithConnection = endsWithConnection;
   }
 
   /**
@@ -38,7 +40,7 @@
     if (!hasLength(exchange) && exchange.isHttp11()) {
       // Undertow leaves out the chunks on a connection that is not kept.
       exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
-      return new ResponseFraming(exchange);
+      return new ResponseFraming(exchange, false);
     }
     return ofNoBody(exchange);
   }
@@ -51,7 +53,7 @@
    */
   public static ResponseFraming ofNoBody(HttpServerExchange exchange) {
     if (hasLength(exchange) || exchange.isHttp11()) {
-      return new ResponseFraming(exchange);
+      return new ResponseFraming(exchange, false);
     }
     return ofUnknownEnd(exchange);
   }
@@ -65,7 +67,7 @@
    * @return the framing
    */
   public static ResponseFraming ofUnknownEnd(HttpServerExchange exchange) {
-    ResponseFraming framing = new ResponseFraming(exchange);
+    ResponseFraming framing = new ResponseFraming(exchange, true);
     exchange.setPersistent(false);
     framing.setResetOnClose(true);
     return framing;
@@ -85,6 +87,15 @@
     }
   }
 
+  /**
+   * Returns whether only the end of the connection ends the body.
+   *
+   * @return whether the response has neither a length nor chunks
+   */
+  public boolean endsWithConnection() {
+    return endsWithConnection;
+  }
+
   private void setResetOnClose(boolean reset) {
     resetsOnClose = reset;
     try {
--- a/src/main/java/org/ragwortpick/forward/ResponseRelay.java
+++ b/src/main/java/org/ragwortpick/forward/ResponseRelay.java
@@ -92,6 +92,15 @@
     flush();
   }
 
+  /**
+   * Returns whether only the end of the caller's connection ends the response.
+   *
+   * @return false before the start
+   */
+  boolean endsWithConnection() {
+    return framing != null && framing.endsWithConnection();
+  }
+
   /** Frames the response as its upstream did; it states no more about its end. */
   private ResponseFraming frame(BodyFraming upstream) {
     return switch (upstream) {
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -12,6 +12,7 @@
 import org.ragwortpick.entry.upstream.HttpHead;
 import org.ragwortpick.entry.upstream.HttpListener;
 import org.ragwortpick.entry.upstream.HttpRequest;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.policy.limit.PendingResponse;
 import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.rollout.SentRequest;
@@ -155,6 +156,14 @@
     relaying = true;
     listener.onResponseStarted(head.status());
     relay.start(head);
+    if (relay.endsWithConnection()) {
+      // The only trace of the response if the process is killed inside it.
+      DecisionLine.of("response ends with its connection")
+          .with("request", request.id())
+          .with("upstream", upstream.id())
+          .with("framing", head.framing())
+          .info(LOG);
+    }
   }
 
   @Override
