--- a/src/test/java/org/ragwortpick/entry/http/EventStreamEndTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/EventStreamEndTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.Socket;
+import java.util.List;
 import org.ragwortpick.entry.EntryFakes;
 import org.ragwortpick.forward.RawCaller;
 import org.testng.annotations.AfterMethod;
@@ -38,12 +39,18 @@
 
   private RawCaller.Response send(String version, String header, RawCaller.SocketAction action)
       throws Exception {
+    return send(version, "Accept: text/event-stream\r\n" + header, "pipelines/answer", action);
+  }
+
+  private RawCaller.Response send(
+      String version, String headers, String path, RawCaller.SocketAction action) throws Exception {
     String request =
-        "POST /v1/pipelines/answer "
+        "POST /v1/"
+            + path
+            + " "
             + version
             + "\r\nHost: a.example\r\nWorkspace: w1\r\nDeadline-Ms: 3000\r\n"
-            + "Accept: text/event-stream\r\n"
-            + header
+            + headers
             + "Content-Length: 2\r\n\r\n{}";
     return RawCaller.send(entry.address(), request, action);
   }
@@ -63,6 +70,22 @@
     }
   }
 
+  @Test(dataProvider = "callers")
+  public void jsonResponsesStateTheirLength(String version, String header) throws Exception {
+    entry.upstream("eng-1", "engine", TestUpstreams.engine(2));
+    entry.upstream("book-1", "booking", TestUpstreams.responding(200, "{\"booked\":true}"));
+    String key = "Idempotency-Key: k1\r\n" + header;
+    List<RawCaller.Response> responses =
+        List.of(
+            send(version, header, "pipelines/answer", socket -> {}),
+            send(version, key, "services/booking", socket -> {}),
+            send(version, header, "pipelines/unknown", socket -> {}));
+    for (RawCaller.Response response : responses) {
+      assertTrue(response.framedAsComplete(), response.text());
+      assertFalse(response.chunked(), response.text());
+    }
+  }
+
   @Test(dataProvider = "callers")
   public void wholeStreamEndsInOrder(String version, String header) throws Exception {
     entry.upstream("eng-1", "engine", TestUpstreams.engine(2));
--- a/src/test/java/org/ragwortpick/forward/RawCaller.java
+++ b/src/test/java/org/ragwortpick/forward/RawCaller.java
@@ -119,7 +119,7 @@
       return end < 0 ? "" : text.substring(end + HEAD_END.length());
     }
 
-    boolean chunked() {
+    public boolean chunked() {
       return head().contains("transfer-encoding: chunked");
     }
 
