--- a/src/test/java/org/ragwortpick/forward/ConnectionEndTest.java
+++ b/src/test/java/org/ragwortpick/forward/ConnectionEndTest.java
@@ -18,12 +18,12 @@
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
   private static final String CLOSE = "Connection: close\r\n";
   private static final String LONG_EVENT = "id: 1\ndata: " + "a".repeat(600_000) + "\n\n";
-  private static final long CLOSED_AT_MS = 10_000;
+  private static final long TIMEOUT_MS = 10_000;
   private static final long POLL_MS = 10;
 
   /** Waits until all responses are written to their sockets. */
   private void awaitWritten() {
-    for (int i = 0; i < CLOSED_AT_MS / POLL_MS && server().inFlight() > 0; i++) {
+    for (int i = 0; i < TIMEOUT_MS / POLL_MS && server().inFlight() > 0; i++) {
       ForwardTestServer.sleep(POLL_MS);
     }
     assertEquals(server().inFlight(), 0, "responses that are not written");
@@ -34,7 +34,7 @@
   }
 
   private String request(String version, String path) {
-    return RawCaller.request(server().address(), version, path, "", CLOSED_AT_MS);
+    return RawCaller.request(server().address(), version, path, "", TIMEOUT_MS);
   }
 
   @DataProvider
@@ -48,31 +48,29 @@
     };
   }
 
-  @Test(dataProvider = "responsesThatEndWithConnection")
-  public void wholeResponseIsNotResetBeforeSlowCallerHasReadIt(
-      String version, String path, String headers, String body) throws Exception {
+  /** Sends a request whose caller reads the rest once the whole response is written. */
+  private void assertArrivesWhole(String request, String headers, String body) throws Exception {
     try (RawUpstream upstream =
-        new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + body)) {
+        new RawUpstream((c, r, received) -> RawUpstream.head(received, EVENTS + headers) + body)) {
       server().announce("u1", upstream.address());
       RawCaller.Response response =
-          RawCaller.send(server().address(), request(version, path), socket -> awaitWritten());
+          RawCaller.send(server().address(), request, socket -> awaitWritten());
       assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
       assertEquals(response.body().length(), LONG_EVENT.length());
     }
   }
 
+  @Test(dataProvider = "responsesThatEndWithConnection")
+  public void wholeResponseIsNotResetBeforeSlowCallerHasReadIt(
+      String version, String path, String headers, String body) throws Exception {
+    assertArrivesWhole(request(version, path), headers, body);
+  }
+
   @Test(dataProvider = "responsesThatEndWithConnection")
   public void wholeResponseIsNotResetByRequestThatFollowsIt(
       String version, String path, String headers, String body) throws Exception {
-    try (RawUpstream upstream =
-        new RawUpstream((c, r, request) -> RawUpstream.head(request, EVENTS + headers) + body)) {
-      server().announce("u1", upstream.address());
-      String request = request(version, path);
-      RawCaller.Response response =
-          RawCaller.send(server().address(), request + request, socket -> awaitWritten());
-      assertTrue(response.looksComplete(), "reset after " + response.text().length() + " bytes");
-      assertEquals(response.body().length(), LONG_EVENT.length());
-    }
+    String request = request(version, path);
+    assertArrivesWhole(request + request, headers, body);
   }
 
   @DataProvider
@@ -98,7 +96,7 @@
         RawCaller.Response response =
             RawCaller.send(
                 server().address(),
-                RawCaller.request(server().address(), version, path, CLOSE, CLOSED_AT_MS)
+                RawCaller.request(server().address(), version, path, CLOSE, TIMEOUT_MS)
                     .replace("POST", method),
                 socket -> awaitWritten());
         assertTrue(response.head().contains(" " + status.toLowerCase()), response.text());
