--- a/src/main/java/org/ragwortpick/entry/http/ResponseFraming.java
+++ b/src/main/java/org/ragwortpick/entry/http/ResponseFraming.java
@@ -46,7 +46,8 @@
   }
 
   /**
-   * Sets the framing of a response without a body, as {@link #ofKnownEnd} does otherwise.
+   * Sets the framing of a response without a body. Without a stated length, a caller of HTTP/1.0
+   * reads until the connection ends.
    *
    * @param exchange exchange of the request
    * @return the framing
