Accept limits with a fraction in the settings

Cause: retryConstant, exposureSlack and rollbackMs were read as integers, but the platform states its bounds as integers or fractions.

Change: they are read as limits, which are rounded down, so that no more is allowed than was stated. Ports, counts of disks and file descriptors and times that the operator writes stay integers.

Test: limitsWithFractionAreRoundedDown failed before ("get() on Left").

--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -151,11 +151,12 @@
           share == MISSING ? "(absent)" : String.valueOf(share),
           "write a share of the requests between 0 and 1, such as 0.1");
     }
-    long slack = reader.optionalLong("exposureSlack", MISSING, 0, MAX_EXPOSURE_SLACK);
+    long slack = reader.optionalLimit("exposureSlack", MISSING, 0, MAX_EXPOSURE_SLACK);
     if (slack == MISSING) {
       reader.addInvalidValue("exposureSlack", "(absent)", "write a number of requests");
     }
-    long rollbackMs = reader.optionalLong("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
+    long rollbackMs =
+        reader.optionalLimit("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
     if (rollbackMs == MISSING) {
       reader.addInvalidValue("rollbackMs", "(absent)", "write a time in milliseconds");
     }
@@ -170,7 +171,7 @@
         reader.requiredAddress("readinessAddress"),
         readStopTimeoutMs(reader, environment.getOrDefault(KILL_AFTER_SECONDS, "")),
         wholePercent(ratio),
-        (int) reader.optionalLong("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
+        (int) reader.optionalLimit("retryConstant", DEFAULT_RETRY_CONSTANT, 0, MAX_RETRY_CONSTANT),
         reader.optionalObject("processor", 0, ForwardingSettingsReader::readProcessorPercent),
         readMaxFileDescriptors(reader),
         readOverloadControl(reader));
--- a/src/main/java/org/ragwortpick/settings/ObjectReader.java
+++ b/src/main/java/org/ragwortpick/settings/ObjectReader.java
@@ -105,6 +105,28 @@
     return value.asLong();
   }
 
+  /**
+   * Reads an optional limit, which may have a fraction. It is rounded down, so that no more is
+   * allowed than it states.
+   *
+   * @param key key of the number
+   * @param defaultValue value used if the key is absent or invalid
+   * @param min smallest allowed value
+   * @param max largest allowed value
+   * @return the largest integer that is not above the number
+   */
+  long optionalLimit(String key, long defaultValue, long min, long max) {
+    JsonNode value = readKey(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!value.isNumber() || value.asDouble() < min || value.asDouble() > max) {
+      addInvalidValue(key, value.toString(), "write a number from " + min + " to " + max);
+      return defaultValue;
+    }
+    return (long) Math.floor(value.asDouble());
+  }
+
   /**
    * Reads an optional boolean.
    *
--- a/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
+++ b/src/test/java/org/ragwortpick/settings/ForwardingSettingsReaderTest.java
@@ -78,6 +78,33 @@
     }
   }
 
+  /** A deployment that divides its limits among VMs states fractions, and must still start. */
+  @Test
+  public void limitsWithFractionAreRoundedDown() throws IOException {
+    String settings = Files.readString(file);
+    for (Map.Entry<String, Integer> constant :
+        Map.of("38.70967741935484", 38, "0.5", 0, "58.0", 58, "240", 240).entrySet()) {
+      Files.writeString(
+          file,
+          settings.replace(
+              "\"entry\": {", "\"entry\": { \"retryConstant\": " + constant.getKey() + ","));
+      assertEquals(
+          read("8").get().entry().orElseThrow().retryConstant(),
+          constant.getValue().intValue(),
+          constant.getKey());
+    }
+    RolloutBounds bounds =
+        readWithRollouts(
+                "\"rollouts\": {\"exposureShare\": 0.1, \"exposureSlack\": 7.9,"
+                    + " \"rollbackMs\": 5000.5},")
+            .get()
+            .control()
+            .orElseThrow()
+            .rolloutBounds()
+            .orElseThrow();
+    assertEquals(bounds, new RolloutBounds(0.1, 7, 5_000));
+  }
+
   /** A platform that states a value only in some deployments leaves its variable empty. */
   @Test
   public void environmentStatesValuesInPlaceOfTheFile() {
