--- a/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettingsReader.java
@@ -155,8 +155,7 @@
     if (slack == MISSING) {
       reader.addInvalidValue("exposureSlack", "(absent)", "write a number of requests");
     }
-    long rollbackMs =
-        reader.optionalLimit("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
+    long rollbackMs = reader.optionalLimit("rollbackMs", MISSING, MIN_ROLLBACK_MS, MAX_ROLLBACK_MS);
     if (rollbackMs == MISSING) {
       reader.addInvalidValue("rollbackMs", "(absent)", "write a time in milliseconds");
     }
