--- a/src/main/java/org/ragwortpick/cli/HeldContentCommand.java
+++ b/src/main/java/org/ragwortpick/cli/HeldContentCommand.java
@@ -29,7 +29,7 @@
     }
     int slash = released.indexOf('/');
     if (slash <= 0) {
-      err.println("--release needs SERVICE/CONTENT, for example tutor-lm/5c1e07a2");
+      err.println("--release needs SERVICE/CONTENT, for example generate/5c1e07a2");
       return ExitCode.USAGE;
     }
     ObjectNode body = Json.MESSAGES.createObjectNode();
