Refuse for good only by a configuration that is confirmed

What callers saw: 401 (unknown_key), 404 (no_route) and 413 (body_too_large) from an entry VM that had missed a change, for a key, a route or a size that the configuration in force allows. Callers do not try again after such a response, so the request was lost though any other VM would have taken it.

Cause: ForwardHandler looked route, key and size limit up in the newest configuration that it had, however old its confirmation was.

Evidence: OldConfigurationTest, and by reading.

Change: such a request gets 503 with a Retry-After of 200 ms while the view was not confirmed within 2,000 ms (SyncTimings.CHANGE_IN_FORCE_MS, less the drift of two clocks), or not since the process resumed from a suspension, or while the process has stood still (ReadDelay), or if the configuration was replaced between lookup and verdict. Requests that the old configuration allows are served as before. The reason in log and response is that of the verdict behind "unconfirmed_".

Why it works: a change has to be in force 2,000 ms after its acknowledgement, so a view that control confirmed less than 2,000 ms ago has every change that a caller may rely on. The confirmation is read before the revision is compared, and a configuration becomes current before it is confirmed, so the confirmation belongs to the configuration of the lookup. The age is taken after the lookup, so a stop by a signal in between counts. A VM in touch with control is confirmed each 500 ms and stays below the bound when a poll is lost.

Tests changed: the view of ForwardTestServer stated that it was confirmed at 1 ms; it is fresh now unless a test sets its age. Three classes that expect 404, 401 and 413 run on a paused clock, because on a busy machine a server whose process stood still refuses with 503 now. They expect the same statuses.

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -23,8 +23,8 @@
  * @param headers names of headers
  * @param configuration configuration view
  * @param chooser chooses upstreams
- * @param viewIsCurrent whether the view of the upstreams was confirmed since the process last
- *     resumed from a suspension
+ * @param viewIsCurrent whether the view of configuration and upstreams was confirmed since the
+ *     process last resumed from a suspension
  * @param versions counts responses by version
  * @param estimates load, speed and memory of upstreams
  * @param invalidInput logs headers that cannot be read
--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
+import org.ragwortpick.config.Configuration;
 import org.ragwortpick.entry.http.BodyReader;
 import org.ragwortpick.entry.http.CallerConnection;
 import org.ragwortpick.logging.DecisionLine;
@@ -25,6 +26,7 @@
   private final ForwardDependencies dependencies;
   private final RandomGenerator random;
   private final MissingConfigurationRetry missingConfigurationRetry;
+  private final ConfigurationVerdicts verdicts;
 
   /**
    * Creates the handler.
@@ -36,6 +38,7 @@
     this.dependencies = dependencies;
     this.random = random;
     this.missingConfigurationRetry = new MissingConfigurationRetry(dependencies.clock().millis());
+    this.verdicts = new ConfigurationVerdicts(dependencies);
   }
 
   @Override
@@ -49,7 +52,8 @@
       refuse(exchange, Refusal.STOPPING);
       return;
     }
-    Optional<RoutingTable> table = dependencies.configuration().current().routingTable();
+    Configuration configuration = dependencies.configuration().current();
+    Optional<RoutingTable> table = configuration.routingTable();
     if (table.isEmpty()) {
       refuse(
           exchange, Refusal.noConfiguration(missingConfigurationRetry.retryAfterMs(arrivedAtMs)));
@@ -57,10 +61,10 @@
     }
     Optional<Route> route = table.get().match(hostOf(exchange), exchange.getRequestURI());
     if (route.isEmpty()) {
-      refuse(exchange, Refusal.NO_ROUTE);
+      refuse(exchange, verdicts.confirm(Refusal.NO_ROUTE, configuration.revision()));
       return;
     }
-    handle(exchange, table.get(), route.get(), arrivedAtMs);
+    handle(exchange, configuration, route.get(), arrivedAtMs);
   }
 
   /** Counts the request from its head until the last byte of its response is written. */
@@ -79,14 +83,15 @@
   }
 
   private void handle(
-      HttpServerExchange exchange, RoutingTable table, Route route, long arrivedAtMs) {
+      HttpServerExchange exchange, Configuration configuration, Route route, long arrivedAtMs) {
+    RoutingTable table = configuration.routingTable().orElseThrow();
     HeaderMap headers = exchange.getRequestHeaders();
     Optional<RoutedWorkspace> workspace = Optional.empty();
     if (table.needsKeys() && !route.open()) {
       String key = headers.getFirst(dependencies.headers().key());
       workspace = key == null ? Optional.empty() : table.workspaceOf(key.trim());
       if (workspace.isEmpty()) {
-        refuse(exchange, Refusal.UNKNOWN_KEY);
+        refuse(exchange, verdicts.confirm(Refusal.UNKNOWN_KEY, configuration.revision()));
         return;
       }
     }
@@ -134,11 +139,13 @@
                   arrivedAtMs + timeoutMs);
           start(exchange, table, request, waitedMs, memory);
         },
-        fault -> refuse(exchange, refusalOf(fault)));
+        fault -> refuse(exchange, refusalOf(fault, configuration.revision())));
   }
 
-  private static Refusal refusalOf(BodyReader.Fault fault) {
-    return fault == BodyReader.Fault.TOO_LARGE ? Refusal.BODY_TOO_LARGE : Refusal.INCOMPLETE_BODY;
+  private Refusal refusalOf(BodyReader.Fault fault, long revision) {
+    return fault == BodyReader.Fault.TOO_LARGE
+        ? verdicts.confirm(Refusal.BODY_TOO_LARGE, revision)
+        : Refusal.INCOMPLETE_BODY;
   }
 
   /** Counts what the request holds until the last byte of its response is written. */
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -14,6 +14,12 @@
  */
 record Refusal(int status, String error, String message, long retryAfterMs) {
 
+  /**
+   * Retry time of a VM whose configuration may be out of date: another VM takes the request, or
+   * this one after its next poll.
+   */
+  private static final long UNCONFIRMED_RETRY_MS = 200;
+
   /** The VM is stopping. */
   static final Refusal STOPPING =
       new Refusal(
@@ -107,6 +113,23 @@
         retryAfterMs);
   }
 
+  /**
+   * Creates the refusal of a VM whose configuration does not allow a request, and may be out of
+   * date.
+   *
+   * @param verdict refusal that follows from the configuration
+   * @return the refusal, which guarantees that the request was not run
+   */
+  static Refusal unconfirmed(Refusal verdict) {
+    return new Refusal(
+        StatusCodes.SERVICE_UNAVAILABLE,
+        "unconfirmed_" + verdict.error(),
+        verdict.message()
+            + "; but the configuration of this VM may be out of date: use another address, or"
+            + " retry after the stated time",
+        UNCONFIRMED_RETRY_MS);
+  }
+
   /**
    * Refuses a request for something in it under which upstreams ended.
    *
--- a/src/main/java/org/ragwortpick/sync/SyncTimings.java
+++ b/src/main/java/org/ragwortpick/sync/SyncTimings.java
@@ -12,6 +12,12 @@
   /** Minimum time between two polls of one VM. */
   public static final long MIN_POLL_INTERVAL_MS = 50;
 
+  /**
+   * Time after its acknowledgement within which a change has to be in force. A VM whose view was
+   * confirmed less than this time ago has all changes that a caller may rely on.
+   */
+  public static final long CHANGE_IN_FORCE_MS = 2_000;
+
   /** Time after its last confirmation for which a configuration is in force. */
   public static final long CONFIG_LEASE_MS = 4_000;
 
--- a/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardFaultsTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.Test;
 
@@ -65,20 +66,24 @@
     }
   }
 
+  /** On a paused clock, because a server whose process stood still refuses for now only. */
   @Test
   public void refusalStatusNamesCause() throws Exception {
-    assertEquals(server().post("/absent/x", "r1").statusCode(), 404);
-    HttpRequest wrongKey =
-        HttpRequest.newBuilder(server().request("/safe/x", "r2").build().uri())
-            .header("Request-Id", "r2")
-            .header("Access-Code", "unknown")
-            .build();
-    assertEquals(server().send(wrongKey).statusCode(), 401);
-    HttpResponse<String> noUpstream = server().post("/safe/x", "r3");
-    assertEquals(noUpstream.statusCode(), 503);
-    assertTrue(noUpstream.headers().firstValue("Retry-After").isPresent());
-    server().removeConfiguration();
-    assertEquals(server().post("/absent/x", "r4").statusCode(), 503);
+    try (ForwardTestServer paused =
+        new ForwardTestServer(ResponseMemory.ofHeap(), new ManualClock())) {
+      assertEquals(paused.post("/absent/x", "r1").statusCode(), 404);
+      HttpRequest wrongKey =
+          HttpRequest.newBuilder(paused.request("/safe/x", "r2").build().uri())
+              .header("Request-Id", "r2")
+              .header("Access-Code", "unknown")
+              .build();
+      assertEquals(paused.send(wrongKey).statusCode(), 401);
+      HttpResponse<String> noUpstream = paused.post("/safe/x", "r3");
+      assertEquals(noUpstream.statusCode(), 503);
+      assertTrue(noUpstream.headers().firstValue("Retry-After").isPresent());
+      paused.removeConfiguration();
+      assertEquals(paused.post("/absent/x", "r4").statusCode(), 503);
+    }
   }
 
   @Test
--- a/src/test/java/org/ragwortpick/forward/ForwardServerFixture.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardServerFixture.java
@@ -1,7 +1,9 @@
 package org.ragwortpick.forward;
 
+import java.time.Clock;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.ragwortpick.common.MonotonicClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 
@@ -12,7 +14,15 @@
 
   @BeforeMethod
   public void startServer() throws Exception {
-    server = new ForwardTestServer(ResponseMemory.ofHeap());
+    server = new ForwardTestServer(ResponseMemory.ofHeap(), clock());
+  }
+
+  /**
+   * Returns the clock of the server. A paused one suits tests that expect a final refusal: a server
+   * whose process stood still, as on a busy machine, refuses for now only.
+   */
+  Clock clock() {
+    return new MonotonicClock();
   }
 
   @AfterMethod
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.ragwortpick.batch.StageRunner;
 import org.ragwortpick.batch.StageTicket;
 import org.ragwortpick.batch.StageWork;
@@ -107,9 +108,16 @@
   private volatile long remainingMs = Long.MAX_VALUE;
   private volatile Runnable produceStages = () -> {};
   private volatile Configuration configuration = ForwardTestRoutes.configuration();
+  private volatile LongSupplier confirmedAtMs;
+  private volatile boolean confirmedSinceResume = true;
 
   ForwardTestServer(ResponseMemory memory) throws Exception {
-    MonotonicClock clock = new MonotonicClock();
+    this(memory, new MonotonicClock());
+  }
+
+  /** Starts a server on a clock that a test may pause and advance; timers run in real time. */
+  ForwardTestServer(ResponseMemory memory, Clock clock) throws Exception {
+    confirmedAtMs = clock::millis;
     OptionMap options = OptionMap.create(Options.WORKER_IO_THREADS, 1);
     worker = Xnio.getInstance().createWorker(options);
     callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000, 9);
@@ -136,7 +144,7 @@
                     HEADERS,
                     new View(),
                     chooser,
-                    () -> true,
+                    () -> confirmedSinceResume,
                     TrafficFixture.withoutRollouts(clock),
                     estimates,
                     invalidInput,
@@ -355,6 +363,21 @@
     configuration = Configuration.EMPTY;
   }
 
+  /** Replaces the configuration by one that differs in its revision and a data centre. */
+  void replaceConfiguration() {
+    configuration = withoutDataCentre("other");
+  }
+
+  /** Sets when the view of the configuration was confirmed; it is always fresh otherwise. */
+  void setConfirmedAtMs(LongSupplier timeMs) {
+    confirmedAtMs = timeMs;
+  }
+
+  /** Sets whether the view was confirmed since the process resumed from a suspension. */
+  void setConfirmedSinceResume(boolean confirmed) {
+    confirmedSinceResume = confirmed;
+  }
+
   HttpRequest.Builder request(String path, String id) {
     return HttpRequest.newBuilder(URI.create("http://" + server.address() + path))
         .header("Request-Id", id)
@@ -394,7 +417,7 @@
 
     @Override
     public long confirmedAtMs() {
-      return 1;
+      return confirmedAtMs.getAsLong();
     }
   }
 
--- a/src/test/java/org/ragwortpick/forward/LargeBodyTest.java
+++ b/src/test/java/org/ragwortpick/forward/LargeBodyTest.java
@@ -8,7 +8,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -22,6 +24,11 @@
   /** Far below the time that the request states, for a machine that is busy. */
   private static final int AT_ONCE_MS = 2_000;
 
+  @Override
+  Clock clock() {
+    return new ManualClock();
+  }
+
   @DataProvider
   public static Object[][] sizes() {
     return new Object[][] {
--- a/src/test/java/org/ragwortpick/forward/RequestsInFlightTest.java
+++ b/src/test/java/org/ragwortpick/forward/RequestsInFlightTest.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.Test;
 
@@ -18,6 +20,11 @@
   private static final long POLL_MS = 10;
   private static final int MAX_POLLS = 300;
 
+  @Override
+  Clock clock() {
+    return new ManualClock();
+  }
+
   private void awaitInFlight(int expected) throws InterruptedException {
     for (int i = 0; i < MAX_POLLS && server().inFlight() != expected; i++) {
       pause(POLL_MS);
