Answer a body that was cut off with 408 in place of 400

What callers saw: 400 (incomplete_body; Malformed at the services API) for a request whose body ended before its stated length. That is a verdict on the content of a request, which callers do not send again, though the request had not run: bodies are read whole before anything is sent to an upstream.

Cause: BodyReader reports one fault for each end of a body that is not complete, and both handlers took it for an invalid request.

Evidence: read on raw connections. Only a caller that closes its output and goes on reading gets this response; after a reset or a close there is nobody to read it. With chunks that are missing or invalid the server closes the connection itself, so such a caller never had a 400 and sees a closed connection.

The services API and announcements get the same with the new error IncompleteBody. A body that is not complete within its timeout closes the connection as before, and broken chunks do so too.

Test changed: RequestLimitsTest.truncatedBodyIsRefused expected 400 and "Malformed", which is the fault; it expects 408, "IncompleteBody" and "not_run".

--- a/src/main/java/org/ragwortpick/entry/http/BodyReader.java
+++ b/src/main/java/org/ragwortpick/entry/http/BodyReader.java
@@ -17,7 +17,10 @@
   public enum Fault {
     /** The body is longer than the limit. */
     TOO_LARGE,
-    /** The body ended before its stated length. */
+    /**
+     * The body ended before its stated length. The server closes the connection without a response
+     * if chunks are missing or invalid; such a fault is reported, and no response can be sent.
+     */
     INCOMPLETE
   }
 
--- a/src/main/java/org/ragwortpick/entry/http/CallerApi.java
+++ b/src/main/java/org/ragwortpick/entry/http/CallerApi.java
@@ -130,7 +130,7 @@
   private static RequestError bodyError(BodyReader.Fault fault, int limitBytes) {
     return fault == BodyReader.Fault.TOO_LARGE
         ? new RequestError.BodyTooLarge(limitBytes)
-        : new RequestError.Malformed("the body ended before its stated length");
+        : new RequestError.IncompleteBody();
   }
 
   private void announce(HttpServerExchange exchange, byte[] body) {
--- a/src/main/java/org/ragwortpick/error/RequestError.java
+++ b/src/main/java/org/ragwortpick/error/RequestError.java
@@ -15,6 +15,9 @@
    */
   record Malformed(String detail) implements RequestError {}
 
+  /** The body was cut off before its stated length, which is no fault of its content. */
+  record IncompleteBody() implements RequestError {}
+
   /**
    * The body is larger than the limit.
    *
--- a/src/main/java/org/ragwortpick/error/RequestErrorMessages.java
+++ b/src/main/java/org/ragwortpick/error/RequestErrorMessages.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.error.RequestError.IdempotencyKeyExpired;
 import org.ragwortpick.error.RequestError.IdempotencyKeyMissing;
 import org.ragwortpick.error.RequestError.IdempotencyKeyReused;
+import org.ragwortpick.error.RequestError.IncompleteBody;
 import org.ragwortpick.error.RequestError.Malformed;
 import org.ragwortpick.error.RequestError.NoSuchResource;
 import org.ragwortpick.error.RequestError.NoUpstream;
@@ -41,6 +42,9 @@
     if (error instanceof Malformed e) {
       return new Description(400, "the request is malformed: " + e.detail(), "correct the request");
     }
+    if (error instanceof IncompleteBody) {
+      return new Description(408, "the body ended before its stated length", RESEND_REMEDY);
+    }
     if (error instanceof BodyTooLarge e) {
       return new Description(
           413, "the body is too large", "send at most " + e.limitBytes() + " bytes");
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -53,10 +53,16 @@
           "the body exceeds the size limit; send a shorter one",
           0);
 
-  /** The body ended before its stated length. */
+  /**
+   * The body was cut off on its way, which is no fault of its content. Nothing is sent to an
+   * upstream before the body is complete.
+   */
   static final Refusal INCOMPLETE_BODY =
       new Refusal(
-          StatusCodes.BAD_REQUEST, "incomplete_body", "the body ended before its stated length", 0);
+          StatusCodes.REQUEST_TIME_OUT,
+          "incomplete_body",
+          "the body ended before its stated length; send the request again",
+          0);
 
   /** The requests in flight hold all memory for callers. */
   static final Refusal NO_MEMORY =
--- a/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
+++ b/src/test/java/org/ragwortpick/entry/http/RequestLimitsTest.java
@@ -81,7 +81,9 @@
   @Test
   public void truncatedBodyIsRefused() throws Exception {
     String response = exchange("Content-Length: 50\r\n\r\n{\"input\"", true);
-    assertTrue(response.startsWith("HTTP/1.1 400") && response.contains("\"Malformed\""), response);
+    assertTrue(response.startsWith("HTTP/1.1 408 "), response);
+    assertTrue(response.contains("\"IncompleteBody\""), response);
+    assertTrue(response.contains("\"not_run\""), response);
   }
 
   @Test
