Send large configurations in parts

Callers saw 401 and 404 from about a hundred entry VMs for good after an operator's change had added 1,400 routes: the VMs kept their old revision and refused keys and routes of all later ones.

Cause: a response to a poll carries all changes of the configuration, and routes, services and workspaces are one document. A poll ends after 400 ms, in which a link of 7 Mbit/s carries 350 kB. The document was larger, so each poll of each source failed, left its bytes on the link, and no VM behind such a link ever advanced. The same holds for a VM that starts.

SlowLinkTest links the decision cores of 9 and 100 VMs over links whose bandwidth is limited.

Changes above 32 kB are now compressed once by the source and sent in parts of 32 kB over successive polls, 50 ms apart. A request names the transfer by its revisions, length and checksum, and the offset. The bytes depend only on the documents, so a transfer is not tied to one source: another one with the same documents continues it.

A part does not confirm the view of its receiver, because the source is at a newer revision. The transferred revision is confirmed as of the newest response whose source had no revision above it, so a revision that was superseded during the transfer is not confirmed as current.

Earlier releases ignore the new fields: a request without a transfer gets the whole configuration as before, and a whole configuration is accepted.

A later small change takes the same time, because it sends the document of all routes again.

--- a/src/main/java/org/ragwortpick/sync/SyncTimings.java
+++ b/src/main/java/org/ragwortpick/sync/SyncTimings.java
@@ -12,6 +12,12 @@
   /** Minimum time between two polls of one VM. */
   public static final long MIN_POLL_INTERVAL_MS = 50;
 
+  /**
+   * Time without a new part after which the transfer of a configuration is given up and started
+   * again: two lost polls and the next one.
+   */
+  public static final long TRANSFER_IDLE_MS = 2 * POLL_INTERVAL_MS + POLL_TIMEOUT_MS;
+
   /** Time after its last confirmation for which a configuration is in force. */
   public static final long CONFIG_LEASE_MS = 4_000;
 
--- a/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SourceSelector.java
@@ -37,6 +37,7 @@
   private List<HostPort> candidates = List.of();
   private HostPort current;
   private HostPort trial;
+  private HostPort continued;
 
   /** Whether the next poll is a trial between two regular polls. */
   private boolean extraPoll;
@@ -82,6 +83,11 @@
               + " add control VMs or relays to the settings");
     }
     trial = null;
+    HostPort continuing = continued;
+    continued = null;
+    if (continuing != null && candidates.contains(continuing)) {
+      return continuing;
+    }
     if (current == null || !candidates.contains(current)) {
       pollsOfOtherSource = 0;
       current = candidates.get(0);
@@ -115,6 +121,15 @@
         && !candidates.get(0).equals(current);
   }
 
+  /**
+   * Makes the next poll go to a source that has more to send, before any other source is tried.
+   *
+   * @param source source whose last response was used
+   */
+  public synchronized void continueWith(HostPort source) {
+    continued = source;
+  }
+
   /**
    * Records a poll whose response was used.
    *
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
@@ -124,7 +124,14 @@
 
   private void succeeded(HostPort source, SourceQuality quality) {
     boolean searchesSource = selector.recordSuccess(source, quality);
-    finishPoll(searchesSource ? SyncTimings.MIN_POLL_INTERVAL_MS : SyncTimings.POLL_INTERVAL_MS);
+    boolean continues = exchange.sourceHasMore();
+    if (continues) {
+      selector.continueWith(source);
+    }
+    finishPoll(
+        searchesSource || continues
+            ? SyncTimings.MIN_POLL_INTERVAL_MS
+            : SyncTimings.POLL_INTERVAL_MS);
   }
 
   private void failed(HostPort source, String reason) {
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -8,6 +8,8 @@
 import java.util.function.Consumer;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.config.Configuration;
+import org.ragwortpick.proto.ConfigurationMessage;
+import org.ragwortpick.proto.ConfigurationPart;
 import org.ragwortpick.proto.HeardVm;
 import org.ragwortpick.proto.LoadMessage;
 import org.ragwortpick.proto.SoftRecords;
@@ -26,12 +28,19 @@
 /** Logic of the polling protocol, without I/O and threads. */
 public final class SyncExchange {
 
+  /** Maximum size of a configuration or a part of it in one response; 37 ms at 7 Mbit/s. */
+  static final int MAX_PART_BYTES = 32 * 1_024;
+
   private final Clock clock;
   private final LeaderSource leader;
   private final SyncState state;
   private final LeaderDuties duties;
   private final AllowanceRouter router = new AllowanceRouter();
   private final Map<HostPort, Cursor> cursors = new HashMap<>();
+  private final TransferSource transferSource;
+  private final TransferReceiver transferReceiver;
+  private boolean sourceHasMore;
+  private ConfigurationReceipt lastReceipt = new ConfigurationReceipt(0, 0);
 
   /**
    * Creates the exchange of one VM.
@@ -42,10 +51,26 @@
    * @param duties work of the leader
    */
   public SyncExchange(Clock clock, LeaderSource leader, SyncState state, LeaderDuties duties) {
+    this(clock, leader, state, duties, MAX_PART_BYTES);
+  }
+
+  /**
+   * Creates the exchange of one VM with another maximum size of the parts.
+   *
+   * @param clock monotonic clock
+   * @param leader local control replica
+   * @param state state of the local VM
+   * @param duties work of the leader
+   * @param maxPartBytes maximum size of a configuration or a part of it in one response
+   */
+  SyncExchange(
+      Clock clock, LeaderSource leader, SyncState state, LeaderDuties duties, int maxPartBytes) {
     this.clock = clock;
     this.leader = leader;
     this.state = state;
     this.duties = duties;
+    this.transferSource = new TransferSource(maxPartBytes);
+    this.transferReceiver = new TransferReceiver(clock);
   }
 
   /**
@@ -58,11 +83,13 @@
     Cursor cursor = cursors.computeIfAbsent(source, address -> new Cursor());
     SoftTable.Changes offers = state.table().offeredSince(cursor.acceptedVersion);
     long nowMs = clock.millis();
+    long revision = state.view().current().revision();
     SyncRequest.Builder request =
         SyncRequest.newBuilder()
             .setVm(state.identity().vm())
             .setIncarnation(state.identity().incarnation())
-            .setRevision(state.view().current().revision())
+            .setRevision(revision)
+            .setTransfer(transferReceiver.position(revision))
             .setSourceIncarnation(cursor.sourceIncarnation)
             .setCursor(cursor.receivedVersion)
             .setRecords(SyncCodec.encode(offers, nowMs));
@@ -120,12 +147,13 @@
     List<Grant> grants = handleDemands(request.getVm(), demands);
     long confirmedAtMs = state.view().confirmedAtMs();
     SoftTable.Changes changes = state.table().changedSince(cursor, request.getVm());
-    return SyncResponse.newBuilder()
+    SyncResponse.Builder response = SyncResponse.newBuilder();
+    transferSource.write(request, configurationSince(request.getRevision()), response);
+    return response
         .setVm(state.identity().vm())
         .setIncarnation(state.identity().incarnation())
         .setConfirmed(confirmedAtMs > 0)
         .setConfirmedAgeMs(Math.max(0, clock.millis() - confirmedAtMs))
-        .setConfiguration(SyncCodec.encode(configurationSince(request.getRevision())))
         .setCursor(changes.version())
         .setRecords(SyncCodec.encode(changes, clock.millis()))
         .setOfferAll(!complete)
@@ -160,6 +188,7 @@
   public synchronized SourceQuality accept(Poll poll, SyncResponse response) {
     // The age is counted from the time of sending, so that network delay never makes a view newer.
     long confirmedAtMs = poll.sentAtMs() - response.getConfirmedAgeMs();
+    sourceHasMore = false;
     if (!response.getConfirmed() || !state.view().isWithinLease(confirmedAtMs)) {
       return SourceQuality.UNUSABLE;
     }
@@ -172,7 +201,9 @@
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::deliverGrant);
     boolean accepted =
-        state.view().accept(SyncCodec.decode(response.getConfiguration()), confirmedAtMs);
+        response.hasPart()
+            ? acceptPart(response.getPart(), confirmedAtMs)
+            : acceptWhole(response.getConfiguration(), confirmedAtMs);
     long ageMs = clock.millis() - confirmedAtMs;
     if (!accepted || ageMs >= SyncTimings.MAX_SOURCE_AGE_MS) {
       return SourceQuality.UNUSABLE;
@@ -180,6 +211,57 @@
     return ageMs < SyncTimings.FRESH_SOURCE_AGE_MS ? SourceQuality.FRESH : SourceQuality.LAGGING;
   }
 
+  private boolean acceptWhole(ConfigurationMessage message, long confirmedAtMs) {
+    transferReceiver.confirm(message.getRevision(), confirmedAtMs);
+    if (message.getRevision() > state.view().current().revision()) {
+      lastReceipt = new ConfigurationReceipt(message.getSerializedSize(), 1);
+    }
+    return state.view().accept(SyncCodec.decode(message), confirmedAtMs);
+  }
+
+  /**
+   * Collects a part. The view is confirmed only once the transferred revision is applied, and only
+   * from the time at which no source had a newer one.
+   */
+  private boolean acceptPart(ConfigurationPart part, long confirmedAtMs) {
+    boolean advanced = transferReceiver.add(part);
+    transferReceiver.confirm(part.getSourceRevision(), confirmedAtMs);
+    if (!transferReceiver.isComplete()) {
+      sourceHasMore = advanced;
+      return true;
+    }
+    long revisionConfirmedAtMs = transferReceiver.confirmedAtMs();
+    int parts = transferReceiver.parts();
+    CompressedDelta compressed = transferReceiver.take();
+    lastReceipt = new ConfigurationReceipt(compressed.bytes().size(), parts);
+    ConfigurationDelta delta = compressed.decompress();
+    if (!state.view().advance(delta, confirmedAtMs)) {
+      return false;
+    }
+    state.view().confirm(delta.revision(), revisionConfirmedAtMs);
+    sourceHasMore = part.getSourceRevision() > delta.revision();
+    return true;
+  }
+
+  /**
+   * Tells whether the source of the last accepted response has more for the local VM than it could
+   * put into the response, so that it should be polled again soon.
+   *
+   * @return true if the transfer has advanced and is not complete
+   */
+  public synchronized boolean sourceHasMore() {
+    return sourceHasMore;
+  }
+
+  /**
+   * Returns how the newest configuration of the local VM arrived.
+   *
+   * @return size and number of parts
+   */
+  public synchronized ConfigurationReceipt lastReceipt() {
+    return lastReceipt;
+  }
+
   /**
    * Returns the configuration of the local VM.
    *
@@ -253,6 +335,14 @@
    */
   public record Poll(HostPort source, long sentAtMs, long offeredVersion, SyncRequest request) {}
 
+  /**
+   * Size of a configuration as it was received.
+   *
+   * @param bytes bytes of the changes, compressed if they came in several parts
+   * @param parts number of responses that carried them
+   */
+  public record ConfigurationReceipt(int bytes, int parts) {}
+
   private static final class Cursor {
     private long sourceIncarnation;
 
--- a/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
+++ b/src/main/java/org/ragwortpick/sync/view/SyncedConfiguration.java
@@ -71,6 +71,26 @@
    * @throws IllegalStateException if the revision would decrease
    */
   public synchronized boolean accept(ConfigurationDelta delta, long confirmationMs) {
+    if (!advance(delta, confirmationMs)) {
+      return false;
+    }
+    // A source at a lower revision confirms the view too, because the local revision includes it.
+    confirmedAtMs = Math.max(confirmedAtMs, confirmationMs);
+    return true;
+  }
+
+  /**
+   * Applies changes without renewing the confirmation of the view, because newer changes are known
+   * to exist or older records are missing. The earlier confirmation stays valid, because the new
+   * revision includes the one that it was about.
+   *
+   * @param delta changes up to a committed revision
+   * @param confirmationMs time in milliseconds of the confirmation that the source had
+   * @return false if the changes were refused, because the confirmation is older than the lease or
+   *     they do not start at the current revision
+   * @throws IllegalStateException if the revision would decrease
+   */
+  public synchronized boolean advance(ConfigurationDelta delta, long confirmationMs) {
     long previousRevision = configuration.revision();
     if (!isWithinLease(confirmationMs)) {
       return false;
@@ -93,11 +113,21 @@
               + " after a delta to "
               + delta.revision());
     }
-    // A source at a lower revision confirms the view too, because the local revision includes it.
-    confirmedAtMs = Math.max(confirmedAtMs, confirmationMs);
     return true;
   }
 
+  /**
+   * Renews the confirmation, if the view contains the confirmed revision.
+   *
+   * @param revision revision that was confirmed as current
+   * @param confirmationMs time in milliseconds at which it was current
+   */
+  public synchronized void confirm(long revision, long confirmationMs) {
+    if (revision <= configuration.revision() && isWithinLease(confirmationMs)) {
+      confirmedAtMs = Math.max(confirmedAtMs, confirmationMs);
+    }
+  }
+
   private void apply(ConfigurationDelta delta) {
     if (delta.snapshot()) {
       documents.clear();
--- a/src/test/java/org/ragwortpick/sync/rpc/ConfigurationRunsTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/ConfigurationRunsTest.java
@@ -1,5 +1,6 @@
 package org.ragwortpick.sync.rpc;
 
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,8 @@
 public final class ConfigurationRunsTest {
 
   private static final long RUN_MS = 24_000;
+  private static final int SMALL_PART_BYTES = 300;
+  private static final int LARGEST_TEXT_BYTES = 2_000;
 
   /** Lease measured by the slowest clock, plus one simulation step. */
   private static final long LEASE_MS =
@@ -22,18 +25,26 @@
 
   @Test
   public void viewsNeverRevertOrOutlastTheLease() {
-    Seeds.forEach(seed -> new Run(seed).run());
+    Seeds.forEach(seed -> new Run(seed, SyncExchange.MAX_PART_BYTES).run());
+  }
+
+  /** Each change of a data centre goes with a document that takes some parts. */
+  @Test
+  public void viewsNeverRevertOrOutlastTheLeaseWhileChangesComeInParts() {
+    Seeds.forEach(Seeds.COUNT / 2, seed -> new Run(seed, SMALL_PART_BYTES).run());
   }
 
   private static final class Run {
     private final long seed;
     private final LinkedVms vms;
+    private final boolean isInParts;
     private final Map<String, Long> revisions = new HashMap<>();
     private final Map<String, VmState> states = new HashMap<>();
 
-    Run(long seed) {
+    Run(long seed, int maxPartBytes) {
       this.seed = seed;
-      this.vms = new LinkedVms(seed, 3, 4);
+      this.vms = new LinkedVms(seed, 3, 4, maxPartBytes);
+      this.isInParts = maxPartBytes == SMALL_PART_BYTES;
     }
 
     void run() {
@@ -50,6 +61,10 @@
         String key = "dataCentre/dc" + vms.random().nextInt(3);
         String text = vms.random().nextInt(4) == 0 ? null : "\"OUT\"";
         vms.commit(key, text);
+        if (isInParts) {
+          // Both changes are accepted in the same step, so that the second one is the newest.
+          vms.commit("text", randomText());
+        }
       }
       if (vms.chance(0.3)) {
         partition();
@@ -67,6 +82,13 @@
       }
     }
 
+    /** Returns a text that hardly gets smaller by compression. */
+    private String randomText() {
+      byte[] bytes = new byte[vms.random().nextInt(LARGEST_TEXT_BYTES)];
+      vms.random().nextBytes(bytes);
+      return Base64.getEncoder().encodeToString(bytes);
+    }
+
     /** Isolates a control VM, alone or with some entry VMs, or cuts single links. */
     private void partition() {
       LinkedVms.Vm isolated = vms.vms().get(vms.random().nextInt(3));
--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -21,7 +21,8 @@
 
 /**
  * Simulated network between the protocol logic of some VMs. Messages are delayed, duplicated, held
- * back while a VM is frozen, and lost where a link is cut. Each VM has a clock with its own rate.
+ * back while a VM is frozen, and lost where a link is cut; the bandwidth of the links can be
+ * limited. Each VM has a clock with its own rate.
  */
 final class LinkedVms {
 
@@ -39,6 +40,7 @@
   }
 
   private final Random random;
+  private final int maxPartBytes;
   private final List<Vm> vms = new ArrayList<>();
   private final List<Vm> controls = new ArrayList<>();
   private final FakeLeader.Committed committed = new FakeLeader.Committed();
@@ -50,6 +52,8 @@
   private int maxDelayMs = 60;
   private int duplicatePercent = 5;
   private boolean hasSlowMessages = true;
+  private long controlBytesPerMs = Long.MAX_VALUE;
+  private long entryBytesPerMs = Long.MAX_VALUE;
   private Vm leader;
   private long term;
   private long lastConfirmedMs;
@@ -60,6 +64,11 @@
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
 
   LinkedVms(long seed, int controlCount, int entryCount) {
+    this(seed, controlCount, entryCount, SyncExchange.MAX_PART_BYTES);
+  }
+
+  LinkedVms(long seed, int controlCount, int entryCount, int maxPartBytes) {
+    this.maxPartBytes = maxPartBytes;
     random = new Random(seed);
     cut = new boolean[controlCount + entryCount][controlCount + entryCount];
     for (int i = 0; i < controlCount + entryCount; i++) {
@@ -101,6 +110,12 @@
     hasSlowMessages = false;
   }
 
+  /** Limits the bytes that the link of each VM carries in each direction. */
+  void limitBandwidth(long newControlBytesPerMs, long newEntryBytesPerMs) {
+    controlBytesPerMs = newControlBytesPerMs;
+    entryBytesPerMs = newEntryBytesPerMs;
+  }
+
   void cut(Vm a, Vm b, boolean isCut) {
     cut[a.index][b.index] = isCut;
     cut[b.index][a.index] = isCut;
@@ -188,6 +203,22 @@
     return vms.get(address.port() - 1);
   }
 
+  /**
+   * Occupies the links of two VMs with a message, whether or not anybody still waits for it.
+   *
+   * @return time in milliseconds at which the receiver has the whole message
+   */
+  private long transmit(Vm from, Vm to, long bytes) {
+    long startMs = Math.max(nowMs, from.sendsUntilMs);
+    from.sendsUntilMs = startMs + bytes / from.bytesPerMs();
+    to.receivesUntilMs =
+        Math.max(
+            from.sendsUntilMs, Math.max(startMs, to.receivesUntilMs) + bytes / to.bytesPerMs());
+    from.sentBytes += bytes;
+    to.receivedBytes += bytes;
+    return to.receivesUntilMs;
+  }
+
   /** Simulated VM whose process can be started, killed or frozen. */
   final class Vm {
     private final int index;
@@ -209,6 +240,10 @@
     private long sentAtMs;
     private long nextPollAtMs;
     private long nextTickAtMs;
+    private long sendsUntilMs;
+    private long receivesUntilMs;
+    private long sentBytes;
+    private long receivedBytes;
 
     Vm(int index, boolean control) {
       this.index = index;
@@ -255,7 +290,7 @@
                   nextPollAtMs =
                       Math.min(nextPollAtMs, sentAtMs + SyncTimings.MIN_POLL_INTERVAL_MS));
       duties = new LeaderDuties(clock, replica, state);
-      exchange = new SyncExchange(clock, replica, state, duties);
+      exchange = new SyncExchange(clock, replica, state, duties, maxPartBytes);
       selector = new SourceSelector(identity, replica, state.vms());
       lifeCycle = new VmLifeCycle(identity, clock, state.view(), () -> 0, state::publish);
     }
@@ -287,6 +322,18 @@
       return control;
     }
 
+    private long bytesPerMs() {
+      return control ? controlBytesPerMs : entryBytesPerMs;
+    }
+
+    long sentBytes() {
+      return sentBytes;
+    }
+
+    long receivedBytes() {
+      return receivedBytes;
+    }
+
     String process() {
       return name + "/" + incarnation;
     }
@@ -340,8 +387,10 @@
       pending = poll;
       int copies = random.nextInt(100) < duplicatePercent ? 2 : 1;
       long sender = incarnation;
+      Vm source = byAddress(poll.source());
       for (int i = 0; i < copies; i++) {
-        at(nowMs + delayMs(), () -> deliverRequest(poll, sender));
+        long arrivesAtMs = transmit(this, source, poll.request().getSerializedSize());
+        at(arrivesAtMs + delayMs(), () -> deliverRequest(poll, sender));
       }
     }
 
@@ -359,7 +408,8 @@
         source.nextPollAtMs =
             Math.min(source.nextPollAtMs, source.sentAtMs + SyncTimings.MIN_POLL_INTERVAL_MS);
       }
-      at(nowMs + delayMs(), () -> deliverResponse(poll, response, source, sender));
+      long arrivesAtMs = transmit(source, this, response.getSerializedSize());
+      at(arrivesAtMs + delayMs(), () -> deliverResponse(poll, response, source, sender));
     }
 
     private void deliverResponse(
@@ -375,7 +425,11 @@
       SourceQuality quality = exchange.accept(poll, response);
       if (quality != SourceQuality.UNUSABLE) {
         pending = null;
-        if (selector.recordSuccess(poll.source(), quality)) {
+        boolean searchesSource = selector.recordSuccess(poll.source(), quality);
+        if (exchange.sourceHasMore()) {
+          selector.continueWith(poll.source());
+        }
+        if (searchesSource || exchange.sourceHasMore()) {
           nextPollAtMs = sentAtMs + SyncTimings.MIN_POLL_INTERVAL_MS;
         }
       } else {
--- a/src/test/java/org/ragwortpick/sync/rpc/Seeds.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/Seeds.java
@@ -16,8 +16,13 @@
 
   /** Runs all seeds and fails with the lowest failing one. */
   static void forEach(LongConsumer run) {
+    forEach(COUNT, run);
+  }
+
+  /** Runs a number of seeds and fails with the lowest failing one. */
+  static void forEach(long count, LongConsumer run) {
     ConcurrentSkipListMap<Long, Throwable> failures = new ConcurrentSkipListMap<>();
-    LongStream seeds = SINGLE == null ? LongStream.range(0, COUNT) : LongStream.of(SINGLE);
+    LongStream seeds = SINGLE == null ? LongStream.range(0, count) : LongStream.of(SINGLE);
     seeds
         .parallel()
         .forEach(
@@ -33,6 +38,6 @@
           failures.size() + " seeds failed; the lowest is " + failures.firstKey(),
           failures.firstEntry().getValue());
     }
-    assertTrue(COUNT > 0, "no seeds were run");
+    assertTrue(count > 0, "no seeds were run");
   }
 }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
@@ -0,0 +1,188 @@
+package org.ragwortpick.sync.rpc;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.ragwortpick.routing.CallerLimits;
+import org.ragwortpick.routing.RequestKind;
+import org.ragwortpick.routing.Route;
+import org.ragwortpick.routing.RoutedWorkspace;
+import org.ragwortpick.routing.RoutingConfiguration;
+import org.ragwortpick.routing.ServiceProfile;
+import org.ragwortpick.routing.WeightedService;
+import org.testng.Reporter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a configuration that never reaches a VM because its link does not carry it within
+ * the timeout of one poll.
+ */
+public final class SlowLinkTest {
+
+  /** 7 Mbit/s. */
+  private static final long ENTRY_BYTES_PER_MS = 875;
+
+  /** 100 Mbit/s. */
+  private static final long CONTROL_BYTES_PER_MS = 12_500;
+
+  private static final int MAX_DELAY_MS = 10;
+  private static final long SETTLE_MS = 8_000;
+
+  /** Number of control and entry VMs, routes, workspaces, and time until a change is in force. */
+  @DataProvider
+  public Object[][] configurations() {
+    return new Object[][] {
+      {3, 6, 1_400, 30, 2_000L},
+      {5, 95, 1_400, 30, 2_000L},
+      {3, 6, 4_200, 30, 5_000L},
+      {5, 95, 4_200, 30, 5_000L},
+      {3, 6, 4_200, 15_000, 5_000L},
+    };
+  }
+
+  @Test(dataProvider = "configurations")
+  public void changesOfLargeConfigurationAreInForceInTime(
+      int controls, int entries, int routes, int workspaces, long limitMs) {
+    Run run = new Run(controls, entries);
+    run.advance(SETTLE_MS);
+    run.commit(configuration(1, routes, workspaces));
+    run.requireInForce(run.vms.vms(), "the large configuration", limitMs);
+    run.commit(configuration(2, routes, workspaces + 1));
+    run.requireInForce(run.vms.vms(), "a small change", limitMs);
+    List<LinkedVms.Vm> restarted = List.of(run.restartLast());
+    run.requireInForce(restarted, "the configuration after a restart", limitMs);
+  }
+
+  /** Returns a routing configuration with its source, as an operator's order leaves it. */
+  private static String configuration(long number, int routeCount, int workspaceCount) {
+    List<Route> routes = IntStream.range(0, routeCount).mapToObj(SlowLinkTest::route).toList();
+    Random random = new Random(1);
+    List<RoutedWorkspace> workspaces =
+        IntStream.range(0, workspaceCount)
+            .mapToObj(i -> new RoutedWorkspace("workspace-" + i, List.of(key(random)), null))
+            .toList();
+    String source =
+        routes.stream()
+                .map(
+                    route ->
+                        ("{\"Name\":\"%s\",\"Host\":\"%s\",\"PathPrefix\":\"%s\","
+                                + "\"Type\":\"idempotent\",\"TimeoutMs\":5000,"
+                                + "\"TargetLatencyMs\":2000,\"Priority\":1,\"Service\":\"records\","
+                                + "\"MaxAttempts\":2,\"Public\":false,\"Sticky\":false}")
+                            .formatted(route.name(), route.host(), route.pathPrefix()))
+                .collect(Collectors.joining(",", "{\"RouteList\":[", "],\"Tenants\":["))
+            + workspaces.stream()
+                .map(
+                    w -> "{\"Name\":\"%s\",\"Keys\":[\"%s\"]}".formatted(w.name(), w.keys().get(0)))
+                .collect(Collectors.joining(",", "", "]}"));
+    List<ServiceProfile> services = List.of();
+    return new RoutingConfiguration(
+            number, routes, services, workspaces, CallerLimits.DEFAULT, source)
+        .encode();
+  }
+
+  private static Route route(int i) {
+    return new Route(
+        "r-%07d".formatted(i),
+        "h" + i + ".example",
+        "/p" + i + "/",
+        RequestKind.IDEMPOTENT,
+        5_000,
+        2_000,
+        1,
+        List.of(new WeightedService("records", 1)),
+        2,
+        List.of(),
+        false,
+        false);
+  }
+
+  private static String key(Random random) {
+    return "%016x%016x".formatted(random.nextLong(), random.nextLong());
+  }
+
+  private static final class Run {
+    private final LinkedVms vms;
+    private long revision;
+
+    Run(int controls, int entries) {
+      vms = new LinkedVms(1, controls, entries);
+      vms.setMaxDelayMs(MAX_DELAY_MS);
+      vms.excludeSlowMessages();
+      vms.limitBandwidth(CONTROL_BYTES_PER_MS, ENTRY_BYTES_PER_MS);
+    }
+
+    void advance(long durationMs) {
+      for (long endMs = vms.nowMs() + durationMs; vms.nowMs() < endMs; ) {
+        step();
+      }
+    }
+
+    void commit(String routing) {
+      int accepted = vms.acceptedAtMs().size();
+      while (vms.acceptedAtMs().size() == accepted) {
+        step();
+        vms.commit("routing", routing);
+      }
+      revision = accepted;
+    }
+
+    LinkedVms.Vm restartLast() {
+      LinkedVms.Vm last = vms.vms().get(vms.vms().size() - 1);
+      last.kill();
+      last.start();
+      return last;
+    }
+
+    void requireInForce(Collection<LinkedVms.Vm> affected, String what, long limitMs) {
+      Predicate<LinkedVms.Vm> inForce =
+          vm -> vm.state().view().isInForce() && vm.state().view().current().revision() >= revision;
+      require(affected, inForce, what, limitMs);
+    }
+
+    void require(
+        Collection<LinkedVms.Vm> affected,
+        Predicate<LinkedVms.Vm> condition,
+        String what,
+        long limitMs) {
+      long startMs = vms.nowMs();
+      long startBytes = mostReceivedBytes();
+      while (!affected.stream().allMatch(condition)) {
+        assertTrue(
+            vms.nowMs() - startMs < limitMs,
+            "%s: in force on %d of %d VMs after %d ms"
+                .formatted(
+                    what, affected.stream().filter(condition).count(), affected.size(), limitMs));
+        step();
+      }
+      Reporter.log(
+          "%d VMs: %s in force on %d after %d ms; an entry VM received at most %d bytes in all, %d before"
+              .formatted(
+                  vms.vms().size(),
+                  what,
+                  affected.size(),
+                  vms.nowMs() - startMs,
+                  mostReceivedBytes(),
+                  startBytes),
+          true);
+    }
+
+    private long mostReceivedBytes() {
+      return vms.vms().stream()
+          .filter(vm -> !vm.isControl())
+          .mapToLong(LinkedVms.Vm::receivedBytes)
+          .max()
+          .orElse(0);
+    }
+
+    private void step() {
+      vms.step();
+    }
+  }
+}
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -9,7 +9,9 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -33,6 +35,7 @@
 
   private static final long WAIT_MS = 15_000;
   private static final long CHECK_MS = 20;
+  private static final int LARGE_TEXT_BYTES = 200_000;
 
   private final Clock clock = new MonotonicClock();
   private final FakeLeader.Committed committed = new FakeLeader.Committed();
@@ -87,6 +90,22 @@
     assertEquals(entry.addressResponses().preferredFor("caller").addresses().size(), 3);
   }
 
+  /** The changes take about seven parts, also over the relay. */
+  @Test
+  public void largeConfigurationReachesAllVms() throws InterruptedException {
+    byte[] bytes = new byte[LARGE_TEXT_BYTES];
+    new Random(1).nextBytes(bytes);
+    committed.commit("text", Base64.getEncoder().encodeToString(bytes));
+    long revision = committed.commit("dataCentre/norte-b", "\"OUT\"");
+    for (SyncNode node : List.of(control, entry, relayed)) {
+      await(
+          "revision",
+          () ->
+              node.configurationView().isInForce()
+                  && node.configurationView().current().revision() == revision);
+    }
+  }
+
   private static boolean vmsReady(SyncNode node) {
     return node.vmDirectory().vms().stream().filter(vm -> vm.state() == VmState.READY).count() == 3;
   }
--- /dev/null
+++ b/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
@@ -0,0 +1,208 @@
+package org.ragwortpick.sync.rpc;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.Base64;
+import java.util.List;
+import java.util.Random;
+import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
+import org.ragwortpick.proto.SyncResponse;
+import org.ragwortpick.sync.FakeLeader;
+import org.ragwortpick.sync.NoLeaderSource;
+import org.ragwortpick.sync.SyncIdentity;
+import org.ragwortpick.sync.SyncTimings;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a configuration received in parts that is confirmed as current when it is not, is
+ * put together from different revisions, or never becomes complete.
+ */
+public final class TransferTest {
+
+  private static final int PART_BYTES = 1_000;
+  private static final int TEXT_BYTES = 2_500;
+
+  private final Random random = new Random(1);
+  private ManualClock clock;
+  private FakeLeader.Committed committed;
+  private Vm leader;
+  private Vm entry;
+
+  /** Starts a leader with a configuration of three parts. */
+  @BeforeMethod
+  public void commitLargeConfiguration() {
+    clock = new ManualClock();
+    clock.advanceMs(100_000);
+    committed = new FakeLeader.Committed();
+    leader = leader("c1");
+    entry = new Vm("e1", null);
+    committed.commit("text", randomText());
+  }
+
+  @Test
+  public void viewIsInForceOnceAllPartsArrived() {
+    for (int part = 1; part <= 2; part++) {
+      SyncResponse response = poll(entry, leader);
+      assertTrue(response.getSerializedSize() < 2 * PART_BYTES);
+      assertTrue(entry.exchange.sourceHasMore());
+      assertFalse(entry.state.view().isInForce());
+    }
+    poll(entry, leader);
+    assertFalse(entry.exchange.sourceHasMore());
+    assertEquals(entry.revision(), 1);
+    assertTrue(entry.state.view().isInForce());
+    assertEquals(entry.exchange.lastReceipt().parts(), 3);
+  }
+
+  /** The transferred revision is no longer current when its last part arrives. */
+  @Test
+  public void supersededRevisionIsNotConfirmed() {
+    poll(entry, leader);
+    long confirmedAtMs = clock.millis();
+    clock.advanceMs(300);
+    committed.commit("dataCentre/norte-b", "\"OUT\"");
+    poll(entry, leader);
+    poll(entry, leader);
+    assertEquals(entry.revision(), 1);
+    assertEquals(entry.state.view().confirmedAtMs(), confirmedAtMs);
+    assertTrue(entry.exchange.sourceHasMore());
+    poll(entry, leader);
+    assertEquals(entry.revision(), 2);
+    assertEquals(entry.state.view().confirmedAtMs(), clock.millis());
+  }
+
+  @Test
+  public void viewIsNotConfirmedByTheNewerRevisionOfWhichItGetsParts() {
+    fetchAll();
+    long confirmedAtMs = entry.state.view().confirmedAtMs();
+    committed.commit("text", randomText());
+    clock.advanceMs(SyncTimings.CONFIG_LEASE_MS - 1);
+    poll(entry, leader);
+    assertEquals(entry.state.view().confirmedAtMs(), confirmedAtMs);
+    clock.advanceMs(1);
+    assertFalse(entry.state.view().isInForce());
+  }
+
+  @Test
+  public void anotherSourceContinuesTheTransfer() {
+    Vm other = leader("c2");
+    poll(entry, leader);
+    poll(entry, other);
+    poll(entry, leader);
+    assertEquals(entry.revision(), 1);
+    assertTrue(entry.state.view().isInForce());
+  }
+
+  /** A source that lags behind the transferred revision has nothing to continue it with. */
+  @Test
+  public void olderRevisionDoesNotReplaceTheTransfer() {
+    committed.commit("text", randomText());
+    Vm lagging = leader("c2");
+    lagging.replica.applyUpTo(1);
+    poll(entry, leader);
+    poll(entry, lagging);
+    assertFalse(entry.exchange.sourceHasMore());
+    poll(entry, leader);
+    poll(entry, leader);
+    assertEquals(entry.revision(), 2);
+  }
+
+  /** The only source that had the newer revision is gone. */
+  @Test
+  public void transferWithoutProgressIsGivenUp() {
+    committed.commit("text", randomText());
+    poll(entry, leader);
+    Vm lagging = leader("c2");
+    lagging.replica.applyUpTo(1);
+    clock.advanceMs(SyncTimings.TRANSFER_IDLE_MS);
+    for (int part = 1; part <= 3; part++) {
+      poll(entry, lagging);
+    }
+    assertEquals(entry.revision(), 1);
+  }
+
+  @Test
+  public void damagedTransferStartsAgain() {
+    poll(entry, leader);
+    SyncExchange.Poll damaged = entry.exchange.poll(leader.address);
+    SyncResponse response = leader.exchange.respond(damaged.request());
+    ByteString zeros = ByteString.copyFrom(new byte[response.getPart().getData().size()]);
+    SyncResponse.Builder changed = response.toBuilder();
+    changed.getPartBuilder().setData(zeros);
+    entry.exchange.accept(damaged, changed.build());
+    SyncExchange.Poll last = entry.exchange.poll(leader.address);
+    SyncResponse end = leader.exchange.respond(last.request());
+    assertThrows(IllegalArgumentException.class, () -> entry.exchange.accept(last, end));
+    assertEquals(entry.revision(), 0);
+    fetchAll();
+  }
+
+  /** VMs of the release before this one name no transfer in their requests. */
+  @Test
+  public void pollerThatAcceptsNoPartsGetsTheWholeConfiguration() {
+    SyncExchange.Poll poll = entry.exchange.poll(leader.address);
+    SyncResponse response =
+        leader.exchange.respond(poll.request().toBuilder().clearTransfer().build());
+    assertFalse(response.hasPart());
+    assertEquals(response.getConfiguration().getPutsCount(), 1);
+    entry.exchange.accept(poll, response);
+    assertEquals(entry.revision(), 1);
+    assertTrue(entry.state.view().isInForce());
+  }
+
+  private void fetchAll() {
+    for (int part = 1; part <= 3; part++) {
+      poll(entry, leader);
+    }
+    assertEquals(entry.revision(), committed.revision());
+    assertTrue(entry.state.view().isInForce());
+  }
+
+  private static SyncResponse poll(Vm poller, Vm source) {
+    SyncExchange.Poll poll = poller.exchange.poll(source.address);
+    SyncResponse response = source.exchange.respond(poll.request());
+    poller.exchange.accept(poll, response);
+    return response;
+  }
+
+  private String randomText() {
+    byte[] bytes = new byte[TEXT_BYTES];
+    random.nextBytes(bytes);
+    return Base64.getEncoder().encodeToString(bytes);
+  }
+
+  private Vm leader(String name) {
+    FakeLeader replica = new FakeLeader(committed, clock::millis);
+    replica.setLeadership(true, 1, name);
+    return new Vm(name, replica);
+  }
+
+  private final class Vm {
+    private final HostPort address;
+    private final FakeLeader replica;
+    private final SyncState state;
+    private final SyncExchange exchange;
+
+    Vm(String name, FakeLeader replica) {
+      this.address = new HostPort("10.0.0.1", name.hashCode() & 0xfff);
+      this.replica = replica;
+      SyncIdentity identity =
+          new SyncIdentity(name, 1, "norte-a", address, address, List.of(), List.of(), 0);
+      state = new SyncState(identity, clock, () -> {});
+      var source = replica == null ? new NoLeaderSource() : replica;
+      exchange =
+          new SyncExchange(
+              clock, source, state, new LeaderDuties(clock, source, state), PART_BYTES);
+    }
+
+    long revision() {
+      return state.view().current().revision();
+    }
+  }
+}
