Send the records of many upstreams over several polls

Callers of a VM that was started again in a deployment of 4,000 upstreams would find no VM behind it: its first poll of each source ends after 400 ms, while 480 kB of records take 550 ms on a link of 7 Mbit/s, so its view is never confirmed.

Cause: a response carries all records that changed since the cursor of the poller, and a request all that it has to offer, whatever their size.

A request names a second cursor, at which the poller last had all records.

A response after which records are missing does not confirm the view: a confirmed view has all older flags, on which the leader relies when it resets one.

A poller of an earlier release gets all records in one response, as before.

--- a/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
+++ b/src/main/java/org/ragwortpick/sync/directory/SoftTable.java
@@ -1,11 +1,11 @@
 package org.ragwortpick.sync.directory;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
@@ -154,45 +154,70 @@
   }
 
   /**
-   * Lists the records changed after a version. Records that came from the receiver are omitted
-   * unless its cursor is 0.
+   * Lists records changed after a version, as many as one message may contain. Records that came
+   * from the receiver are omitted once it has had all records.
    *
-   * @param cursor version up to which the receiver has the table; 0 for none
+   * @param cursor version up to which the receiver has received changes; 0 for none
+   * @param completeCursor cursor of the last time at which the receiver had all records; 0 for
+   *     never
    * @param receiverVm name of the receiver
+   * @param limit limit of the message
    * @return the changes in order of version
    */
-  public synchronized Changes changedSince(long cursor, String receiverVm) {
-    List<Entry> changed =
-        byVersion.tailMap(cursor, false).values().stream()
-            .filter(entry -> cursor == 0 || !entry.fromVm.equals(receiverVm))
-            .toList();
-    return changes(changed, entry -> entry.bodyVersion <= cursor);
+  public synchronized Changes changedSince(
+      long cursor, long completeCursor, String receiverVm, MessageLimit limit) {
+    // The body of a record that changed while the receiver got the others may never have been sent.
+    return changes(
+        byVersion.tailMap(cursor, false),
+        entry -> completeCursor == 0 || !entry.fromVm.equals(receiverVm),
+        entry -> entry.bodyVersion <= completeCursor,
+        limit);
   }
 
   /**
-   * Lists the records to offer to the source of this VM.
+   * Lists records to offer to the source of this VM, as many as one message may contain.
    *
    * @param acceptedVersion version up to which the source accepted the offers; 0 for none
+   * @param completeVersion accepted version of the last time at which the source had all offers; 0
+   *     for never
+   * @param limit limit of the message
    * @return the changes in order of version
    */
-  public synchronized Changes offeredSince(long acceptedVersion) {
+  public synchronized Changes offeredSince(
+      long acceptedVersion, long completeVersion, MessageLimit limit) {
     return changes(
-        byOfferVersion.tailMap(acceptedVersion, false).values(),
+        byOfferVersion.tailMap(acceptedVersion, false),
+        entry -> true,
         entry ->
-            entry.bodyVersion <= acceptedVersion && entry.offeredSinceVersion <= acceptedVersion);
+            entry.bodyVersion <= completeVersion && entry.offeredSinceVersion <= completeVersion,
+        limit);
   }
 
-  private Changes changes(Collection<Entry> changed, Predicate<Entry> receiverHasBody) {
+  private Changes changes(
+      SortedMap<Long, Entry> changed,
+      Predicate<Entry> isSent,
+      Predicate<Entry> receiverHasBody,
+      MessageLimit limit) {
     List<SoftRecord> bodies = new ArrayList<>();
     List<SoftRecord.OfUpstream> loads = new ArrayList<>();
-    for (Entry entry : changed) {
-      if (entry.current instanceof SoftRecord.OfUpstream upstream && receiverHasBody.test(entry)) {
-        loads.add(upstream);
-      } else {
-        bodies.add(entry.current);
+    long lastVersion = 0;
+    for (Map.Entry<Long, Entry> next : changed.entrySet()) {
+      Entry entry = next.getValue();
+      if (isSent.test(entry)) {
+        boolean loadOnly =
+            entry.current instanceof SoftRecord.OfUpstream && receiverHasBody.test(entry);
+        if (!limit.admits(entry.current, loadOnly) && bodies.size() + loads.size() > 0) {
+          return new Changes(lastVersion, false, bodies, loads);
+        }
+        if (loadOnly) {
+          loads.add((SoftRecord.OfUpstream) entry.current);
+        } else {
+          bodies.add(entry.current);
+        }
       }
+      lastVersion = next.getKey();
     }
-    return new Changes(version, bodies, loads);
+    return new Changes(version, true, bodies, loads);
   }
 
   /**
@@ -215,11 +240,30 @@
   /**
    * Changed records.
    *
-   * @param version version of the table that contains them
+   * @param version version of the table up to which it contains the changes
+   * @param complete whether there are no further changes
    * @param bodies records to send in full
    * @param loads records of which only sequence and load changed
    */
-  public record Changes(long version, List<SoftRecord> bodies, List<SoftRecord.OfUpstream> loads) {}
+  public record Changes(
+      long version, boolean complete, List<SoftRecord> bodies, List<SoftRecord.OfUpstream> loads) {}
+
+  /** Limits the records of one message. The first record is sent in any case. */
+  @FunctionalInterface
+  public interface MessageLimit {
+
+    /** Admits all records. */
+    MessageLimit NONE = (record, loadOnly) -> true;
+
+    /**
+     * Adds a record to the message if there is room for it.
+     *
+     * @param record the record
+     * @param loadOnly whether only its sequence and load are sent
+     * @return false if there is no room
+     */
+    boolean admits(SoftRecord record, boolean loadOnly);
+  }
 
   private static final class Entry {
     private SoftRecord current;
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -72,29 +72,51 @@
    */
   public static SoftRecords encode(SoftTable.Changes changes, long nowMs) {
     SoftRecords.Builder records = SoftRecords.newBuilder();
-    for (SoftRecord record : changes.bodies()) {
-      if (record instanceof SoftRecord.OfVm vm) {
-        records.addVms(encode(vm.record()));
-      } else if (record instanceof SoftRecord.OfUpstream upstream) {
-        records.addUpstreams(encode(upstream));
-      } else if (record instanceof SoftRecord.OfCrashEvidence crashes) {
-        records.addCrashEvidence(encode(crashes.evidence(), nowMs));
-      } else if (record instanceof SoftRecord.OfUpstreamLimit limit) {
-        records.addLimits(encode(limit.limit()));
-      } else {
-        records.addFlags(encode((SoftRecord.Flag) record));
-      }
+    changes.bodies().forEach(record -> add(record, nowMs, records));
+    changes.loads().forEach(upstream -> records.addLoads(encodeLoad(upstream)));
+    return records.build();
+  }
+
+  /**
+   * Returns the size of a record in a message.
+   *
+   * @param record the record
+   * @param loadOnly whether only its sequence and load are sent
+   * @param nowMs monotonic time of the local VM in milliseconds
+   * @return the size in bytes
+   */
+  static int encodedBytes(SoftRecord record, boolean loadOnly, long nowMs) {
+    SoftRecords.Builder records = SoftRecords.newBuilder();
+    if (loadOnly) {
+      records.addLoads(encodeLoad((SoftRecord.OfUpstream) record));
+    } else {
+      add(record, nowMs, records);
     }
-    for (SoftRecord.OfUpstream upstream : changes.loads()) {
-      records.addLoads(
-          LoadMessage.newBuilder()
-              .setId(upstream.upstream().id())
-              .setIncarnation(upstream.upstream().incarnation())
-              .setSequence(upstream.upstream().sequence())
-              .setLoad(upstream.upstream().load())
-              .setBodyChecksum(upstream.bodyChecksum()));
+    return records.build().getSerializedSize();
+  }
+
+  private static void add(SoftRecord record, long nowMs, SoftRecords.Builder records) {
+    if (record instanceof SoftRecord.OfVm vm) {
+      records.addVms(encode(vm.record()));
+    } else if (record instanceof SoftRecord.OfUpstream upstream) {
+      records.addUpstreams(encode(upstream));
+    } else if (record instanceof SoftRecord.OfCrashEvidence crashes) {
+      records.addCrashEvidence(encode(crashes.evidence(), nowMs));
+    } else if (record instanceof SoftRecord.OfUpstreamLimit limit) {
+      records.addLimits(encode(limit.limit()));
+    } else {
+      records.addFlags(encode((SoftRecord.Flag) record));
     }
-    return records.build();
+  }
+
+  private static LoadMessage encodeLoad(SoftRecord.OfUpstream upstream) {
+    return LoadMessage.newBuilder()
+        .setId(upstream.upstream().id())
+        .setIncarnation(upstream.upstream().incarnation())
+        .setSequence(upstream.upstream().sequence())
+        .setLoad(upstream.upstream().load())
+        .setBodyChecksum(upstream.bodyChecksum())
+        .build();
   }
 
   private static VmMessage encode(VmRecord vm) {
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -28,7 +28,10 @@
 /** Logic of the polling protocol, without I/O and threads. */
 public final class SyncExchange {
 
-  /** Maximum size of a configuration or a part of it in one response; 37 ms at 7 Mbit/s. */
+  /**
+   * Maximum size of a configuration or a part of it in one response, and of the records in a
+   * request or a response; 37 ms at 7 Mbit/s.
+   */
   static final int MAX_PART_BYTES = 32 * 1_024;
 
   private final Clock clock;
@@ -37,6 +40,7 @@
   private final LeaderDuties duties;
   private final AllowanceRouter router = new AllowanceRouter();
   private final Map<HostPort, Cursor> cursors = new HashMap<>();
+  private final int maxPartBytes;
   private final TransferSource transferSource;
   private final TransferReceiver transferReceiver;
   private boolean sourceHasMore;
@@ -61,7 +65,8 @@
    * @param leader local control replica
    * @param state state of the local VM
    * @param duties work of the leader
-   * @param maxPartBytes maximum size of a configuration or a part of it in one response
+   * @param maxPartBytes maximum size of a configuration or a part of it, and of the records, in one
+   *     message
    */
   SyncExchange(
       Clock clock, LeaderSource leader, SyncState state, LeaderDuties duties, int maxPartBytes) {
@@ -69,6 +74,7 @@
     this.leader = leader;
     this.state = state;
     this.duties = duties;
+    this.maxPartBytes = maxPartBytes;
     this.transferSource = new TransferSource(maxPartBytes);
     this.transferReceiver = new TransferReceiver(clock);
   }
@@ -81,8 +87,14 @@
    */
   public synchronized Poll poll(HostPort source) {
     Cursor cursor = cursors.computeIfAbsent(source, address -> new Cursor());
-    SoftTable.Changes offers = state.table().offeredSince(cursor.acceptedVersion);
     long nowMs = clock.millis();
+    SoftTable.Changes offers =
+        state
+            .table()
+            .offeredSince(
+                cursor.acceptedVersion,
+                cursor.completeAcceptedVersion,
+                new RecordBudget(maxPartBytes, nowMs));
     long revision = state.view().current().revision();
     SyncRequest.Builder request =
         SyncRequest.newBuilder()
@@ -92,6 +104,7 @@
             .setTransfer(transferReceiver.position(revision))
             .setSourceIncarnation(cursor.sourceIncarnation)
             .setCursor(cursor.receivedVersion)
+            .setCompleteCursor(cursor.completeReceivedVersion)
             .setRecords(SyncCodec.encode(offers, nowMs));
     for (VmHeartbeats.Heartbeat heartbeat : state.heartbeats().recent()) {
       request.addHeard(
@@ -106,7 +119,7 @@
         .versionReports()
         .takeForSource()
         .forEach(report -> request.addVersionReports(VersionReportCodec.encode(report)));
-    return new Poll(source, nowMs, offers.version(), request.build());
+    return new Poll(source, nowMs, offers.version(), offers.complete(), request.build());
   }
 
   /**
@@ -142,11 +155,9 @@
         .versionReports()
         .receive(request.getVersionReportsList().stream().map(VersionReportCodec::decode).toList());
     boolean complete = mergeFromPoller(request.getRecords(), request.getVm());
-    boolean sameIncarnation = request.getSourceIncarnation() == state.identity().incarnation();
-    long cursor = sameIncarnation ? request.getCursor() : 0;
     List<Grant> grants = handleDemands(request.getVm(), demands);
     long confirmedAtMs = state.view().confirmedAtMs();
-    SoftTable.Changes changes = state.table().changedSince(cursor, request.getVm());
+    SoftTable.Changes changes = changesFor(request);
     SyncResponse.Builder response = SyncResponse.newBuilder();
     transferSource.write(request, configurationSince(request.getRevision()), response);
     return response
@@ -156,12 +167,32 @@
         .setConfirmedAgeMs(Math.max(0, clock.millis() - confirmedAtMs))
         .setCursor(changes.version())
         .setRecords(SyncCodec.encode(changes, clock.millis()))
+        .setRecordsIncomplete(!changes.complete())
         .setOfferAll(!complete)
         .addAllGrants(grants.stream().map(AllowanceCodec::encode).toList())
         .setWarmFloor(state.warmFlags().floor())
         .build();
   }
 
+  private SoftTable.Changes changesFor(SyncRequest request) {
+    boolean sameIncarnation = request.getSourceIncarnation() == state.identity().incarnation();
+    long cursor = sameIncarnation ? request.getCursor() : 0;
+    if (!request.hasTransfer()) {
+      // A VM of an earlier release takes each response for all changes.
+      return state
+          .table()
+          .changedSince(cursor, cursor, request.getVm(), SoftTable.MessageLimit.NONE);
+    }
+    long completeCursor = sameIncarnation ? request.getCompleteCursor() : 0;
+    return state
+        .table()
+        .changedSince(
+            cursor,
+            completeCursor,
+            request.getVm(),
+            new RecordBudget(maxPartBytes, clock.millis()));
+  }
+
   private List<Grant> handleDemands(String fromVm, List<Demand> demands) {
     if (duties.isLeading()) {
       return demands.stream().map(duties::handleDemand).flatMap(Optional::stream).toList();
@@ -193,17 +224,23 @@
       return SourceQuality.UNUSABLE;
     }
     Cursor cursor = cursors.computeIfAbsent(poll.source(), address -> new Cursor());
-    boolean sameIncarnation = cursor.sourceIncarnation == response.getIncarnation();
-    cursor.sourceIncarnation = response.getIncarnation();
-    cursor.acceptedVersion = sameIncarnation && !response.getOfferAll() ? poll.offeredVersion() : 0;
+    if (cursor.sourceIncarnation != response.getIncarnation()) {
+      cursor.reset(response.getIncarnation());
+    } else {
+      cursor.recordOffers(poll, response);
+    }
     // Records are merged before the confirmation, so that a confirmed view has all older flags.
-    cursor.receivedVersion = mergeFromSource(response.getRecords()) ? response.getCursor() : 0;
+    boolean merged = mergeFromSource(response.getRecords());
+    cursor.recordReceived(response, merged);
     state.warmFlags().raiseFloor(response.getWarmFloor());
     response.getGrantsList().stream().map(AllowanceCodec::decode).forEach(this::deliverGrant);
+    boolean recordsComplete = !response.getRecordsIncomplete();
     boolean accepted =
         response.hasPart()
-            ? acceptPart(response.getPart(), confirmedAtMs)
-            : acceptWhole(response.getConfiguration(), confirmedAtMs);
+            ? acceptPart(response.getPart(), recordsComplete, confirmedAtMs)
+            : acceptWhole(response.getConfiguration(), recordsComplete, confirmedAtMs);
+    sourceHasMore |= !recordsComplete && merged;
+    sourceHasMore |= !poll.offersComplete() && !response.getOfferAll();
     long ageMs = clock.millis() - confirmedAtMs;
     if (!accepted || ageMs >= SyncTimings.MAX_SOURCE_AGE_MS) {
       return SourceQuality.UNUSABLE;
@@ -211,21 +248,30 @@
     return ageMs < SyncTimings.FRESH_SOURCE_AGE_MS ? SourceQuality.FRESH : SourceQuality.LAGGING;
   }
 
-  private boolean acceptWhole(ConfigurationMessage message, long confirmedAtMs) {
-    transferReceiver.confirm(message.getRevision(), confirmedAtMs);
+  private boolean acceptWhole(
+      ConfigurationMessage message, boolean recordsComplete, long confirmedAtMs) {
     if (message.getRevision() > state.view().current().revision()) {
       lastReceipt = new ConfigurationReceipt(message.getSerializedSize(), 1);
     }
-    return state.view().accept(SyncCodec.decode(message), confirmedAtMs);
+    if (!state.view().advance(SyncCodec.decode(message), confirmedAtMs)) {
+      return false;
+    }
+    if (recordsComplete) {
+      transferReceiver.confirm(message.getRevision(), confirmedAtMs);
+      state.view().confirm(message.getRevision(), confirmedAtMs);
+    }
+    return true;
   }
 
   /**
    * Collects a part. The view is confirmed only once the transferred revision is applied, and only
-   * from the time at which no source had a newer one.
+   * as of a time at which the source had no newer one and the local VM had all records.
    */
-  private boolean acceptPart(ConfigurationPart part, long confirmedAtMs) {
+  private boolean acceptPart(ConfigurationPart part, boolean recordsComplete, long confirmedAtMs) {
     boolean advanced = transferReceiver.add(part);
-    transferReceiver.confirm(part.getSourceRevision(), confirmedAtMs);
+    if (recordsComplete) {
+      transferReceiver.confirm(part.getSourceRevision(), confirmedAtMs);
+    }
     if (!transferReceiver.isComplete()) {
       sourceHasMore = advanced;
       return true;
@@ -247,7 +293,8 @@
    * Tells whether the source of the last accepted response has more for the local VM than it could
    * put into the response, so that it should be polled again soon.
    *
-   * @return true if the transfer has advanced and is not complete
+   * @return true if the last response advanced the exchange of the configuration or of the records
+   *     without completing it
    */
   public synchronized boolean sourceHasMore() {
     return sourceHasMore;
@@ -331,9 +378,15 @@
    * @param source peer address of the source
    * @param sentAtMs local monotonic time of sending in milliseconds
    * @param offeredVersion version of the local table up to which the request offers records
+   * @param offersComplete whether there is nothing more to offer
    * @param request the request
    */
-  public record Poll(HostPort source, long sentAtMs, long offeredVersion, SyncRequest request) {}
+  public record Poll(
+      HostPort source,
+      long sentAtMs,
+      long offeredVersion,
+      boolean offersComplete,
+      SyncRequest request) {}
 
   /**
    * Size of a configuration as it was received.
@@ -346,10 +399,43 @@
   private static final class Cursor {
     private long sourceIncarnation;
 
-    /** Version up to which the local VM has the table of the source. */
+    /** Version up to which the local VM has received the changes of the table of the source. */
     private long receivedVersion;
 
+    /** Received version of the last time at which the local VM had all records of the source. */
+    private long completeReceivedVersion;
+
     /** Version of the local table up to which the source accepted the offers. */
     private long acceptedVersion;
+
+    /** Accepted version of the last time at which the source had all offers. */
+    private long completeAcceptedVersion;
+
+    private void reset(long newSourceIncarnation) {
+      sourceIncarnation = newSourceIncarnation;
+      receivedVersion = 0;
+      completeReceivedVersion = 0;
+      acceptedVersion = 0;
+      completeAcceptedVersion = 0;
+    }
+
+    private void recordOffers(Poll poll, SyncResponse response) {
+      if (response.getOfferAll()) {
+        acceptedVersion = 0;
+        completeAcceptedVersion = 0;
+        return;
+      }
+      acceptedVersion = poll.offeredVersion();
+      if (poll.offersComplete()) {
+        completeAcceptedVersion = poll.offeredVersion();
+      }
+    }
+
+    private void recordReceived(SyncResponse response, boolean merged) {
+      receivedVersion = merged ? response.getCursor() : 0;
+      if (!merged || !response.getRecordsIncomplete()) {
+        completeReceivedVersion = receivedVersion;
+      }
+    }
   }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/AllowanceRunsTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/AllowanceRunsTest.java
@@ -20,6 +20,7 @@
 public final class AllowanceRunsTest {
 
   private static final long RUN_MS = 30_000;
+  private static final int SMALL_PART_BYTES = 150;
 
   /** Time after which all requests under a lease of an earlier total have ended. */
   private static final long LEASE_DRAIN_MS =
@@ -35,11 +36,22 @@
 
   @Test
   public void requestsInFlightNeverExceedTheTotal() {
+    runSeeds(Seeds.COUNT, SyncExchange.MAX_PART_BYTES);
+  }
+
+  /** Warm flags arrive later than the first response of a source. */
+  @Test
+  public void requestsInFlightNeverExceedTheTotalWhileRecordsComeInParts() {
+    runSeeds(Seeds.COUNT / 2, SMALL_PART_BYTES);
+  }
+
+  private static void runSeeds(long seeds, int maxPartBytes) {
     AtomicLong admitted = new AtomicLong();
     AtomicLong runs = new AtomicLong();
     Seeds.forEach(
+        seeds,
         seed -> {
-          admitted.addAndGet(new Run(seed).run());
+          admitted.addAndGet(new Run(seed, maxPartBytes).run());
           runs.incrementAndGet();
         });
     assertTrue(
@@ -52,9 +64,9 @@
     private final List<FakeUpstream> upstreams = new ArrayList<>();
     private long admitted;
 
-    Run(long seed) {
+    Run(long seed, int maxPartBytes) {
       this.seed = seed;
-      this.vms = new LinkedVms(seed, 3, 3);
+      this.vms = new LinkedVms(seed, 3, 3, maxPartBytes);
       for (int i = 0; i < 2; i++) {
         upstreams.add(new FakeUpstream("u" + i));
       }
--- a/src/test/java/org/ragwortpick/sync/rpc/DirectoryRunsTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/DirectoryRunsTest.java
@@ -20,15 +20,21 @@
   private static final long DISTURBED_MS = 16_000;
   private static final long SETTLED_MS = 12_000;
   private static final long MAX_OFFERED_AFTER_LEAVING_MS = 5_000;
+  private static final int SMALL_PART_BYTES = 150;
 
   @Test
   public void allDirectoriesConverge() {
-    Seeds.forEach(seed -> new Run(seed, true).run());
+    Seeds.forEach(seed -> new Run(seed, true, SyncExchange.MAX_PART_BYTES).run());
+  }
+
+  @Test
+  public void allDirectoriesConvergeWhileRecordsComeInParts() {
+    Seeds.forEach(Seeds.COUNT / 2, seed -> new Run(seed, true, SMALL_PART_BYTES).run());
   }
 
   @Test
   public void leavingUpstreamIsNotOfferedAfterFiveSeconds() {
-    Seeds.forEach(seed -> new Run(seed, false).run());
+    Seeds.forEach(seed -> new Run(seed, false, SyncExchange.MAX_PART_BYTES).run());
   }
 
   private static final class Run {
@@ -37,10 +43,10 @@
     private final LinkedVms vms;
     private final List<FakeUpstream> upstreams = new ArrayList<>();
 
-    Run(long seed, boolean partitions) {
+    Run(long seed, boolean partitions, int maxPartBytes) {
       this.seed = seed;
       this.partitions = partitions;
-      this.vms = new LinkedVms(seed, 3, 3);
+      this.vms = new LinkedVms(seed, 3, 3, maxPartBytes);
       for (int i = 0; i < 4; i++) {
         upstreams.add(new FakeUpstream("u" + i));
       }
--- a/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
@@ -15,13 +15,15 @@
 import org.ragwortpick.routing.RoutingConfiguration;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.routing.WeightedService;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.UpstreamState;
 import org.testng.Reporter;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
- * Guards against a configuration that never reaches a VM because its link does not carry it within
- * the timeout of one poll.
+ * Guards against a configuration, or the records of many upstreams, that never reach a VM because
+ * its link does not carry them within the timeout of one poll.
  */
 public final class SlowLinkTest {
 
@@ -33,6 +35,10 @@
 
   private static final int MAX_DELAY_MS = 10;
   private static final long SETTLE_MS = 8_000;
+  private static final int UPSTREAMS = 4_000;
+  private static final long UPSTREAMS_IN_FORCE_MS = 5_000;
+  private static final long ANNOUNCEMENT_INTERVAL_MS = 1_000;
+  private static final String SERVICE = "tutor-lm";
 
   /** Number of control and entry VMs, routes, workspaces, and time until a change is in force. */
   @DataProvider
@@ -59,6 +65,26 @@
     run.requireInForce(restarted, "the configuration after a restart", limitMs);
   }
 
+  /** Number of control and entry VMs. */
+  @DataProvider
+  public Object[][] sizes() {
+    return new Object[][] {{3, 6}, {5, 95}};
+  }
+
+  @Test(dataProvider = "sizes")
+  public void recordsOfManyUpstreamsReachAllVmsInTime(int controls, int entries) {
+    Run run = new Run(controls, entries);
+    run.advance(SETTLE_MS);
+    run.upstreams = UPSTREAMS;
+    Predicate<LinkedVms.Vm> hasAll =
+        vm ->
+            vm.state().view().isInForce()
+                && vm.state().upstreams().upstreams(SERVICE).size() == UPSTREAMS;
+    run.require(run.vms.vms(), hasAll, "records of the upstreams", UPSTREAMS_IN_FORCE_MS);
+    LinkedVms.Vm restarted = run.restartLast();
+    run.require(List.of(restarted), hasAll, "records after a restart", UPSTREAMS_IN_FORCE_MS);
+  }
+
   /** Returns a routing configuration with its source, as an operator's order leaves it. */
   private static String configuration(long number, int routeCount, int workspaceCount) {
     List<Route> routes = IntStream.range(0, routeCount).mapToObj(SlowLinkTest::route).toList();
@@ -109,6 +135,9 @@
 
   private static final class Run {
     private final LinkedVms vms;
+    private int upstreams;
+    private long sequence;
+    private long nextAnnouncementMs;
     private long revision;
 
     Run(int controls, int entries) {
@@ -183,6 +212,17 @@
 
     private void step() {
       vms.step();
+      if (vms.nowMs() >= nextAnnouncementMs) {
+        nextAnnouncementMs = vms.nowMs() + ANNOUNCEMENT_INTERVAL_MS;
+        sequence++;
+        for (int i = 0; i < upstreams; i++) {
+          vms.vms()
+              .get(i % vms.vms().size())
+              .state()
+              .upstreams()
+              .announce(TestUpstreams.upstream("engine-" + i, 1, sequence, UpstreamState.READY, 3));
+        }
+      }
     }
   }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
@@ -16,18 +16,26 @@
 import org.ragwortpick.sync.NoLeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
 import org.ragwortpick.sync.SyncTimings;
+import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
+import org.ragwortpick.sync.directory.SoftRecord;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
  * Guards against a configuration received in parts that is confirmed as current when it is not, is
- * put together from different revisions, or never becomes complete.
+ * put together from different revisions, or never becomes complete, and against views that are
+ * confirmed, or records that are lost, while records come in parts.
  */
 public final class TransferTest {
 
   private static final int PART_BYTES = 1_000;
   private static final int TEXT_BYTES = 2_500;
 
+  /** Their records fill more messages than the configuration. */
+  private static final int UPSTREAMS = 60;
+
   private final Random random = new Random(1);
   private ManualClock clock;
   private FakeLeader.Committed committed;
@@ -156,10 +164,93 @@
     assertTrue(entry.state.view().isInForce());
   }
 
-  private void fetchAll() {
+  /** Flags that the leader reset before may be among the records that are missing. */
+  @Test
+  public void viewIsNotConfirmedWhileRecordsAreMissing() {
+    announce(leader);
+    fetchConfiguration();
+    assertEquals(entry.revision(), 1);
+    while (poll(entry, leader).getRecordsIncomplete()) {
+      assertFalse(entry.state.view().isInForce());
+      assertTrue(entry.exchange.sourceHasMore());
+    }
+    assertTrue(entry.state.view().isInForce());
+    assertEquals(announcedAt(entry), UPSTREAMS);
+    assertEquals(poll(entry, leader).getRecords().getSerializedSize(), 0);
+  }
+
+  @Test
+  public void recordsOfOneMessageAreLimited() {
+    announce(leader);
+    for (int i = 0; i < UPSTREAMS; i++) {
+      assertTrue(poll(entry, leader).getRecords().getSerializedSize() <= PART_BYTES);
+    }
+    assertEquals(announcedAt(entry), UPSTREAMS);
+  }
+
+  /** The load of an upstream changes whose record has not been sent yet. */
+  @Test
+  public void changedLoadDoesNotReplaceTheMissingRecord() {
+    announce(leader);
+    poll(entry, leader);
+    leader.state.upstreams().announce(upstream(UPSTREAMS - 1, 2, 9));
+    leader.state.upstreams().announce(upstream(0, 2, 9));
+    fetchConfiguration();
+    while (poll(entry, leader).getRecordsIncomplete()) {
+      assertTrue(entry.exchange.sourceHasMore());
+    }
+    assertEquals(announcedAt(entry), UPSTREAMS);
+  }
+
+  @Test
+  public void offeredRecordsAreLimited() {
+    announce(entry);
+    boolean continues = true;
+    for (int i = 0; i < UPSTREAMS && continues; i++) {
+      SyncExchange.Poll poll = entry.exchange.poll(leader.address);
+      assertTrue(poll.request().getRecords().getSerializedSize() <= PART_BYTES);
+      entry.exchange.accept(poll, leader.exchange.respond(poll.request()));
+      continues = entry.exchange.sourceHasMore();
+    }
+    assertEquals(announcedAt(leader), UPSTREAMS);
+    SyncExchange.Poll next = entry.exchange.poll(leader.address);
+    assertEquals(next.request().getRecords().getSerializedSize(), 0);
+  }
+
+  @Test
+  public void pollerThatAcceptsNoPartsGetsAllRecords() {
+    announce(leader);
+    SyncExchange.Poll poll = entry.exchange.poll(leader.address);
+    SyncResponse response =
+        leader.exchange.respond(poll.request().toBuilder().clearTransfer().build());
+    assertFalse(response.getRecordsIncomplete());
+    assertEquals(response.getRecords().getUpstreamsCount(), UPSTREAMS);
+  }
+
+  private static void announce(Vm home) {
+    for (int i = 0; i < UPSTREAMS; i++) {
+      home.state.upstreams().announce(upstream(i, 1, 3));
+    }
+  }
+
+  private static Upstream upstream(int index, long sequence, int load) {
+    return TestUpstreams.upstream("engine-" + index, 1, sequence, UpstreamState.READY, load);
+  }
+
+  private static long announcedAt(Vm vm) {
+    return vm.state.table().all().stream()
+        .filter(record -> record instanceof SoftRecord.OfUpstream)
+        .count();
+  }
+
+  private void fetchConfiguration() {
     for (int part = 1; part <= 3; part++) {
       poll(entry, leader);
     }
+  }
+
+  private void fetchAll() {
+    fetchConfiguration();
     assertEquals(entry.revision(), committed.revision());
     assertTrue(entry.state.view().isInForce());
   }
