--- a/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
+++ b/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
@@ -59,7 +59,12 @@
     digest.update(bytes);
   }
 
-  private static MessageDigest newDigest() {
+  /**
+   * Creates the digest of all fingerprints.
+   *
+   * @return digest that has read nothing
+   */
+  static MessageDigest newDigest() {
     try {
       return MessageDigest.getInstance(ALGORITHM);
     } catch (NoSuchAlgorithmException e) {
