Log the version of the upstream and what a take-up names

Change: request ended states the version of the upstream of the last send, and takeUp and resumes from the headers of the caller. request sent again states the version of the send before. ragwortpick_forward_take_ups_total counts take-ups by route and end. Both headers are passed on to upstreams as before.

--- a/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -12,6 +12,7 @@
   private static final double MS_PER_SECOND = 1_000.0;
 
   private final Counter requests;
+  private final Counter takeUps;
   private final Counter attempts;
   private final Counter repeats;
   private final Counter bodies;
@@ -29,6 +30,12 @@
             .help("Forwarded requests by route and end")
             .labelNames("route", "end")
             .register(registry);
+    this.takeUps =
+        Counter.builder()
+            .name("ragwortpick_forward_take_ups_total")
+            .help("Requests that take up a broken stream by route and end")
+            .labelNames("route", "end")
+            .register(registry);
     this.attempts =
         Counter.builder()
             .name("ragwortpick_forward_sends_total")
@@ -65,6 +72,16 @@
     requests.labelValues(route, end).inc();
   }
 
+  /**
+   * Counts a request that ended and takes up a broken stream.
+   *
+   * @param route name of the route
+   * @param end label of how it ended
+   */
+  void takeUpEnded(String route, String end) {
+    takeUps.labelValues(route, end).inc();
+  }
+
   /**
    * Counts an attempt that ended.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -75,7 +75,13 @@
             service,
             RequestContent.of(prefix.parts(), fingerprint::value));
     this.log =
-        new RequestLog(request, prefix, fingerprint, dependencies.clock(), dependencies.metrics());
+        new RequestLog(
+            request,
+            prefix,
+            fingerprint,
+            TakeUp.of(request.headers(), dependencies.headers()),
+            dependencies.clock(),
+            dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
     this.attemptRequests =
         new AttemptRequests(request, dependencies.headers(), dependencies.clock());
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -19,11 +19,13 @@
   private final CallerRequest request;
   private final PromptPrefix prefix;
   private final RequestFingerprint fingerprint;
+  private final TakeUp takeUp;
   private final Clock clock;
   private final ForwardMetrics metrics;
   private String upstream = "-";
   private String upstreamState = "-";
   private String dataCentre = "-";
+  private String version = "-";
   private long revision = -1;
   private long revisionAgeMs = -1;
   private int status;
@@ -40,6 +42,7 @@
    * @param request the request
    * @param prefix prefix that its prompt shares with other requests
    * @param fingerprint fingerprint of the request
+   * @param takeUp stream that the request takes up
    * @param clock monotonic clock
    * @param metrics counters and histograms
    */
@@ -47,11 +50,13 @@
       CallerRequest request,
       PromptPrefix prefix,
       RequestFingerprint fingerprint,
+      TakeUp takeUp,
       Clock clock,
       ForwardMetrics metrics) {
     this.request = request;
     this.prefix = prefix;
     this.fingerprint = fingerprint;
+    this.takeUp = takeUp;
     this.clock = clock;
     this.metrics = metrics;
   }
@@ -75,6 +80,7 @@
     upstream = chosen.id();
     upstreamState = chosen.state() + "/" + chosen.sequence();
     dataCentre = chosen.dataCentre();
+    version = chosen.version();
     revision = view.current().revision();
     revisionAgeMs = clock.millis() - view.confirmedAtMs();
     attemptStartedMs = elapsedMs();
@@ -99,6 +105,7 @@
         .with("outcome", outcome)
         .with("upstream", upstream)
         .with("dataCentre", dataCentre)
+        .with("version", version)
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("retryBudget", decision.budget())
@@ -146,6 +153,9 @@
    */
   void ended(String end, int attempts, RepeatDecision lastDecision) {
     metrics.requestEnded(request.route().name(), end);
+    if (takeUp.present()) {
+      metrics.takeUpEnded(request.route().name(), end);
+    }
     DecisionLine line = DecisionLine.of("request ended");
     if (!end.equals("answered")) {
       line.with("parts", String.join(",", prefix.parts())).with("content", fingerprint.value());
@@ -160,6 +170,9 @@
         .with("upstream", upstream)
         .with("upstreamState", upstreamState)
         .with("dataCentre", dataCentre)
+        .with("version", version)
+        .with("takeUp", takeUp.present())
+        .with("resumes", takeUp.resumedId().orElse("-"))
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("sends", attempts)
--- a/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -21,6 +21,9 @@
  * @param pieceCount number of pieces of each stage
  * @param pieceKey key of the pieces of stages without inputs, passed to their upstreams unchanged
  * @param inputs handles of the results of the last stages; set by this system only
+ * @param resumes id of the request that brought the first event of the stream that a request takes
+ *     up
+ * @param lastEventId id of the last event that the caller of a broken stream has received
  * @param reserved headers of callers that are never forwarded
  */
 public record RoutingHeaders(
@@ -38,6 +41,8 @@
     HttpString pieceCount,
     HttpString pieceKey,
     HttpString inputs,
+    HttpString resumes,
+    HttpString lastEventId,
     Set<HttpString> reserved) {
 
   /** Copies the names. */
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -76,6 +76,8 @@
           HttpString.tryFromString("Parts"),
           HttpString.tryFromString("Part-Seed"),
           HttpString.tryFromString("Results"),
+          HttpString.tryFromString("Continues"),
+          HttpString.tryFromString("Last-Seen-Event"),
           Set.of(
               HttpString.tryFromString("Access-Code"),
               HttpString.tryFromString("Workspace"),
@@ -320,8 +322,17 @@
     upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
   }
 
+  /** Announces an upstream of a software version. */
+  void announceVersion(String version, String id, HostPort address) {
+    announceStart(version, id, 1, address);
+  }
+
   /** Announces a later start of an upstream under the id that it had. */
   void announceAgain(String id, long incarnation, HostPort address) {
+    announceStart("", id, incarnation, address);
+  }
+
+  private void announceStart(String version, String id, long incarnation, HostPort address) {
     Upstream first = TestUpstreams.ready(id, "s1", address, "dc");
     upstreams.put(
         id,
@@ -333,7 +344,7 @@
             first.dataCentre(),
             first.service(),
             first.model(),
-            first.version(),
+            version,
             first.adapters(),
             first.state(),
             first.slots(),
