Let a stream go on only at the version that began it

Cause: no decision looked at the request that a take-up names. It was chosen like a new one, by affinity, load and data centre.

Evidence: StreamTakeUpTest on the code before: "take-ups at the other version expected [0] but found [20]".

Change: when the first byte of a request of a resumable streaming route is written, the version of its upstream is recorded under the request id, and all later sends of that request stay at it. A take-up looks the version up beside its stages, and has only upstreams of that version as candidates, at the choice and at the write; an upstream that announces another version between the two is no longer the one that was chosen. Without a record it goes on only at the version that the VM has seen as the only one for long, and stays at that version. Otherwise, or if no upstream of the version may take work, it is refused at once with 503 and without a retry time, and its stages are abandoned. If upstreams of the version are there and none is free, the usual refusal and retry time apply. A VM whose view is older than 4 s takes no stream up and records none, as an upstream may have started again with another version.

Why it works: a stream goes on by positive evidence only. A lost record costs a take-up and joins no streams.

Rollouts keep their rules: a version that was rolled back or replaced gets no take-up, and one on trial gets take-ups within its share.

The store is behind StreamOrigins. Until the replicated one is joined, NoStreamOrigins keeps nothing.

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -9,6 +9,7 @@
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.policy.limit.UpstreamEstimates;
@@ -46,6 +47,8 @@
  * @param workCounter counter of the requests in flight
  * @param runsInFlight requests in flight that a stop answers
  * @param responseMemory bounds the memory that requests hold for their callers
+ * @param streamOrigins versions at which streams began
+ * @param versionsSeen versions of the upstreams that the local VM has seen
  * @param metrics counters and histograms
  */
 public record ForwardDependencies(
@@ -73,6 +76,8 @@
     WorkCounter workCounter,
     RunsInFlight runsInFlight,
     ResponseMemory responseMemory,
+    StreamOrigins streamOrigins,
+    VersionsSeen versionsSeen,
     ForwardMetrics metrics) {
 
   /** Time that a stop needs beyond the end of a request, to write the end of its response. */
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -28,6 +28,7 @@
   private final ContentGate gate;
   private final ResponseMemory.Share memory;
   private final ResponseRelay relay;
+  private final StreamVersion streamVersion;
   private final RequestLog log;
   private final RepeatPolicy repeatPolicy;
   private final AttemptRequests attemptRequests;
@@ -42,6 +43,7 @@
   private long pathMs;
   private long sentAtMs;
   private long firstByteMs;
+  private boolean inputsReady;
   private boolean attemptWritten;
   private boolean ended;
 
@@ -74,12 +76,20 @@
             dependencies.quarantine(),
             service,
             RequestContent.of(prefix.parts(), fingerprint::value));
+    this.streamVersion =
+        new StreamVersion(
+            request,
+            service,
+            TakeUp.of(request.headers(), dependencies.headers()),
+            dependencies.streamOrigins(),
+            dependencies.versionsSeen(),
+            dependencies.timers());
     this.log =
         new RequestLog(
             request,
             prefix,
             fingerprint,
-            TakeUp.of(request.headers(), dependencies.headers()),
+            streamVersion,
             dependencies.clock(),
             dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
@@ -107,6 +117,30 @@
     if (refuseIfHeld()) {
       return;
     }
+    streamVersion.determine(this::onVersionDetermined);
+    if (!ended) {
+      startStages(table);
+    }
+  }
+
+  /** Called when the version of a stream is known, before the stages or while they run. */
+  private void onVersionDetermined() {
+    if (ended) {
+      return;
+    }
+    log.versionDetermined();
+    if (!refuseIfStreamCannotGoOn() && inputsReady) {
+      startAttempt();
+    }
+  }
+
+  private boolean refuseIfStreamCannotGoOn() {
+    Optional<StreamObstacle> obstacle = streamVersion.obstacle(dependencies.chooser());
+    obstacle.ifPresent(found -> refuse(found.refusal(), found.label()));
+    return obstacle.isPresent();
+  }
+
+  private void startStages(RoutingTable table) {
     HeaderMap headers = request.headers();
     List<Integer> pieceCounts =
         PieceCounts.parse(
@@ -120,9 +154,10 @@
       startAttempt();
       return;
     }
-    if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()
-        || dependencies.chooser().isBeyondLimits(service)
-        || dependencies.chooser().isBeyondMemory(service, demand)) {
+    ServiceVersion target = streamVersion.target();
+    if (dependencies.chooser().pauseRemainingMs(target) > graph.minTotalMs()
+        || dependencies.chooser().isBeyondLimits(target)
+        || dependencies.chooser().isBeyondMemory(target, demand)) {
       refuseWithoutUpstream();
       return;
     }
@@ -134,7 +169,7 @@
             key == null ? "" : key,
             graph,
             dependencies.responseTimes().averageMs(request.route().name()),
-            dependencies.chooser().likelyDataCentre(service, prefix),
+            dependencies.chooser().likelyDataCentre(target, prefix),
             dependencies.resultLocator(),
             dependencies.stages(),
             dependencies.overloadControl().getAsBoolean(),
@@ -176,7 +211,11 @@
   }
 
   private void startAttempt() {
-    if (refuseIfHeld()) {
+    inputsReady = true;
+    if (!streamVersion.isDetermined()) {
+      return;
+    }
+    if (refuseIfHeld() || refuseIfStreamCannotGoOn()) {
       return;
     }
     if (remainingMs() <= 0) {
@@ -198,7 +237,7 @@
         dependencies
             .chooser()
             .choose(
-                service,
+                streamVersion.target(),
                 prefix,
                 demand,
                 stages.map(StageGraphRun::dataCentreOfResults).orElse(""),
@@ -240,11 +279,11 @@
   }
 
   private void refuseWithoutUpstream() {
-    boolean limited = dependencies.chooser().limitIntervalMs(service) > 0;
+    boolean limited = dependencies.chooser().limitIntervalMs(streamVersion.target()) > 0;
     refuse(
         Refusal.unavailable(
             "service " + service + " has no free upstream",
-            retryTimes.withoutUpstream(service, remainingMs())),
+            retryTimes.withoutUpstream(streamVersion.target(), remainingMs())),
         limited ? "upstream_limits" : "no_upstream");
   }
 
@@ -261,11 +300,13 @@
         !ended
             && remainingMs() > 0
             && dependencies.viewIsCurrent().getAsBoolean()
+            && streamVersion.permits(upstream)
             && dependencies.chooser().tryPermit(upstream);
     if (!permitted) {
       return false;
     }
     attemptWritten = true;
+    streamVersion.onWritten(upstream, remainingMs());
     log.attemptWritten();
     writing.onWritten();
     return true;
@@ -323,7 +364,7 @@
           refuse(
               Refusal.unavailable(
                   "the upstreams of service " + service + " did not run the request",
-                  retryTimes.withoutUpstream(service, remainingMs())),
+                  retryTimes.withoutUpstream(streamVersion.target(), remainingMs())),
               "not_run");
       default -> refuse(Refusal.OUTCOME_UNKNOWN, "lost");
     }
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -60,6 +60,30 @@
           "slow callers and request bodies hold all memory of this VM; use another address",
           250);
 
+  /** Nothing shows at which version a stream began that a request takes up. */
+  static final Refusal STREAM_VERSION_UNKNOWN =
+      new Refusal(
+          StatusCodes.SERVICE_UNAVAILABLE,
+          "stream_cannot_go_on",
+          "the version at which the stream began is not known; begin the stream anew",
+          0);
+
+  /** No upstream of the version is left at which a stream began that a request takes up. */
+  static final Refusal STREAM_VERSION_GONE =
+      new Refusal(
+          StatusCodes.SERVICE_UNAVAILABLE,
+          "stream_cannot_go_on",
+          "no upstream of the version at which the stream began is left; begin the stream anew",
+          0);
+
+  /** The local VM may not know the present versions of the upstreams. */
+  static final Refusal STREAM_VIEW_OUTDATED =
+      new Refusal(
+          StatusCodes.SERVICE_UNAVAILABLE,
+          "stream_view_outdated",
+          "this VM is cut off and may not know the versions of the upstreams; use another address",
+          50);
+
   /** The deadline passed before the request was sent to an upstream. */
   static final Refusal DEADLINE_PASSED =
       new Refusal(
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -19,7 +19,7 @@
   private final CallerRequest request;
   private final PromptPrefix prefix;
   private final RequestFingerprint fingerprint;
-  private final TakeUp takeUp;
+  private final StreamVersion streamVersion;
   private final Clock clock;
   private final ForwardMetrics metrics;
   private String upstream = "-";
@@ -30,6 +30,7 @@
   private long revisionAgeMs = -1;
   private int status;
   private long stagesMs = -1;
+  private long lookUpMs = -1;
   private long attemptStartedMs = -1;
   private long writtenMs = -1;
   private long responseStartedMs = -1;
@@ -42,7 +43,7 @@
    * @param request the request
    * @param prefix prefix that its prompt shares with other requests
    * @param fingerprint fingerprint of the request
-   * @param takeUp stream that the request takes up
+   * @param streamVersion version that may run the request
    * @param clock monotonic clock
    * @param metrics counters and histograms
    */
@@ -50,13 +51,13 @@
       CallerRequest request,
       PromptPrefix prefix,
       RequestFingerprint fingerprint,
-      TakeUp takeUp,
+      StreamVersion streamVersion,
       Clock clock,
       ForwardMetrics metrics) {
     this.request = request;
     this.prefix = prefix;
     this.fingerprint = fingerprint;
-    this.takeUp = takeUp;
+    this.streamVersion = streamVersion;
     this.clock = clock;
     this.metrics = metrics;
   }
@@ -70,6 +71,11 @@
     stagesMs = elapsedMs();
   }
 
+  /** Records that the version that may run the request is determined. */
+  void versionDetermined() {
+    lookUpMs = elapsedMs();
+  }
+
   /**
    * Records an attempt that starts.
    *
@@ -153,6 +159,7 @@
    */
   void ended(String end, int attempts, RepeatDecision lastDecision) {
     metrics.requestEnded(request.route().name(), end);
+    TakeUp takeUp = streamVersion.takeUp();
     if (takeUp.present()) {
       metrics.takeUpEnded(request.route().name(), end);
     }
@@ -173,6 +180,9 @@
         .with("version", version)
         .with("takeUp", takeUp.present())
         .with("resumes", takeUp.resumedId().orElse("-"))
+        .with("lookUp", streamVersion.lookUp())
+        .with("lookUpMs", lookUpMs)
+        .with("requiredVersion", streamVersion.target().version().orElse("-"))
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("sends", attempts)
--- a/src/main/java/org/ragwortpick/forward/RetryTimes.java
+++ b/src/main/java/org/ragwortpick/forward/RetryTimes.java
@@ -85,12 +85,12 @@
   /**
    * Returns the retry time while no upstream may be asked.
    *
-   * @param service name of the service
+   * @param target upstreams that may run the request
    * @param remainingMs time that is left to the caller in milliseconds
    * @return time in milliseconds
    */
-  long withoutUpstream(String service, long remainingMs) {
-    long limitMs = Math.min(chooser.limitIntervalMs(service), remainingMs / DEADLINE_DIVISOR);
-    return Math.max(MIN_MS, Math.max(chooser.pauseRemainingMs(service), limitMs));
+  long withoutUpstream(ServiceVersion target, long remainingMs) {
+    long limitMs = Math.min(chooser.limitIntervalMs(target), remainingMs / DEADLINE_DIVISOR);
+    return Math.max(MIN_MS, Math.max(chooser.pauseRemainingMs(target), limitMs));
   }
 }
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -93,9 +93,14 @@
    *     may be paused
    */
   public List<Upstream> available(String service) {
+    return available(ServiceVersion.any(service));
+  }
+
+  private List<Upstream> available(ServiceVersion target) {
     Configuration current = configuration.get();
     return leaving.exclude(
-        upstreamsOf.apply(service).stream()
+        upstreamsOf.apply(target.service()).stream()
+            .filter(target::allows)
             .filter(upstream -> current.takesWork(upstream.dataCentre()))
             .filter(versions::allows)
             .toList());
@@ -107,8 +112,8 @@
    *
    * @param chosen record by which the upstream was chosen
    * @return false if since then its data centre was taken out of service, a rollout excluded its
-   *     version, or it left, started again, turned cold or requested a pause, or if its limit
-   *     leaves no permit
+   *     version, or it left, started again, announced another version, turned cold or requested a
+   *     pause, or if its limit leaves no permit
    */
   public boolean tryPermit(Upstream chosen) {
     return mayTakeWork(chosen) && versions.permits(chosen) && limits.tryTake(chosen);
@@ -124,6 +129,7 @@
   private boolean isUnchanged(Upstream chosen, Upstream current) {
     return current.id().equals(chosen.id())
         && current.incarnation() == chosen.incarnation()
+        && current.version().equals(chosen.version())
         && current.address().equals(chosen.address())
         && current.dataCentre().equals(chosen.dataCentre())
         && !(chosen.state() == UpstreamState.READY && needsColdShare(current));
@@ -147,16 +153,26 @@
   }
 
   /**
-   * Returns whether no upstream of a service has memory for a request.
+   * Returns whether upstreams may take work, now or after a pause.
    *
-   * @param service name of the service
+   * @param target the upstreams
+   * @return false if none of them is announced, or all of those are excluded
+   */
+  boolean isAvailable(ServiceVersion target) {
+    return !available(target).isEmpty();
+  }
+
+  /**
+   * Returns whether no upstream has memory for a request.
+   *
+   * @param target upstreams that may run it
    * @param demand tokens of the request
    * @return false if an upstream has memory, or none is available anyway
    */
-  boolean isBeyondMemory(String service, TokenDemand demand) {
-    long memoryTokens = memoryTokens(service);
+  boolean isBeyondMemory(ServiceVersion target, TokenDemand demand) {
+    long memoryTokens = memoryTokens(target.service());
     return memoryTokens > 0
-        && estimates.isBeyondMemory(service, available(service), demand, memoryTokens);
+        && estimates.isBeyondMemory(target.service(), available(target), demand, memoryTokens);
   }
 
   /**
@@ -170,48 +186,48 @@
   }
 
   /**
-   * Returns the time until the first upstream of a service may get a request, if all of them have
-   * requested a pause.
+   * Returns the time until the first upstream may get a request, if all of them have requested a
+   * pause.
    *
-   * @param service name of the service
+   * @param target the upstreams
    * @return time in milliseconds; 0 if an upstream is not paused, or there are none
    */
-  long pauseRemainingMs(String service) {
-    return pauses.remainingMs(available(service));
+  long pauseRemainingMs(ServiceVersion target) {
+    return pauses.remainingMs(available(target));
   }
 
   /**
-   * Returns whether the upstreams of a service have limits that leave the local VM no part.
+   * Returns whether upstreams have limits that leave the local VM no part.
    *
-   * @param service name of the service
+   * @param target the upstreams
    * @return false if an upstream may take a request of the local VM at some time, or there are none
    */
-  boolean isBeyondLimits(String service) {
-    List<Upstream> upstreams = available(service);
+  boolean isBeyondLimits(ServiceVersion target) {
+    List<Upstream> upstreams = available(target);
     return !upstreams.isEmpty() && upstreams.stream().noneMatch(limits::hasPart);
   }
 
   /**
-   * Returns the time in which the upstreams of a service together take one more request, if all of
-   * them have limits.
+   * Returns the time in which upstreams together take one more request, if all of them have limits.
    *
-   * @param service name of the service
+   * @param target the upstreams
    * @return time in milliseconds; 0 if an upstream is not limited, or there are none
    */
-  long limitIntervalMs(String service) {
-    return limits.intervalMs(available(service));
+  long limitIntervalMs(ServiceVersion target) {
+    return limits.intervalMs(available(target));
   }
 
   /**
    * Returns the data centre of the upstream that would be chosen now, without reserving it.
    *
-   * @param service name of the service
+   * @param target upstreams that may run the request
    * @param prefix shared part of the prompt
    * @return name of the data centre; empty if no warm upstream is available
    */
-  String likelyDataCentre(String service, PromptPrefix prefix) {
+  String likelyDataCentre(ServiceVersion target, PromptPrefix prefix) {
+    String service = target.service();
     List<Upstream> ready =
-        available(service).stream()
+        available(target).stream()
             .filter(upstream -> upstream.state() == UpstreamState.READY)
             .toList();
     SelectionRequest request =
@@ -225,7 +241,7 @@
   /**
    * Chooses an upstream.
    *
-   * @param service name of the service
+   * @param target upstreams that may run the request
    * @param prefix shared part of the prompt
    * @param demand tokens of the request
    * @param dataCentre data centre that holds the inputs of the request; empty if it has none
@@ -233,13 +249,14 @@
    * @return the upstream, if one may take the request now
    */
   Optional<Upstream> choose(
-      String service,
+      ServiceVersion target,
       PromptPrefix prefix,
       TokenDemand demand,
       String dataCentre,
       Set<String> tried) {
+    String service = target.service();
     List<Upstream> available =
-        available(service).stream()
+        available(target).stream()
             .filter(upstream -> !pauses.isPaused(upstream))
             .filter(limits::isAvailable)
             .toList();
--- /dev/null
+++ b/src/main/java/org/ragwortpick/origin/package-info.java
@@ -0,0 +1,2 @@
+/** Remembers at which version of their upstreams streams began. */
+package org.ragwortpick.origin;
--- a/src/main/java/org/ragwortpick/routing/Route.java
+++ b/src/main/java/org/ragwortpick/routing/Route.java
@@ -46,7 +46,16 @@
    * @return true if it may be sent again after an upstream began to run it
    */
   public boolean repeatable() {
-    return kind == RequestKind.IDEMPOTENT || kind == RequestKind.STREAMING && resumable;
+    return kind == RequestKind.IDEMPOTENT || isResumableStream();
+  }
+
+  /**
+   * Tells whether a caller may take up a broken stream of this route with another request.
+   *
+   * @return true for streaming routes that are resumable
+   */
+  public boolean isResumableStream() {
+    return kind == RequestKind.STREAMING && resumable;
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -12,10 +12,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
@@ -42,6 +44,8 @@
 import org.ragwortpick.forward.RunsInFlight;
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.forward.UpstreamNotices;
+import org.ragwortpick.forward.VersionsSeen;
+import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.admission.PathAdmission;
@@ -59,6 +63,7 @@
 import org.ragwortpick.policy.select.ReportedServiceSelector;
 import org.ragwortpick.rollout.RolloutMetrics;
 import org.ragwortpick.rollout.VersionTraffic;
+import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
@@ -102,6 +107,8 @@
   private final SharedRetryConstant retryConstant;
   private final CollectorRole collectorRole;
   private final VersionTraffic versions;
+  private final StreamOrigins streamOrigins;
+  private final VersionsSeen versionsSeen;
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final DescriptorBudget descriptors;
@@ -129,6 +136,7 @@
    * @param protocol edge protocol
    * @param sync sync module of the process
    * @param channels channels to the other VMs
+   * @param streamOrigins versions at which streams began
    * @param clock monotonic clock
    * @param registry metrics
    * @param work counter of the requests in flight
@@ -141,6 +149,7 @@
       EdgeProtocol protocol,
       SyncNode sync,
       PeerChannels channels,
+      StreamOrigins streamOrigins,
       Clock clock,
       PrometheusRegistry registry,
       WorkCounter work,
@@ -184,6 +193,9 @@
     this.collectorRole =
         new CollectorRole(vm, sync.vmDirectory()::vms, this::isInService, freshness::ageMs, clock);
     this.versions = createVersions(random, registry);
+    this.streamOrigins = streamOrigins;
+    this.versionsSeen =
+        new VersionsSeen(this::configuredServices, sync::announced, freshness::ageMs, clock);
     this.chooser = createChooser(settings, random);
     this.quarantine = new ContentQuarantine(sync.crashEvidence(), vm, entryVms::names, clock);
     this.paths =
@@ -345,6 +357,8 @@
         work,
         runsInFlight,
         responseMemory,
+        streamOrigins,
+        versionsSeen,
         new ForwardMetrics(registry));
   }
 
@@ -352,6 +366,12 @@
     return sync.configurationView().current();
   }
 
+  private Set<String> configuredServices() {
+    return configuration().routingTable().map(RoutingTable::services).orElse(List.of()).stream()
+        .map(ServiceProfile::name)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Takes the permit to send work by a view that is not older than a suspension. */
   private boolean tryPermit(Upstream upstream) {
     return freshness.isConfirmedSinceResume() && chooser.tryPermit(upstream);
@@ -400,6 +420,7 @@
     server.start();
     readiness.start();
     ioThread.executeAtInterval(retryConstant::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    ioThread.executeAtInterval(versionsSeen::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     ioThread.executeAtInterval(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -105,7 +105,15 @@
         settings.entry().isPresent()
             ? Optional.of(
                 new ForwardingEntry(
-                    settings, protocol, sync, channels, clock, registry, work, stop::remainingMs))
+                    settings,
+                    protocol,
+                    sync,
+                    channels,
+                    new NoStreamOrigins(),
+                    clock,
+                    registry,
+                    work,
+                    stop::remainingMs))
             : Optional.empty();
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
--- a/src/test/java/org/ragwortpick/forward/ForwardTestRoutes.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestRoutes.java
@@ -17,6 +17,8 @@
 /** Configuration of the {@link ForwardTestServer} with one route of each request kind. */
 final class ForwardTestRoutes {
 
+  private static final int RESUMABLE_ATTEMPTS = 2;
+
   private ForwardTestRoutes() {}
 
   static Configuration configuration() {
@@ -27,6 +29,8 @@
                 route("safe", RequestKind.IDEMPOTENT, 2),
                 route("once", RequestKind.NON_IDEMPOTENT, 2),
                 route("stream", RequestKind.STREAMING, 1),
+                resumable("resumable"),
+                resumable("resumableStaged", new RouteStage("pieces", List.of(), 10)),
                 route(
                     "staged", RequestKind.IDEMPOTENT, 1, new RouteStage("pieces", List.of(), 10))),
             List.of(
@@ -40,6 +44,15 @@
   }
 
   private static Route route(String name, RequestKind kind, int attempts, RouteStage... stages) {
+    return route(name, kind, attempts, false, stages);
+  }
+
+  private static Route resumable(String name, RouteStage... stages) {
+    return route(name, RequestKind.STREAMING, RESUMABLE_ATTEMPTS, true, stages);
+  }
+
+  private static Route route(
+      String name, RequestKind kind, int attempts, boolean resumable, RouteStage... stages) {
     return new Route(
         name,
         "127.0.0.1",
@@ -52,6 +65,6 @@
         attempts,
         List.of(stages),
         false,
-        false);
+        resumable);
   }
 }
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -24,6 +24,7 @@
 import org.ragwortpick.batch.StageWork;
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.DataCentreState;
@@ -47,6 +48,7 @@
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.directory.SoftTable;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.xnio.OptionMap;
@@ -104,6 +106,12 @@
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
+  private final AtomicInteger abandonments = new AtomicInteger();
+  private volatile long viewAgeMs;
+  private final RecordedOrigins origins = new RecordedOrigins();
+  private final ManualClock versionsClock = new ManualClock();
+  private final VersionsSeen versionsSeen =
+      new VersionsSeen(() -> Set.of("s1"), this::upstreamsOf, () -> viewAgeMs, versionsClock);
   private volatile int senderRank;
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
@@ -163,6 +171,8 @@
                     work,
                     new RunsInFlight(),
                     memory,
+                    origins,
+                    versionsSeen,
                     new ForwardMetrics(registry)),
                 random),
             work);
@@ -255,6 +265,12 @@
             .setHeader("Time-Left-Ms", Long.toString(timeoutMs))
             .POST(HttpRequest.BodyPublishers.ofString("body"))
             .build();
+    return sendStaged(request);
+  }
+
+  /** Sends a request with a stage, and waits until the stage is submitted. */
+  CompletableFuture<HttpResponse<String>> sendStaged(HttpRequest request)
+      throws InterruptedException {
     int submittedBefore = submissions.get();
     var response = sendAsync(request);
     for (int i = 0; i < 1_000 && submissions.get() == submittedBefore; i++) {
@@ -300,6 +316,11 @@
     return submissions.get();
   }
 
+  /** Returns the number of stages that were abandoned. */
+  int abandonedStages() {
+    return abandonments.get();
+  }
+
   /** Counts the requests for which a graceful stop would wait. */
   int inFlight() {
     return server.inFlight();
@@ -324,23 +345,50 @@
 
   /** Announces an upstream of a software version. */
   void announceVersion(String version, String id, HostPort address) {
-    announceStart(version, id, 1, address);
+    announce(version, 1, TestUpstreams.ready(id, "s1", address, "dc"));
+  }
+
+  /** Announces an upstream of a software version that is cold, far away and has work. */
+  void announceUnattractiveVersion(String version, String id, HostPort address) {
+    Upstream ready = TestUpstreams.ready(id, "s1", address, "dc2");
+    announce(
+        version,
+        1,
+        new Upstream(
+            id,
+            1,
+            1,
+            address,
+            "dc2",
+            "s1",
+            ready.model(),
+            version,
+            ready.adapters(),
+            UpstreamState.COLD,
+            ready.slots(),
+            ready.coldLimit(),
+            1,
+            false));
+  }
+
+  /** Announces an upstream of a software version that is preferred, as it runs many requests. */
+  void announceLargeVersion(String version, String id, HostPort address) {
+    announce(version, 1, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
   }
 
   /** Announces a later start of an upstream under the id that it had. */
   void announceAgain(String id, long incarnation, HostPort address) {
-    announceStart("", id, incarnation, address);
+    announce("", incarnation, TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
-  private void announceStart(String version, String id, long incarnation, HostPort address) {
-    Upstream first = TestUpstreams.ready(id, "s1", address, "dc");
+  private void announce(String version, long incarnation, Upstream first) {
     upstreams.put(
-        id,
+        first.id(),
         new Upstream(
-            id,
+            first.id(),
             incarnation,
             1,
-            address,
+            first.address(),
             first.dataCentre(),
             first.service(),
             first.model(),
@@ -353,6 +401,31 @@
             first.checksFencing()));
   }
 
+  /** Returns the versions at which streams began, in the memory of the server. */
+  RecordedOrigins origins() {
+    return origins;
+  }
+
+  /** Sets the age of the view of the upstreams. */
+  void setViewAge(long ageMs) {
+    viewAgeMs = ageMs;
+  }
+
+  /** Lets the server see its upstreams for a time, which passes at once. */
+  void seeVersionsFor(long durationMs) throws Exception {
+    CompletableFuture<Void> seen =
+        CompletableFuture.runAsync(
+            () -> {
+              for (long ms = 0; ms < durationMs; ms += 1_000) {
+                versionsSeen.observe();
+                versionsClock.advanceMs(1_000);
+              }
+              versionsSeen.observe();
+            },
+            worker.getIoThread());
+    seen.get(5, TimeUnit.SECONDS);
+  }
+
   /** Records that an upstream requested a pause in a response. */
   void requestPause(String id) {
     pauses.record(upstreams.get(id), PAUSE_MS);
@@ -414,7 +487,7 @@
     public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
       submissions.incrementAndGet();
       produceStages = () -> whenEnded.accept(new SubmissionEnd.Produced(List.of("h1")));
-      return () -> {};
+      return abandonments::incrementAndGet;
     }
 
     @Override
--- a/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/LimitOfOneUpstreamTest.java
@@ -173,7 +173,12 @@
     Optional<Upstream> send(double limitPerSecond) {
       Optional<Upstream> chosen =
           chooser
-              .choose(SERVICE, PromptPrefix.parse(null), TokenDemand.UNKNOWN, "", Set.of())
+              .choose(
+                  ServiceVersion.any(SERVICE),
+                  PromptPrefix.parse(null),
+                  TokenDemand.UNKNOWN,
+                  "",
+                  Set.of())
               .filter(chooser::tryPermit);
       chosen
           .filter(upstream -> upstream.equals(upstreams.get(0)))
--- a/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
+++ b/src/test/java/org/ragwortpick/forward/UpstreamChooserTest.java
@@ -35,6 +35,8 @@
   private static final double COLD_REQUESTS_PER_SECOND = 5;
   private static final Upstream WARM = TestUpstreams.upstream("u1", 1, 1, UpstreamState.READY, 0);
 
+  private static final ServiceVersion ANY_VERSION = ServiceVersion.any(WARM.service());
+
   private static Configuration configuration(double coldRequestsPerSecond) {
     RoutingConfiguration routing =
         new RoutingConfiguration(
@@ -101,13 +103,12 @@
     UpstreamChooser chooser = chooser(0, WARM, clock, estimates);
     PromptPrefix prefix = PromptPrefix.parse(null);
     TokenDemand demand = new TokenDemand(MEMORY_TOKENS + 1, 0, 0);
-    assertTrue(chooser.choose(WARM.service(), prefix, demand, "", Set.of()).isPresent());
-    assertFalse(chooser.isBeyondMemory(WARM.service(), demand));
+    assertTrue(chooser.choose(ANY_VERSION, prefix, demand, "", Set.of()).isPresent());
+    assertFalse(chooser.isBeyondMemory(ANY_VERSION, demand));
     estimates.workTimes().record(WARM.service());
-    assertTrue(chooser.isBeyondMemory(WARM.service(), demand));
-    assertFalse(chooser.choose(WARM.service(), prefix, demand, "", Set.of()).isPresent());
-    assertTrue(
-        chooser.choose(WARM.service(), prefix, TokenDemand.UNKNOWN, "", Set.of()).isPresent());
+    assertTrue(chooser.isBeyondMemory(ANY_VERSION, demand));
+    assertFalse(chooser.choose(ANY_VERSION, prefix, demand, "", Set.of()).isPresent());
+    assertTrue(chooser.choose(ANY_VERSION, prefix, TokenDemand.UNKNOWN, "", Set.of()).isPresent());
     assertTrue(chooser.freePlaces(WARM.service()) == WARM.slots());
   }
 }
