Explain refused and joined take-ups from the lines of a request

Change: request ended of a take-up states how its version was looked up, when that was known, and which version was required.

Test: StreamTakeUpTest.lineOfTakeUpTellsHowItsVersionWasFound; RequestLogTest.

--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -160,10 +160,13 @@
   void ended(String end, int attempts, RepeatDecision lastDecision) {
     metrics.requestEnded(request.route().name(), end);
     TakeUp takeUp = streamVersion.takeUp();
+    DecisionLine line = DecisionLine.of("request ended");
     if (takeUp.present()) {
       metrics.takeUpEnded(request.route().name(), end);
+      line.with("lookUp", streamVersion.lookUp())
+          .with("lookUpMs", lookUpMs)
+          .with("requiredVersion", streamVersion.target().version().orElse("-"));
     }
-    DecisionLine line = DecisionLine.of("request ended");
     if (!end.equals("answered")) {
       line.with("parts", String.join(",", prefix.parts())).with("content", fingerprint.value());
     }
@@ -180,9 +183,6 @@
         .with("version", version)
         .with("takeUp", takeUp.present())
         .with("resumes", takeUp.resumedId().orElse("-"))
-        .with("lookUp", streamVersion.lookUp())
-        .with("lookUpMs", lookUpMs)
-        .with("requiredVersion", streamVersion.target().version().orElse("-"))
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("sends", attempts)
--- a/src/test/java/org/ragwortpick/forward/RequestLogTest.java
+++ b/src/test/java/org/ragwortpick/forward/RequestLogTest.java
@@ -56,6 +56,7 @@
       Map<String, Object> line = firstOf(recorded);
       assertEquals(line.get("takeUp"), "true");
       assertEquals(line.get("resumes"), "r1");
+      assertEquals(line.get("lookUp"), "NOT_NEEDED");
       assertEquals(server().count("ragwortpick_forward_take_ups", "answered"), 1.0);
     }
   }
--- a/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
+++ b/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.ragwortpick.entry.http.RawUpstream;
+import org.ragwortpick.logging.RecordedLines;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -92,6 +93,28 @@
     }
   }
 
+  @Test
+  public void lineOfTakeUpTellsHowItsVersionWasFound() throws Exception {
+    try (RawUpstream a = upstream();
+        RawUpstream b = upstream();
+        RecordedLines recorded = new RecordedLines(RequestLog.class.getName(), "request ended")) {
+      beginAtVersionA(a, b);
+      sendTakeUp("r1", "first");
+      sendTakeUp("r2", "unknown");
+      for (int i = 0; i < 200 && recorded.lines().size() < 3; i++) {
+        pause(5);
+      }
+      Map<String, Object> known = recorded.lines().get(1);
+      assertEquals(known.get("lookUp"), "OWN");
+      assertEquals(known.get("requiredVersion"), "a");
+      assertEquals(known.get("version"), "a");
+      Map<String, Object> unknown = recorded.lines().get(2);
+      assertEquals(unknown.get("lookUp"), "UNKNOWN");
+      assertEquals(unknown.get("requiredVersion"), "-");
+      assertEquals(unknown.get("end"), "stream_version_unknown");
+    }
+  }
+
   @Test
   public void takeUpOfTakeUpNamesTheFirstRequestOrTheOneBefore() throws Exception {
     try (RawUpstream a = upstream();
