Split the upstreams and streams of the test server from it

AnnouncedUpstreams holds what tests announce, TestStreams what the server knows of streams. No test changes what it checks.

--- a/src/main/java/org/ragwortpick/forward/VersionsSeen.java
+++ b/src/main/java/org/ragwortpick/forward/VersionsSeen.java
@@ -139,7 +139,12 @@
     }
   }
 
-  /** Times at which a version was first and last seen. */
+  /**
+   * Times at which a version was seen.
+   *
+   * @param firstMs monotonic time at which it was seen first
+   * @param lastMs monotonic time at which it was seen last
+   */
   private record Period(long firstMs, long lastMs) {
     Period until(long nowMs) {
       return new Period(firstMs, nowMs);
--- a/src/test/java/org/ragwortpick/forward/DelayedWriteTest.java
+++ b/src/test/java/org/ragwortpick/forward/DelayedWriteTest.java
@@ -76,7 +76,9 @@
   @Test
   public void upstreamThatWasReplacedBeforeTheFirstByteIsAskedAtItsNewAddress() throws Exception {
     CompletableFuture<HttpResponse<String>> response = server().sendStaged("r1");
-    server().produceStagesAndBeforeWrite(() -> server().announceAgain("u1", 2, second.address()));
+    server()
+        .produceStagesAndBeforeWrite(
+            () -> server().upstreams().announceAgain("u1", 2, second.address()));
     assertEquals(response.get().statusCode(), 200);
     assertEquals(first.workRequests(), 0);
     assertEquals(second.workRequests(), 1);
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -14,7 +14,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,7 +23,6 @@
 import org.ragwortpick.batch.StageWork;
 import org.ragwortpick.batch.SubmissionEnd;
 import org.ragwortpick.common.HostPort;
-import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.DataCentreState;
@@ -47,8 +45,6 @@
 import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
-import org.ragwortpick.sync.Upstream;
-import org.ragwortpick.sync.UpstreamState;
 import org.ragwortpick.sync.directory.SoftTable;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.xnio.OptionMap;
@@ -97,7 +93,8 @@
 
   private static final long PAUSE_MS = 5_000;
 
-  private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
+  private final AnnouncedUpstreams upstreams = new AnnouncedUpstreams();
+  private final TestStreams streams = new TestStreams(upstreams::of);
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
   private final XnioWorker worker;
   private final HttpCallClient callClient;
@@ -107,11 +104,6 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
   private final AtomicInteger abandonments = new AtomicInteger();
-  private volatile long viewAgeMs;
-  private final RecordedOrigins origins = new RecordedOrigins();
-  private final ManualClock versionsClock = new ManualClock();
-  private final VersionsSeen versionsSeen =
-      new VersionsSeen(() -> Set.of("s1"), this::upstreamsOf, () -> viewAgeMs, versionsClock);
   private volatile int senderRank;
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
@@ -151,11 +143,7 @@
                     estimates,
                     invalidInput,
                     notices,
-                    new ContentQuarantine(
-                        new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
-                        "vm",
-                        () -> List.of("vm"),
-                        clock),
+                    quarantine(clock),
                     new CountedStages(),
                     () -> false,
                     new ResponseTimes(),
@@ -171,8 +159,8 @@
                     work,
                     new RunsInFlight(),
                     memory,
-                    origins,
-                    versionsSeen,
+                    streams.origins(),
+                    streams.versionsSeen(),
                     new ForwardMetrics(registry)),
                 random),
             work);
@@ -180,6 +168,11 @@
     server.start();
   }
 
+  private static ContentQuarantine quarantine(Clock clock) {
+    SyncedCrashEvidence evidence = new SyncedCrashEvidence("vm", new SoftTable(), () -> {});
+    return new ContentQuarantine(evidence, "vm", () -> List.of("vm"), clock);
+  }
+
   private UpstreamChooser chooser(
       Random random,
       UpstreamEstimates estimates,
@@ -188,7 +181,7 @@
       Clock clock) {
     return new UpstreamChooser(
         () -> configuration,
-        this::upstreamsOf,
+        upstreams::of,
         new LeastLoadedSelector("dc", random),
         estimates,
         leaving,
@@ -200,10 +193,6 @@
         TrafficFixture.withoutRollouts(clock));
   }
 
-  private List<Upstream> upstreamsOf(String service) {
-    return upstreams.values().stream().filter(u -> u.service().equals(service)).toList();
-  }
-
   /** Returns the sum of a counter over all labels, and over those with one label value. */
   double count(String counter, String labelValue) {
     return registry.scrape(name -> name.equals(counter)).stream()
@@ -330,100 +319,33 @@
     return server.address();
   }
 
+  /** Returns the upstreams that the server knows. */
+  AnnouncedUpstreams upstreams() {
+    return upstreams;
+  }
+
   void announce(String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
   void announceIn(String dataCentre, String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, dataCentre));
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, dataCentre));
   }
 
   /** Announces an upstream that runs many requests at once. */
   void announceLarge(String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
-  }
-
-  /** Announces an upstream of a software version. */
-  void announceVersion(String version, String id, HostPort address) {
-    announce(version, 1, TestUpstreams.ready(id, "s1", address, "dc"));
-  }
-
-  /** Announces an upstream of a software version that is cold, far away and has work. */
-  void announceUnattractiveVersion(String version, String id, HostPort address) {
-    Upstream ready = TestUpstreams.ready(id, "s1", address, "dc2");
-    announce(
-        version,
-        1,
-        new Upstream(
-            id,
-            1,
-            1,
-            address,
-            "dc2",
-            "s1",
-            ready.model(),
-            version,
-            ready.adapters(),
-            UpstreamState.COLD,
-            ready.slots(),
-            ready.coldLimit(),
-            1,
-            false));
-  }
-
-  /** Announces an upstream of a software version that is preferred, as it runs many requests. */
-  void announceLargeVersion(String version, String id, HostPort address) {
-    announce(version, 1, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
-  }
-
-  /** Announces a later start of an upstream under the id that it had. */
-  void announceAgain(String id, long incarnation, HostPort address) {
-    announce("", incarnation, TestUpstreams.ready(id, "s1", address, "dc"));
-  }
-
-  private void announce(String version, long incarnation, Upstream first) {
-    upstreams.put(
-        first.id(),
-        new Upstream(
-            first.id(),
-            incarnation,
-            1,
-            first.address(),
-            first.dataCentre(),
-            first.service(),
-            first.model(),
-            version,
-            first.adapters(),
-            first.state(),
-            first.slots(),
-            first.coldLimit(),
-            first.load(),
-            first.checksFencing()));
-  }
-
-  /** Returns the versions at which streams began, in the memory of the server. */
-  RecordedOrigins origins() {
-    return origins;
-  }
-
-  /** Sets the age of the view of the upstreams. */
-  void setViewAge(long ageMs) {
-    viewAgeMs = ageMs;
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
+  }
+
+  /** Returns what the server knows of streams. */
+  TestStreams streams() {
+    return streams;
   }
 
   /** Lets the server see its upstreams for a time, which passes at once. */
   void seeVersionsFor(long durationMs) throws Exception {
-    CompletableFuture<Void> seen =
-        CompletableFuture.runAsync(
-            () -> {
-              for (long ms = 0; ms < durationMs; ms += 1_000) {
-                versionsSeen.observe();
-                versionsClock.advanceMs(1_000);
-              }
-              versionsSeen.observe();
-            },
-            worker.getIoThread());
-    seen.get(5, TimeUnit.SECONDS);
+    CompletableFuture.runAsync(() -> streams.seeVersionsFor(durationMs), worker.getIoThread())
+        .get(REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Records that an upstream requested a pause in a response. */
@@ -432,7 +354,7 @@
   }
 
   void withdraw(String id) {
-    upstreams.remove(id);
+    upstreams.withdraw(id);
   }
 
   void removeConfiguration() {
--- a/src/test/java/org/ragwortpick/forward/LeavingUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/forward/LeavingUpstreamTest.java
@@ -94,7 +94,7 @@
       assertEquals(refused.statusCode(), 503);
       assertTrue(refused.headers().firstValue("Retry-After").isPresent());
       assertEquals(upstream.workRequests(), before);
-      server().announceAgain("u1", 2, upstream.address());
+      server().upstreams().announceAgain("u1", 2, upstream.address());
       assertEquals(server().post("/once/x", "fourth").statusCode(), 200, "a later start is new");
     }
   }
--- a/src/test/java/org/ragwortpick/forward/RequestLogTest.java
+++ b/src/test/java/org/ragwortpick/forward/RequestLogTest.java
@@ -27,7 +27,7 @@
   public void lineOfRequestNamesDataCentreAndConfigurationOfItsChoice() throws Exception {
     try (RawUpstream local = upstream();
         RecordedLines recorded = new RecordedLines(RequestLog.class.getName(), "request ended")) {
-      server().announceVersion("a", "u1", local.address());
+      server().upstreams().announceVersion("a", "u1", local.address());
       assertEquals(server().post("/safe/x", "r1").statusCode(), 200);
       Map<String, Object> line = firstOf(recorded);
       assertEquals(line.get("dataCentre"), "dc");
@@ -45,7 +45,7 @@
   public void lineOfTakeUpNamesTheRequestThatBeganTheStream() throws Exception {
     try (RawUpstream local = upstream();
         RecordedLines recorded = new RecordedLines(RequestLog.class.getName(), "request ended")) {
-      server().announceVersion("a", "u1", local.address());
+      server().upstreams().announceVersion("a", "u1", local.address());
       HttpRequest takeUp =
           server()
               .request("/safe/x", "r2")
--- a/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
+++ b/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
@@ -58,9 +58,9 @@
 
   /** Begins the stream {@code first} at an upstream of version a, and then announces version b. */
   private void beginAtVersionA(RawUpstream a, RawUpstream b) throws Exception {
-    server().announceVersion("a", "u1", a.address());
+    server().upstreams().announceVersion("a", "u1", a.address());
     assertEquals(server().post("/resumable/x", "first").statusCode(), 200);
-    server().announceLargeVersion("b", "u2", b.address());
+    server().upstreams().announceLargeVersion("b", "u2", b.address());
   }
 
   private static void assertCannotGoOn(HttpResponse<String> response) {
@@ -87,7 +87,7 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().announceUnattractiveVersion("a", "u1", a.address());
+      server().upstreams().announceColdVersion("a", "u1", a.address());
       assertEquals(sendTakeUp("r1", "first").statusCode(), 200);
       assertEquals(b.workRequests(), 0);
     }
@@ -121,7 +121,7 @@
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
       assertEquals(sendTakeUp("second", "first").statusCode(), 200);
-      assertEquals(server().origins().versionOf("second"), Optional.of("a"));
+      assertEquals(server().streams().origins().versionOf("second"), Optional.of("a"));
       assertEquals(sendTakeUp("third", "first").statusCode(), 200);
       assertEquals(sendTakeUp("fourth", "second").statusCode(), 200);
       assertEquals(b.workRequests(), 0);
@@ -133,10 +133,10 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().origins().deferLookUps();
+      server().streams().origins().deferLookUps();
       var one = server().sendAsync(takeUp("/resumable/x", "r1", "first").build());
       var other = server().sendAsync(takeUp("/resumable/x", "r2", "first").build());
-      for (int ended = 0; ended < 2; ended += server().origins().endLookUps()) {
+      for (int ended = 0; ended < 2; ended += server().streams().origins().endLookUps()) {
         pause(5);
       }
       assertEquals(one.get().statusCode(), 200);
@@ -157,7 +157,7 @@
         RawUpstream b = upstream();
         RawUpstream failing = new RawUpstream((c, r, request) -> failure(request, failure))) {
       beginAtVersionA(a, b);
-      server().announceLargeVersion("a", "u3", failing.address());
+      server().upstreams().announceLargeVersion("a", "u3", failing.address());
       for (int i = 0; i < TAKE_UPS; i++) {
         sendTakeUp("r" + i, "first");
       }
@@ -173,14 +173,14 @@
         RawUpstream failing =
             new RawUpstream(
                 (c, r, request) -> {
-                  server().announceLargeVersion("b", "u2", b.address());
+                  server().upstreams().announceLargeVersion("b", "u2", b.address());
                   return failure(request, failure);
                 })) {
-      server().announceVersion("a", "u1", failing.address());
+      server().upstreams().announceVersion("a", "u1", failing.address());
       server().post("/resumable/x", "first");
       assertEquals(failing.workRequests(), 1);
       assertEquals(b.workRequests(), 0);
-      assertEquals(server().origins().versionOf("first"), Optional.of("a"));
+      assertEquals(server().streams().origins().versionOf("first"), Optional.of("a"));
     }
   }
 
@@ -198,7 +198,7 @@
   @Test
   public void unknownStreamGoesOnAtTheOnlyVersionOfALongTime() throws Exception {
     try (RawUpstream a = upstream()) {
-      server().announceVersion("a", "u1", a.address());
+      server().upstreams().announceVersion("a", "u1", a.address());
       server().seeVersionsFor(SHORT_MS);
       assertCannotGoOn(sendTakeUp("r1", "unknown"));
       server().seeVersionsFor(LONG_MS - SHORT_MS);
@@ -211,10 +211,10 @@
   public void unknownStreamDoesNotGoOnAtAVersionThatIsAnnouncedAfterItsLookUp() throws Exception {
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
-      server().announceVersion("a", "u1", a.address());
+      server().upstreams().announceVersion("a", "u1", a.address());
       server().seeVersionsFor(LONG_MS);
       var response = sendStagedTakeUp("r1", "unknown");
-      server().announceLargeVersion("b", "u2", b.address());
+      server().upstreams().announceLargeVersion("b", "u2", b.address());
       server().produceStages();
       assertEquals(response.get().statusCode(), 200);
       assertEquals(b.workRequests(), 0);
@@ -229,7 +229,7 @@
       HttpRequest request =
           server().request("/resumable/x", "r1").header("Last-Seen-Event", "7").build();
       assertCannotGoOn(server().send(request));
-      assertEquals(server().origins().lookUps(), 0);
+      assertEquals(server().streams().origins().lookUps(), 0);
     }
   }
 
@@ -264,7 +264,9 @@
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
       var response = sendStagedTakeUp("r1", "first");
-      server().produceStagesAndBeforeWrite(() -> server().announceVersion("b", "u1", a.address()));
+      server()
+          .produceStagesAndBeforeWrite(
+              () -> server().upstreams().announceVersion("b", "u1", a.address()));
       assertCannotGoOn(response.get());
       assertEquals(a.workRequests() + b.workRequests(), 1);
     }
@@ -275,10 +277,10 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().origins().deferLookUps();
+      server().streams().origins().deferLookUps();
       var response = sendStagedTakeUp("r1", "unknown");
       assertEquals(server().submittedStages(), 1);
-      assertEquals(server().origins().endLookUps(), 1);
+      assertEquals(server().streams().origins().endLookUps(), 1);
       assertCannotGoOn(response.get());
       assertEquals(server().abandonedStages(), 1);
     }
@@ -301,12 +303,12 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().origins().deferLookUps();
+      server().streams().origins().deferLookUps();
       var response = sendStagedTakeUp("r1", "first");
       server().produceStages();
       pause(50);
       assertEquals(a.workRequests() + b.workRequests(), 1);
-      assertEquals(server().origins().endLookUps(), 1);
+      assertEquals(server().streams().origins().endLookUps(), 1);
       assertEquals(response.get().statusCode(), 200);
       assertEquals(a.workRequests(), 2);
     }
@@ -317,12 +319,12 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().setViewAge(OLD_VIEW_MS);
+      server().streams().setViewAge(OLD_VIEW_MS);
       HttpResponse<String> response = sendTakeUp("r1", "first");
       assertEquals(response.statusCode(), 503);
       assertTrue(response.body().contains("stream_view_outdated"), response.body());
       assertEquals(server().post("/resumable/x", "second").statusCode(), 200);
-      assertEquals(server().origins().versionOf("second"), Optional.empty());
+      assertEquals(server().streams().origins().versionOf("second"), Optional.empty());
       assertEquals(a.workRequests() + b.workRequests(), 2);
     }
   }
@@ -332,14 +334,14 @@
     try (RawUpstream a = upstream();
         RawUpstream b = upstream()) {
       beginAtVersionA(a, b);
-      server().origins().deferLookUps();
+      server().streams().origins().deferLookUps();
       for (String path : new String[] {"/stream/x", "/safe/x", "/once/x"}) {
         assertEquals(server().send(takeUp(path, "r" + path, "first").build()).statusCode(), 200);
       }
       assertEquals(server().post("/resumable/x", "second").statusCode(), 200);
       assertEquals(b.workRequests(), 4, "requests at the preferred upstream");
-      assertEquals(server().origins().lookUps(), 0);
-      assertEquals(server().origins().records(), 2, "streams of the resumable route");
+      assertEquals(server().streams().origins().lookUps(), 0);
+      assertEquals(server().streams().origins().records(), 2, "streams of the resumable route");
     }
   }
 }
