--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -9,12 +9,14 @@
 import org.ragwortpick.entry.WorkCounter;
 import org.ragwortpick.entry.http.ReadDelay;
 import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.limit.TokenDemand;
 import org.ragwortpick.policy.limit.UpstreamEstimates;
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.rollout.VersionTraffic;
+import org.ragwortpick.routing.Route;
 import org.ragwortpick.sync.ConfigurationView;
 
 /**
@@ -46,6 +48,8 @@
  * @param workCounter counter of the requests in flight
  * @param runsInFlight requests in flight that a stop answers
  * @param responseMemory bounds the memory that requests hold for their callers
+ * @param streamOrigins versions at which streams began
+ * @param versionsSeen versions of the upstreams that the local VM has seen
  * @param metrics counters and histograms
  */
 public record ForwardDependencies(
@@ -73,6 +77,8 @@
     WorkCounter workCounter,
     RunsInFlight runsInFlight,
     ResponseMemory responseMemory,
+    StreamOrigins streamOrigins,
+    VersionsSeen versionsSeen,
     ForwardMetrics metrics) {
 
   /** Time that a stop needs beyond the end of a request, to write the end of its response. */
@@ -88,6 +94,19 @@
     return durationMs <= remainingMs.getAsLong() - STOP_MARGIN_MS;
   }
 
+  /**
+   * Returns whether an attempt that begins now is expected to end before a stop aborts it. The
+   * request was accepted before and a refusal would waste its stages, so the usual time of its
+   * route decides; without one it is begun.
+   *
+   * @param route route of the request
+   * @param requestRemainingMs time until the deadline of the request in milliseconds
+   * @return whether there is no stop, or usually enough time until its end
+   */
+  boolean attemptEndsBeforeStop(Route route, long requestRemainingMs) {
+    return endsBeforeStop(Math.min(requestRemainingMs, responseTimes.longTotalMs(route.name())));
+  }
+
   /**
    * Returns the load of upstreams.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -13,6 +13,7 @@
 
   private final Counter requests;
   private final Counter refusals;
+  private final Counter takeUps;
   private final Counter attempts;
   private final Counter repeats;
   private final Counter bodies;
@@ -36,6 +37,12 @@
             .help("Requests refused before their run began, by reason and status")
             .labelNames("reason", "status")
             .register(registry);
+    this.takeUps =
+        Counter.builder()
+            .name("ragwortpick_forward_take_ups_total")
+            .help("Requests that take up a broken stream by route and end")
+            .labelNames("route", "end")
+            .register(registry);
     this.attempts =
         Counter.builder()
             .name("ragwortpick_forward_sends_total")
@@ -81,6 +88,16 @@
     refusals.labelValues(refusal.error(), Integer.toString(refusal.status())).inc();
   }
 
+  /**
+   * Counts a request that ended and takes up a broken stream.
+   *
+   * @param route name of the route
+   * @param end label of how it ended
+   */
+  void takeUpEnded(String route, String end) {
+    takeUps.labelValues(route, end).inc();
+  }
+
   /**
    * Counts an attempt that ended.
    *
--- a/src/main/java/org/ragwortpick/forward/RequestLog.java
+++ b/src/main/java/org/ragwortpick/forward/RequestLog.java
@@ -19,15 +19,18 @@
   private final CallerRequest request;
   private final PromptPrefix prefix;
   private final RequestFingerprint fingerprint;
+  private final StreamVersion streamVersion;
   private final Clock clock;
   private final ForwardMetrics metrics;
   private String upstream = "-";
   private String upstreamState = "-";
   private String dataCentre = "-";
+  private String version = "-";
   private long revision = -1;
   private long revisionAgeMs = -1;
   private int status;
   private long stagesMs = -1;
+  private long lookUpMs = -1;
   private long attemptStartedMs = -1;
   private long writtenMs = -1;
   private long responseStartedMs = -1;
@@ -40,6 +43,7 @@
    * @param request the request
    * @param prefix prefix that its prompt shares with other requests
    * @param fingerprint fingerprint of the request
+   * @param streamVersion version that may run the request
    * @param clock monotonic clock
    * @param metrics counters and histograms
    */
@@ -47,11 +51,13 @@
       CallerRequest request,
       PromptPrefix prefix,
       RequestFingerprint fingerprint,
+      StreamVersion streamVersion,
       Clock clock,
       ForwardMetrics metrics) {
     this.request = request;
     this.prefix = prefix;
     this.fingerprint = fingerprint;
+    this.streamVersion = streamVersion;
     this.clock = clock;
     this.metrics = metrics;
   }
@@ -65,6 +71,11 @@
     stagesMs = elapsedMs();
   }
 
+  /** Records that the version that may run the request is determined. */
+  void versionDetermined() {
+    lookUpMs = elapsedMs();
+  }
+
   /**
    * Records an attempt that starts.
    *
@@ -75,6 +86,7 @@
     upstream = chosen.id();
     upstreamState = chosen.state() + "/" + chosen.sequence();
     dataCentre = chosen.dataCentre();
+    version = chosen.version();
     revision = view.current().revision();
     revisionAgeMs = clock.millis() - view.confirmedAtMs();
     attemptStartedMs = elapsedMs();
@@ -99,6 +111,7 @@
         .with("outcome", outcome)
         .with("upstream", upstream)
         .with("dataCentre", dataCentre)
+        .with("version", version)
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("retryBudget", decision.budget())
@@ -146,7 +159,14 @@
    */
   void ended(String end, int attempts, RepeatDecision lastDecision) {
     metrics.requestEnded(request.route().name(), end);
+    TakeUp takeUp = streamVersion.takeUp();
     DecisionLine line = DecisionLine.of("request ended");
+    if (takeUp.present()) {
+      metrics.takeUpEnded(request.route().name(), end);
+      line.with("lookUp", streamVersion.lookUp())
+          .with("lookUpMs", lookUpMs)
+          .with("requiredVersion", streamVersion.target().version().orElse("-"));
+    }
     if (!end.equals("answered")) {
       line.with("parts", String.join(",", prefix.parts())).with("content", fingerprint.value());
     }
@@ -160,6 +180,9 @@
         .with("upstream", upstream)
         .with("upstreamState", upstreamState)
         .with("dataCentre", dataCentre)
+        .with("version", version)
+        .with("takeUp", takeUp.present())
+        .with("resumes", takeUp.resumedId().orElse("-"))
         .with("revision", revision)
         .with("revisionAgeMs", revisionAgeMs)
         .with("sends", attempts)
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -14,7 +14,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,7 +46,6 @@
 import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
-import org.ragwortpick.sync.Upstream;
 import org.ragwortpick.sync.directory.SoftTable;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.xnio.OptionMap;
@@ -77,6 +75,8 @@
           HttpString.tryFromString("Parts"),
           HttpString.tryFromString("Part-Seed"),
           HttpString.tryFromString("Results"),
+          HttpString.tryFromString("Continues"),
+          HttpString.tryFromString("Last-Seen-Event"),
           Set.of(
               HttpString.tryFromString("Access-Code"),
               HttpString.tryFromString("Workspace"),
@@ -94,7 +94,8 @@
 
   private static final long PAUSE_MS = 5_000;
 
-  private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
+  private final AnnouncedUpstreams upstreams = new AnnouncedUpstreams();
+  private final TestStreams streams = new TestStreams(upstreams::of);
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
   private final XnioWorker worker;
   private final HttpCallClient callClient;
@@ -103,6 +104,7 @@
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
+  private final AtomicInteger abandonments = new AtomicInteger();
   private volatile int senderRank;
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
@@ -149,11 +151,7 @@
                     estimates,
                     invalidInput,
                     notices,
-                    new ContentQuarantine(
-                        new SyncedCrashEvidence("vm", new SoftTable(), () -> {}),
-                        "vm",
-                        () -> List.of("vm"),
-                        clock),
+                    quarantine(clock),
                     new CountedStages(),
                     () -> false,
                     new ResponseTimes(),
@@ -169,6 +167,8 @@
                     work,
                     new RunsInFlight(),
                     memory,
+                    streams.origins(),
+                    streams.versionsSeen(),
                     new ForwardMetrics(registry)),
                 random),
             work);
@@ -176,6 +176,11 @@
     server.start();
   }
 
+  private static ContentQuarantine quarantine(Clock clock) {
+    SyncedCrashEvidence evidence = new SyncedCrashEvidence("vm", new SoftTable(), () -> {});
+    return new ContentQuarantine(evidence, "vm", () -> List.of("vm"), clock);
+  }
+
   private UpstreamChooser chooser(
       Random random,
       UpstreamEstimates estimates,
@@ -184,7 +189,7 @@
       Clock clock) {
     return new UpstreamChooser(
         () -> configuration,
-        this::upstreamsOf,
+        upstreams::of,
         new LeastLoadedSelector("dc", random),
         estimates,
         leaving,
@@ -196,10 +201,6 @@
         TrafficFixture.withoutRollouts(clock));
   }
 
-  private List<Upstream> upstreamsOf(String service) {
-    return upstreams.values().stream().filter(u -> u.service().equals(service)).toList();
-  }
-
   /** Returns the sum of a counter over all labels, and over those with one label value. */
   double count(String counter, String labelValue) {
     return registry.scrape(name -> name.equals(counter)).stream()
@@ -261,6 +262,12 @@
             .setHeader("Time-Left-Ms", Long.toString(timeoutMs))
             .POST(HttpRequest.BodyPublishers.ofString("body"))
             .build();
+    return sendStaged(request);
+  }
+
+  /** Sends a request with a stage, and waits until the stage is submitted. */
+  CompletableFuture<HttpResponse<String>> sendStaged(HttpRequest request)
+      throws InterruptedException {
     int submittedBefore = submissions.get();
     var response = sendAsync(request);
     for (int i = 0; i < 1_000 && submissions.get() == submittedBefore; i++) {
@@ -306,6 +313,11 @@
     return submissions.get();
   }
 
+  /** Returns the number of stages that were abandoned. */
+  int abandonedStages() {
+    return abandonments.get();
+  }
+
   /** Counts the requests for which a graceful stop would wait. */
   int inFlight() {
     return server.inFlight();
@@ -315,39 +327,33 @@
     return server.address();
   }
 
+  /** Returns the upstreams that the server knows. */
+  AnnouncedUpstreams upstreams() {
+    return upstreams;
+  }
+
   void announce(String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc"));
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, "dc"));
   }
 
   void announceIn(String dataCentre, String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, dataCentre));
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, dataCentre));
   }
 
   /** Announces an upstream that runs many requests at once. */
   void announceLarge(String id, HostPort address) {
-    upstreams.put(id, TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
-  }
-
-  /** Announces a later start of an upstream under the id that it had. */
-  void announceAgain(String id, long incarnation, HostPort address) {
-    Upstream first = TestUpstreams.ready(id, "s1", address, "dc");
-    upstreams.put(
-        id,
-        new Upstream(
-            id,
-            incarnation,
-            1,
-            address,
-            first.dataCentre(),
-            first.service(),
-            first.model(),
-            first.version(),
-            first.adapters(),
-            first.state(),
-            first.slots(),
-            first.coldLimit(),
-            first.load(),
-            first.checksFencing()));
+    upstreams.announce(TestUpstreams.ready(id, "s1", address, "dc", 64, 1));
+  }
+
+  /** Returns what the server knows of streams. */
+  TestStreams streams() {
+    return streams;
+  }
+
+  /** Lets the server see its upstreams for a time, which passes at once. */
+  void seeVersionsFor(long durationMs) throws Exception {
+    CompletableFuture.runAsync(() -> streams.seeVersionsFor(durationMs), worker.getIoThread())
+        .get(REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Records that an upstream requested a pause in a response. */
@@ -356,7 +362,7 @@
   }
 
   void withdraw(String id) {
-    upstreams.remove(id);
+    upstreams.withdraw(id);
   }
 
   void removeConfiguration() {
@@ -426,7 +432,7 @@
     public StageTicket submit(StageWork work, Consumer<SubmissionEnd> whenEnded) {
       submissions.incrementAndGet();
       produceStages = () -> whenEnded.accept(new SubmissionEnd.Produced(List.of("h1")));
-      return () -> {};
+      return abandonments::incrementAndGet;
     }
 
     @Override
