--- a/src/main/java/org/ragwortpick/consensus/storage/RecordFrames.java
+++ b/src/main/java/org/ragwortpick/consensus/storage/RecordFrames.java
@@ -10,12 +10,12 @@
  *
  * <p>The durable offset is the length of the file that was synced when the record was written. A
  * damaged record that begins below the durable offset of a later record was durable before, so it
- * is not a torn write at the end of the file.
+ * is not a torn write at the end of the file. Files that do not tell the two apart state offset 0.
  */
-final class RecordFrames {
+public final class RecordFrames {
 
   /** Size of the frame header before the payload of a record. */
-  static final int HEADER_BYTES = 20;
+  public static final int HEADER_BYTES = 20;
 
   private static final int MARKER = 0x5250_4C31;
   private static final int LENGTH_OFFSET = 4;
@@ -31,7 +31,7 @@
    * @param durableOffset length of the synced part of the file
    * @return the header
    */
-  static ByteBuffer header(byte[] payload, long durableOffset) {
+  public static ByteBuffer header(byte[] payload, long durableOffset) {
     ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
     header.putInt(MARKER).putInt(payload.length).putLong(durableOffset);
     header.putInt(crc(header.array(), 0, payload, 0, payload.length)).flip();
@@ -45,7 +45,7 @@
    * @param offset offset in the file
    * @return the frame; empty if there is no intact record at the offset
    */
-  static Optional<Frame> read(byte[] file, int offset) {
+  public static Optional<Frame> read(byte[] file, int offset) {
     if (offset < 0 || file.length - offset < HEADER_BYTES) {
       return Optional.empty();
     }
@@ -92,14 +92,14 @@
    * @param payloadLength length of the payload
    * @param durableOffset length of the file that was synced when the record was written
    */
-  record Frame(int payloadOffset, int payloadLength, long durableOffset) {
+  public record Frame(int payloadOffset, int payloadLength, long durableOffset) {
 
     /**
      * Returns the offset of the first byte after the record.
      *
      * @return offset
      */
-    int endOffset() {
+    public int endOffset() {
       return payloadOffset + payloadLength;
     }
   }
--- a/src/test/java/org/ragwortpick/consensus/FakeDisk.java
+++ b/src/test/java/org/ragwortpick/consensus/FakeDisk.java
@@ -12,29 +12,29 @@
 import org.ragwortpick.consensus.storage.DiskFile;
 
 /** In-memory disk that loses unsynced data in a crash, and can be full or fail syncs. */
-final class FakeDisk implements Disk {
+public final class FakeDisk implements Disk {
 
   private final Map<String, FakeFile> files = new TreeMap<>();
   private long freeBytes = Long.MAX_VALUE;
   private boolean failNextSync;
   private boolean refusesChanges;
 
-  void setFreeBytes(long bytes) {
+  public void setFreeBytes(long bytes) {
     freeBytes = bytes;
   }
 
   /** Refuses each write, and also to create, rename and delete files. */
-  void refuseChanges() {
+  public void refuseChanges() {
     refusesChanges = true;
   }
 
-  void clearFaults() {
+  public void clearFaults() {
     refusesChanges = false;
     freeBytes = Long.MAX_VALUE;
     failNextSync = false;
   }
 
-  void failNextSync() {
+  public void failNextSync() {
     failNextSync = true;
   }
 
@@ -42,13 +42,13 @@
    * Loses a random suffix of the unsynced data. Sometimes the remaining part has a hole, as if the
    * pages of one write had reached the disk out of order.
    */
-  void crash(RandomGenerator random) {
+  public void crash(RandomGenerator random) {
     clearFaults();
     files.values().forEach(file -> file.crash(random));
   }
 
   /** Flips one bit of the last file whose name starts with the prefix. */
-  void corrupt(String prefix, int offset) {
+  public void corrupt(String prefix, int offset) {
     FakeFile file =
         files.entrySet().stream()
             .filter(entry -> entry.getKey().startsWith(prefix))
