Serve and use the store of stream versions

Control VMs with a data folder keep the records beside the evidence of crashes; the names of the files do not overlap with those of the consensus log. Entry VMs ask the control VMs of the directory, and the seeds while it is empty.

--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -15,12 +15,14 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
 import org.ragwortpick.batch.StageCollectors;
+import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.SuspensionDetector;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.edge.EdgeProtocol;
@@ -42,6 +44,8 @@
 import org.ragwortpick.forward.RunsInFlight;
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.forward.UpstreamNotices;
+import org.ragwortpick.origin.RemoteStreamOrigins;
+import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.admission.PathAdmission;
@@ -114,6 +118,7 @@
   private final ContentQuarantine quarantine;
   private final PathAdmission paths;
   private final RemoteStageRunner stages;
+  private final StreamOrigins origins;
   private final ReadDelay readDelay;
   private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final RunsInFlight runsInFlight = new RunsInFlight();
@@ -128,6 +133,7 @@
    * @param settings settings of the process
    * @param protocol edge protocol
    * @param sync sync module of the process
+   * @param seeds supplies the peer addresses of the control VMs in the settings
    * @param channels channels to the other VMs
    * @param clock monotonic clock
    * @param registry metrics
@@ -140,6 +146,7 @@
       ForwardingSettings settings,
       EdgeProtocol protocol,
       SyncNode sync,
+      Supplier<List<HostPort>> seeds,
       PeerChannels channels,
       Clock clock,
       PrometheusRegistry registry,
@@ -190,6 +197,8 @@
         new PathAdmission(
             role.overloadControl().inForce(estimates.workTimes()::anyReported), clock);
     this.stages = createStages(settings, protocol, channels);
+    ControlVms controlVms = new ControlVms(sync.vmDirectory(), seeds);
+    this.origins = new RemoteStreamOrigins(vm, controlVms, channels, ioThread, timers, clock);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
         new EntryServer(
--- a/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingProcess.java
@@ -21,6 +21,8 @@
 import org.ragwortpick.consensus.storage.FileDisk;
 import org.ragwortpick.edge.EdgeProtocol;
 import org.ragwortpick.entry.WorkCounter;
+import org.ragwortpick.origin.OriginStore;
+import org.ragwortpick.origin.OriginStoreServer;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.LeaderSource;
@@ -56,6 +58,7 @@
   private final WorkCounter work = new WorkCounter();
   private final SyncNode sync;
   private final Optional<CrashEvidenceFile> evidenceFile;
+  private final Optional<OriginStore> originStore;
   private final Optional<ForwardingControl> control;
   private final Optional<ForwardingEntry> entry;
   private final PeerServer peerServer;
@@ -85,6 +88,7 @@
             work::count,
             LEAVING_MS);
     this.evidenceFile = evidenceFile(settings, sync, clock);
+    this.originStore = originStore(settings, clock);
     this.stop = new GracefulStop(sync.lifeCycle(), work, scheduler, clock);
     this.control =
         settings
@@ -105,10 +109,19 @@
         settings.entry().isPresent()
             ? Optional.of(
                 new ForwardingEntry(
-                    settings, protocol, sync, channels, clock, registry, work, stop::remainingMs))
+                    settings,
+                    protocol,
+                    sync,
+                    seeds::get,
+                    channels,
+                    clock,
+                    registry,
+                    work,
+                    stop::remainingMs))
             : Optional.empty();
     List<BindableService> services = new ArrayList<>();
     services.add(sync.service());
+    originStore.ifPresent(store -> services.add(new OriginStoreServer(store)));
     control.ifPresent(role -> services.addAll(role.services()));
     entry.ifPresent(role -> services.add(role.service()));
     this.peerServer = new PeerServer(settings.peerAddress(), services);
@@ -124,6 +137,14 @@
                 new FileDisk(folder.get()), sync.crashEvidence(), clock, Clock.systemUTC()));
   }
 
+  private static Optional<OriginStore> originStore(ForwardingSettings settings, Clock clock)
+      throws IOException {
+    Optional<Path> folder = settings.control().flatMap(ForwardingSettings.ControlRole::dataFolder);
+    return folder.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new OriginStore(new FileDisk(folder.get()), clock, Clock.systemUTC()));
+  }
+
   private static SyncIdentity identity(ForwardingSettings settings, boolean isVoter) {
     String vm = settings.peerAddress().toString();
     Set<HostPort> controlVms = new LinkedHashSet<>(settings.seeds());
@@ -173,6 +194,7 @@
   @Override
   public void start() throws IOException {
     evidenceFile.ifPresent(CrashEvidenceFile::start);
+    originStore.ifPresent(OriginStore::start);
     peerServer.start();
     control.ifPresent(ForwardingControl::start);
     sync.start();
@@ -210,6 +232,7 @@
       control.get().close();
     }
     peerServer.close();
+    originStore.ifPresent(OriginStore::close);
     channels.close();
     scheduler.shutdownNow();
     LOG.infof("VM %s stopped", settings.peerAddress());
