--- a/src/main/java/org/ragwortpick/forward/StreamVersion.java
+++ b/src/main/java/org/ragwortpick/forward/StreamVersion.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.ragwortpick.entry.Timers;
 import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.sync.Upstream;
@@ -81,17 +82,20 @@
       return;
     }
     lookUp = LookUp.PENDING;
+    AtomicBoolean asksOthers = new AtomicBoolean();
     Thread ioThread = Thread.currentThread();
     origins.find(
         takeUp.resumedId().get(),
         found -> {
+          LookUp end = asksOthers.get() ? LookUp.FOUND : LookUp.OWN;
+          LookUp known = found.isPresent() ? end : LookUp.UNKNOWN;
           if (Thread.currentThread() == ioThread) {
-            onLookedUp(found.isPresent() ? LookUp.OWN : LookUp.UNKNOWN, found, whenDetermined);
+            onLookedUp(known, found, whenDetermined);
           } else {
-            LookUp end = found.isPresent() ? LookUp.FOUND : LookUp.UNKNOWN;
-            timers.schedule(0, () -> onLookedUp(end, found, whenDetermined));
+            timers.schedule(0, () -> onLookedUp(known, found, whenDetermined));
           }
         });
+    asksOthers.set(true);
   }
 
   private void onLookedUp(LookUp end, Optional<String> found, Runnable whenDetermined) {
--- a/src/main/java/org/ragwortpick/origin/StreamOrigins.java
+++ b/src/main/java/org/ragwortpick/origin/StreamOrigins.java
@@ -6,23 +6,20 @@
 /** Version of the upstreams that may take up a stream. */
 public interface StreamOrigins {
 
-  /** Time in milliseconds within which a look-up ends. */
-  long LOOKUP_TIMEOUT_MS = 300;
-
   /**
    * Records the version at which a request runs. Never blocks.
    *
    * @param requestId id of the request
-   * @param version version of its upstream
-   * @param lifetimeMs time in milliseconds for which the record is kept
+   * @param version version of the upstream that the request is sent to
+   * @param lifetimeMs time after which the record is no longer needed in milliseconds
    */
   void record(String requestId, String version, long lifetimeMs);
 
   /**
-   * Looks a version up. Calls back before it returns if the local VM has the record in memory.
+   * Looks up the version at which a request ran. Calls back once, on any thread, within 300 ms.
    *
-   * @param requestId id of the request that began a stream
-   * @param found called once, on any thread, within {@link #LOOKUP_TIMEOUT_MS}; empty if unknown
+   * @param requestId id of the request
+   * @param found receives the version; empty if it is not known
    */
   void find(String requestId, Consumer<Optional<String>> found);
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
@@ -23,6 +24,7 @@
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
 import org.ragwortpick.batch.StageCollectors;
+import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.SuspensionDetector;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.edge.EdgeProtocol;
@@ -45,6 +47,7 @@
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.forward.UpstreamNotices;
 import org.ragwortpick.forward.VersionsSeen;
+import org.ragwortpick.origin.RemoteStreamOrigins;
 import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.policy.RetryBudget;
@@ -107,7 +110,6 @@
   private final SharedRetryConstant retryConstant;
   private final CollectorRole collectorRole;
   private final VersionTraffic versions;
-  private final StreamOrigins streamOrigins;
   private final VersionsSeen versionsSeen;
   private final UpstreamChooser chooser;
   private final Timers timers;
@@ -121,6 +123,7 @@
   private final ContentQuarantine quarantine;
   private final PathAdmission paths;
   private final RemoteStageRunner stages;
+  private final StreamOrigins origins;
   private final ReadDelay readDelay;
   private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final RunsInFlight runsInFlight = new RunsInFlight();
@@ -135,8 +138,8 @@
    * @param settings settings of the process
    * @param protocol edge protocol
    * @param sync sync module of the process
+   * @param seeds supplies the peer addresses of the control VMs in the settings
    * @param channels channels to the other VMs
-   * @param streamOrigins versions at which streams began
    * @param clock monotonic clock
    * @param registry metrics
    * @param work counter of the requests in flight
@@ -148,8 +151,8 @@
       ForwardingSettings settings,
       EdgeProtocol protocol,
       SyncNode sync,
+      Supplier<List<HostPort>> seeds,
       PeerChannels channels,
-      StreamOrigins streamOrigins,
       Clock clock,
       PrometheusRegistry registry,
       WorkCounter work,
@@ -193,7 +196,6 @@
     this.collectorRole =
         new CollectorRole(vm, sync.vmDirectory()::vms, this::isInService, freshness::ageMs, clock);
     this.versions = createVersions(random, registry);
-    this.streamOrigins = streamOrigins;
     this.versionsSeen =
         new VersionsSeen(this::configuredServices, sync::announced, freshness::ageMs, clock);
     this.chooser = createChooser(settings, random);
@@ -202,6 +204,8 @@
         new PathAdmission(
             role.overloadControl().inForce(estimates.workTimes()::anyReported), clock);
     this.stages = createStages(settings, protocol, channels);
+    ControlVms controlVms = new ControlVms(sync.vmDirectory(), seeds);
+    this.origins = new RemoteStreamOrigins(vm, controlVms, channels, ioThread, timers, clock);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
         new EntryServer(
@@ -357,7 +361,7 @@
         work,
         runsInFlight,
         responseMemory,
-        streamOrigins,
+        origins,
         versionsSeen,
         new ForwardMetrics(registry));
   }
