Run the stages of streams that are taken up before those of new requests

Cause: a take-up runs all stages of its route again, and its pieces were queued and refused by the target latency of a first event, which a stream that has begun no longer has. Callers notice a break late: half of the first take-ups had 2.3 s left, and waited 1.1 to 2.9 s at the second stage behind new requests that had 13 s.

Change: stage work states whether it resumes a stream. Within a priority such work comes first, its deadline takes the place of the target, and only pieces that go before it count when it arrives. More urgent kinds stay before it.

Why it works: the number of streams that can be taken up is that of the streams in progress, so new requests wait a little, once, and what was spent on a stream is not lost. An old collector ignores the new field.

The routes' side, which says what is a take-up, follows; nothing sets the flag yet.

--- a/src/main/java/org/ragwortpick/batch/BatchCodec.java
+++ b/src/main/java/org/ragwortpick/batch/BatchCodec.java
@@ -39,6 +39,7 @@
             .setTargetRemainingMs(work.targetRemainingMs())
             .setPriority(work.priority())
             .setDataCentre(work.dataCentre())
+            .setResumed(work.resumed())
             .setViewAgeMs(viewAgeMs);
     work.path()
         .ifPresent(
@@ -80,6 +81,7 @@
         request.getTargetRemainingMs(),
         request.getPriority(),
         request.getDataCentre(),
+        request.getResumed(),
         request.hasPath() ? Optional.of(BacklogCodec.decode(request.getPath())) : Optional.empty());
   }
 
--- a/src/main/java/org/ragwortpick/batch/FairOrder.java
+++ b/src/main/java/org/ragwortpick/batch/FairOrder.java
@@ -12,10 +12,10 @@
 
 /**
  * Order under overload control. Pieces that can still meet their target come before those that
- * cannot, then pieces are ordered by priority; within a priority, work whose request has run
- * earlier stages comes first, and the workspaces take turns by what they were served in the last
- * seconds, each with its earliest target first. One submission of each workspace and of each
- * priority that is below its minimum goes before all.
+ * cannot, then pieces are ordered by priority; within a priority, streams that are taken up come
+ * first, then work whose request has run earlier stages, and the workspaces take turns by what they
+ * were served in the last seconds, each with its earliest target first. One submission of each
+ * workspace and of each priority that is below its minimum goes before all.
  */
 final class FairOrder implements PieceOrder {
 
@@ -23,6 +23,7 @@
       Comparator.comparing((Ranked ranked) -> !ranked.first)
           .thenComparing(ranked -> ranked.late)
           .thenComparingInt(ranked -> ranked.piece.submission().work().priority())
+          .thenComparing(ranked -> !ranked.piece.submission().work().resumed())
           .thenComparing(ranked -> ranked.piece.submission().work().isNew())
           .thenComparingDouble(ranked -> ranked.rank)
           .thenComparingLong(ranked -> ranked.orderAtMs);
--- a/src/main/java/org/ragwortpick/batch/PieceQueue.java
+++ b/src/main/java/org/ragwortpick/batch/PieceQueue.java
@@ -43,12 +43,34 @@
    * @return number of pieces of this priority and of more urgent ones
    */
   long countAhead(int priority) {
+    return count(queued -> queued.priority() <= priority);
+  }
+
+  /**
+   * Counts the pieces that go before the pieces of work that arrives.
+   *
+   * @param work the work
+   * @return number of pieces; those of new requests go behind streams of their priority that are
+   *     taken up
+   */
+  long countAhead(StageWork work) {
+    return count(queued -> goesAhead(queued, work));
+  }
+
+  private long count(Predicate<StageWork> condition) {
     return waiting.stream()
-        .filter(piece -> !piece.submission().isEnded())
-        .filter(piece -> piece.submission().work().priority() <= priority)
+        .map(WaitingPiece::submission)
+        .filter(submission -> !submission.isEnded())
+        .map(Submission::work)
+        .filter(condition)
         .count();
   }
 
+  private static boolean goesAhead(StageWork queued, StageWork work) {
+    return queued.priority() < work.priority()
+        || queued.priority() == work.priority() && (queued.resumed() || !work.resumed());
+  }
+
   /**
    * Counts the queued pieces of each priority. Those that have missed their target count too: new
    * work that is admitted while they wait would keep them waiting until their deadline.
@@ -84,12 +106,16 @@
       boolean counts =
           !submission.isEnded()
               && (submission.targetAtMs() >= onTimeFromMs || queued.priority() == work.priority())
-              && queued.priority() <= work.priority();
+              && goesAhead(queued, work);
       if (!counts) {
         continue;
       }
       boolean earlier = submission != asking && submission.targetAtMs() <= asking.targetAtMs();
-      if (queued.priority() < work.priority() || !queued.isNew() && work.isNew()) {
+      boolean goesBeforeTurns =
+          queued.priority() < work.priority()
+              || queued.resumed() && !work.resumed()
+              || !queued.isNew() && work.isNew();
+      if (goesBeforeTurns) {
         ahead++;
       } else if (queued.isNew() == work.isNew() && submission.owner().equals(asking.owner())) {
         own += earlier ? 1 : 0;
--- a/src/main/java/org/ragwortpick/batch/StageAdmission.java
+++ b/src/main/java/org/ragwortpick/batch/StageAdmission.java
@@ -118,8 +118,7 @@
   }
 
   private Optional<SubmissionEnd.Failed> refusalByQueue(StageWork work, BatchProfile limits) {
-    long waitMs =
-        trackers.expectedWaitMs(limits, queue.countAhead(work.priority()), clock.millis());
+    long waitMs = trackers.expectedWaitMs(limits, queue.countAhead(work), clock.millis());
     long callMs = (long) StageTimes.callMs(limits, work.pieceCount());
     if (waitMs + callMs > work.remainingMs()) {
       return Optional.of(new SubmissionEnd.Failed(SubmissionEnd.Cause.LATE, waitMs));
--- a/src/main/java/org/ragwortpick/batch/StageWork.java
+++ b/src/main/java/org/ragwortpick/batch/StageWork.java
@@ -22,6 +22,7 @@
  * @param priority priority of the request, 0 is the most urgent
  * @param dataCentre data centre in which the work causes the least traffic between data centres;
  *     empty if there is no preference
+ * @param resumed whether the request takes up a stream that has begun; it has no target latency
  * @param path what remains of the request after the stage; empty unless the submitting VM controls
  *     overload
  */
@@ -37,6 +38,7 @@
     long targetRemainingMs,
     int priority,
     String dataCentre,
+    boolean resumed,
     Optional<RequestPath> path) {
 
   /** Copies the inputs. */
@@ -45,7 +47,7 @@
   }
 
   /**
-   * Creates the work of a VM that does not control overload.
+   * Creates the work of a new request of a VM that does not control overload.
    *
    * @param service service that produces the pieces
    * @param requestId id of the request
@@ -83,6 +85,7 @@
         targetRemainingMs,
         priority,
         dataCentre,
+        false,
         Optional.empty());
   }
 
@@ -105,6 +108,7 @@
         targetRemainingMs - elapsedMs,
         priority,
         dataCentre,
+        resumed,
         path.map(remaining -> remaining.after(elapsedMs)));
   }
 
--- a/src/main/java/org/ragwortpick/batch/TargetOrder.java
+++ b/src/main/java/org/ragwortpick/batch/TargetOrder.java
@@ -5,7 +5,9 @@
 
 /**
  * Pieces that can still meet the target latency of their request come before those that cannot,
- * then pieces are ordered by priority, then by target time.
+ * then pieces are ordered by priority, then by target time. Within a priority, streams that are
+ * taken up come first: they have less time left than new requests, and what was spent on them is
+ * lost if they do not go on.
  *
  * <p>The order is made for a burst on a stage service whose cost per call exceeds the cost per
  * piece: work that has already missed its target must not delay requests that can still meet
@@ -18,6 +20,7 @@
     waiting.sort(
         Comparator.comparing((WaitingPiece piece) -> piece.isLate(slot))
             .thenComparingInt(piece -> piece.submission().work().priority())
+            .thenComparing(piece -> !piece.submission().work().resumed())
             .thenComparingLong(piece -> piece.orderAtMs(slot)));
   }
 }
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -127,6 +127,7 @@
             request,
             key == null ? "" : key,
             graph,
+            false,
             dependencies.responseTimes().averageMs(request.route().name()),
             dependencies.chooser().likelyDataCentre(service, prefix),
             dependencies.resultLocator(),
--- a/src/main/java/org/ragwortpick/forward/StageGraphRun.java
+++ b/src/main/java/org/ragwortpick/forward/StageGraphRun.java
@@ -38,6 +38,8 @@
   private final CallerRequest request;
   private final String pieceKey;
   private final StageGraph graph;
+  private final boolean resumed;
+  private final long targetAtMs;
   private final long responseMs;
   private final String responseDataCentre;
   private final ResultLocator resultLocator;
@@ -56,6 +58,8 @@
    * @param request the request
    * @param pieceKey key of the pieces of stages without inputs
    * @param graph stages of the request
+   * @param resumed whether the request takes up a stream that has begun; its first event has come,
+   *     so that its deadline takes the place of the target latency
    * @param responseMs expected time from the last stage to the response in milliseconds
    * @param responseDataCentre data centre of the upstream that will probably run the request; empty
    *     if it is not known
@@ -69,6 +73,7 @@
       CallerRequest request,
       String pieceKey,
       StageGraph graph,
+      boolean resumed,
       long responseMs,
       String responseDataCentre,
       ResultLocator resultLocator,
@@ -79,6 +84,8 @@
     this.request = request;
     this.pieceKey = pieceKey;
     this.graph = graph;
+    this.resumed = resumed;
+    this.targetAtMs = resumed ? request.deadlineAtMs() : request.targetAtMs();
     this.responseMs = responseMs;
     this.responseDataCentre = responseDataCentre;
     this.resultLocator = resultLocator;
@@ -117,10 +124,14 @@
         routeStage.after().stream().flatMap(preceding -> inputsOf(preceding).stream()).toList();
     long submittedAtMs = nowMs.getAsLong();
     int priority = request.priority();
-    // Under overload control the collector estimates the waits of later stages itself.
+    // Under overload control the collector estimates the waits of later stages itself; a stream
+    // that
+    // is taken up goes before the work that waits.
     long followingMs =
         graph.followingMs(
-                stage, service -> overloadControl ? 0 : runner.expectedWaitMs(service, priority))
+                stage,
+                service ->
+                    overloadControl || resumed ? 0 : runner.expectedWaitMs(service, priority))
             + responseMs;
     StageWork work =
         new StageWork(
@@ -132,9 +143,10 @@
             inputs,
             routeStage.resultBytes(),
             request.deadlineAtMs() - submittedAtMs - graph.followingMs(stage, service -> 0),
-            request.targetAtMs() - submittedAtMs - followingMs,
+            targetAtMs - submittedAtMs - followingMs,
             priority,
             preferredDataCentre(stage, inputs),
+            resumed,
             overloadControl ? Optional.of(path(stage, submittedAtMs)) : Optional.empty());
     tickets[stage] = runner.submit(work, end -> onStageEnded(stage, end));
   }
@@ -147,7 +159,7 @@
     return new RequestPath(
         request.workspace().map(RoutedWorkspace::name).orElse(""),
         Math.max(0, decideAtMs - nowAtMs),
-        request.targetAtMs() - nowAtMs,
+        targetAtMs - nowAtMs,
         responseMs,
         graph.following(stage));
   }
--- a/src/test/java/org/ragwortpick/batch/OverloadedCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/OverloadedCollectorTest.java
@@ -94,6 +94,7 @@
             OBJECTIVE_MS,
             priority,
             "",
+            false,
             Optional.of(path));
     collector.submit(
         work,
--- a/src/test/java/org/ragwortpick/batch/PathLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/PathLoadTest.java
@@ -302,6 +302,7 @@
               objectiveMs - followingMs - RESPONSE_MS - (on ? 0 : waitsMs),
               outcome.kind.priority,
               "",
+              false,
               on ? Optional.of(path) : Optional.empty());
       time.schedule(
           ONE_WAY_MS,
--- a/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
+++ b/src/test/java/org/ragwortpick/forward/StageGraphRunTest.java
@@ -74,6 +74,7 @@
             request,
             "key",
             graph,
+            false,
             50,
             "dc-9",
             RESULT_LOCATOR,
