State for the stages whether a request takes a stream up

The order of the stages was in place; this sets the flag, so that take-ups are no longer refused for the target latency of a first event (LOST).

--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -179,7 +179,7 @@
             request,
             key == null ? "" : key,
             graph,
-            false,
+            streamVersion.isTakeUp(),
             dependencies.responseTimes().averageMs(request.route().name()),
             dependencies.chooser().likelyDataCentre(streamVersion.target(), prefix),
             dependencies.resultLocator(),
