Abandon stages of a take-up whose version will not be free

What callers would see: a take-up whose version another VM had to be asked for ran all its stages before it was refused because the upstreams of that version pause, or have no permit or memory for it.

Cause: the checks that refuse before stages begin looked at upstreams of all versions while the look-up had not ended.

Change: they run once more when the look-up ends during the stages. UpstreamChooser.mayTakeAfter has the three of them.

Test: pauseOfTheVersionEndsARunningStageAtOnce failed without the check ("expected [true] but found [false]": no retry time, as the request waited for its deadline).

--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -16,6 +16,7 @@
 import org.ragwortpick.policy.limit.UpstreamLoads;
 import org.ragwortpick.policy.quarantine.ContentQuarantine;
 import org.ragwortpick.rollout.VersionTraffic;
+import org.ragwortpick.routing.Route;
 import org.ragwortpick.sync.ConfigurationView;
 
 /**
@@ -93,6 +94,19 @@
     return durationMs <= remainingMs.getAsLong() - STOP_MARGIN_MS;
   }
 
+  /**
+   * Returns whether an attempt that begins now is expected to end before a stop aborts it. The
+   * request was accepted before and a refusal would waste its stages, so the usual time of its
+   * route decides; without one it is begun.
+   *
+   * @param route route of the request
+   * @param requestRemainingMs time until the deadline of the request in milliseconds
+   * @return whether there is no stop, or usually enough time until its end
+   */
+  boolean attemptEndsBeforeStop(Route route, long requestRemainingMs) {
+    return endsBeforeStop(Math.min(requestRemainingMs, responseTimes.longTotalMs(route.name())));
+  }
+
   /**
    * Returns the load of upstreams.
    *
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -40,6 +40,7 @@
   private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
   private String upstreamId = "";
+  private long stagesMinMs;
   private long pathMs;
   private long sentAtMs;
   private long firstByteMs;
@@ -129,11 +130,24 @@
       return;
     }
     log.versionDetermined();
-    if (!refuseIfStreamCannotGoOn() && inputsReady) {
+    if (refuseIfStreamCannotGoOn()
+        || stages.isPresent() && !inputsReady && refuseIfNoneIsFreeAfterStages()) {
+      return;
+    }
+    if (inputsReady) {
       startAttempt();
     }
   }
 
+  /** Refuses the request if its upstreams can already be told to take none after its stages. */
+  private boolean refuseIfNoneIsFreeAfterStages() {
+    boolean free = dependencies.chooser().mayTakeAfter(stagesMinMs, streamVersion.target(), demand);
+    if (!free) {
+      refuseWithoutUpstream();
+    }
+    return !free;
+  }
+
   private boolean refuseIfStreamCannotGoOn() {
     Optional<StreamObstacle> obstacle = streamVersion.obstacle(dependencies.chooser());
     obstacle.ifPresent(found -> refuse(found.refusal(), found.label()));
@@ -154,11 +168,8 @@
       startAttempt();
       return;
     }
-    ServiceVersion target = streamVersion.target();
-    if (dependencies.chooser().pauseRemainingMs(target) > graph.minTotalMs()
-        || dependencies.chooser().isBeyondLimits(target)
-        || dependencies.chooser().isBeyondMemory(target, demand)) {
-      refuseWithoutUpstream();
+    stagesMinMs = graph.minTotalMs();
+    if (refuseIfNoneIsFreeAfterStages()) {
       return;
     }
     String key = headers.getFirst(dependencies.headers().pieceKey());
@@ -169,7 +180,7 @@
             key == null ? "" : key,
             graph,
             dependencies.responseTimes().averageMs(request.route().name()),
-            dependencies.chooser().likelyDataCentre(target, prefix),
+            dependencies.chooser().likelyDataCentre(streamVersion.target(), prefix),
             dependencies.resultLocator(),
             dependencies.stages(),
             dependencies.overloadControl().getAsBoolean(),
@@ -222,7 +233,7 @@
       refuse(Refusal.DEADLINE_PASSED, "deadline");
       return;
     }
-    if (!endsBeforeStop()) {
+    if (!dependencies.attemptEndsBeforeStop(request.route(), remainingMs())) {
       refuse(Refusal.STOPPING, "stopping");
       return;
     }
@@ -268,16 +279,6 @@
     nextAttempt.start(attemptRequests.to(upstream, inputs, () -> mayWrite(upstream, nextAttempt)));
   }
 
-  /**
-   * Returns whether an attempt that begins now is expected to end before a stop aborts it. The
-   * request was accepted before and a refusal would waste its stages, so the usual time of its
-   * route decides; without one it is begun.
-   */
-  private boolean endsBeforeStop() {
-    return dependencies.endsBeforeStop(
-        Math.min(remainingMs(), dependencies.responseTimes().longTotalMs(request.route().name())));
-  }
-
   private void refuseWithoutUpstream() {
     boolean limited = dependencies.chooser().limitIntervalMs(streamVersion.target()) > 0;
     refuse(
--- a/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamChooser.java
@@ -162,6 +162,20 @@
     return !available(target).isEmpty();
   }
 
+  /**
+   * Returns whether a request that is to be sent later may find an upstream.
+   *
+   * @param delayMs time in milliseconds until it is sent
+   * @param target upstreams that may run it
+   * @param demand tokens of the request
+   * @return false if pauses, limits or memory already exclude all upstreams at that time
+   */
+  boolean mayTakeAfter(long delayMs, ServiceVersion target, TokenDemand demand) {
+    return pauseRemainingMs(target) <= delayMs
+        && !isBeyondLimits(target)
+        && !isBeyondMemory(target, demand);
+  }
+
   /**
    * Returns whether no upstream has memory for a request.
    *
@@ -202,7 +216,7 @@
    * @param target the upstreams
    * @return false if an upstream may take a request of the local VM at some time, or there are none
    */
-  boolean isBeyondLimits(ServiceVersion target) {
+  private boolean isBeyondLimits(ServiceVersion target) {
     List<Upstream> upstreams = available(target);
     return !upstreams.isEmpty() && upstreams.stream().noneMatch(limits::hasPart);
   }
--- a/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
+++ b/src/test/java/org/ragwortpick/forward/StreamTakeUpTest.java
@@ -286,6 +286,23 @@
     }
   }
 
+  /** The stages are shorter than the pause, so that their work would be lost. */
+  @Test
+  public void pauseOfTheVersionEndsARunningStageAtOnce() throws Exception {
+    try (RawUpstream a = upstream();
+        RawUpstream b = upstream()) {
+      beginAtVersionA(a, b);
+      server().requestPause("u1");
+      server().streams().origins().deferLookUps();
+      var response = sendStagedTakeUp("r1", "first");
+      assertEquals(server().submittedStages(), 1);
+      server().streams().origins().endLookUps();
+      assertEquals(response.get().statusCode(), 503);
+      assertTrue(response.get().headers().firstValue("Retry-After").isPresent());
+      assertEquals(server().abandonedStages(), 1);
+    }
+  }
+
   @Test
   public void stageIsNotBegunIfTheStreamCannotGoOn() throws Exception {
     try (RawUpstream a = upstream();
