Look at one service only when a stream without a record is taken up

After a power loss of many VMs many take-ups have no record, and each looked at the upstreams of all services. The conclusion for one service needs only its own; the others are observed twice a second.

Test: VersionsSeenTest as before.

--- a/src/main/java/org/ragwortpick/forward/VersionsSeen.java
+++ b/src/main/java/org/ragwortpick/forward/VersionsSeen.java
@@ -64,10 +64,9 @@
   /** Notes which versions are announced; to be called at least once a second. */
   public void observe() {
     long nowMs = clock.millis();
-    boolean absent = nowMs - observedAtMs > MAX_ABSENCE_MS || !isViewRecent();
+    forgetIfAbsent(nowMs);
     observedAtMs = nowMs;
-    if (absent) {
-      observations.clear();
+    if (!isViewRecent()) {
       return;
     }
     Set<String> configured = services.get();
@@ -79,6 +78,12 @@
     }
   }
 
+  private void forgetIfAbsent(long nowMs) {
+    if (nowMs - observedAtMs > MAX_ABSENCE_MS || !isViewRecent()) {
+      observations.clear();
+    }
+  }
+
   /**
    * Returns whether the versions in the local view are recent enough to send streams by them.
    *
@@ -98,12 +103,16 @@
    */
   Optional<String> onlyVersion(String service, long maxStreamMs) {
     long windowMs = Math.max(MIN_WINDOW_MS, maxStreamMs);
-    observe();
-    if (windowMs > MAX_WINDOW_MS || viewAgeMs.getAsLong() > MAX_CONCLUSION_AGE_MS) {
+    long nowMs = clock.millis();
+    forgetIfAbsent(nowMs);
+    Observation observation = observations.get(service);
+    if (observation == null
+        || windowMs > MAX_WINDOW_MS
+        || viewAgeMs.getAsLong() > MAX_CONCLUSION_AGE_MS) {
       return Optional.empty();
     }
-    return Optional.ofNullable(observations.get(service))
-        .flatMap(observation -> observation.onlyVersion(clock.millis() - windowMs));
+    observation.add(upstreamsOf.apply(service), nowMs);
+    return observation.onlyVersion(nowMs - windowMs);
   }
 
   /** Versions of one service since the beginning of a time without an absence. */
