Count refusals by reason and status, and identify their keys in the log

Change: ragwortpick_forward_refusals_total counts requests that are refused before their run begins, by reason and status.

The HTTP server's own refusals of heads that it cannot parse have no line and are not counted.

--- a/src/main/java/org/ragwortpick/forward/ForwardHandler.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardHandler.java
@@ -82,14 +82,18 @@
     return host == null ? "" : host;
   }
 
+  private Optional<String> keyOf(HttpServerExchange exchange) {
+    return Optional.ofNullable(exchange.getRequestHeaders().getFirst(dependencies.headers().key()))
+        .map(String::trim);
+  }
+
   private void handle(
       HttpServerExchange exchange, Configuration configuration, Route route, long arrivedAtMs) {
     RoutingTable table = configuration.routingTable().orElseThrow();
     HeaderMap headers = exchange.getRequestHeaders();
     Optional<RoutedWorkspace> workspace = Optional.empty();
     if (table.needsKeys() && !route.open()) {
-      String key = headers.getFirst(dependencies.headers().key());
-      workspace = key == null ? Optional.empty() : table.workspaceOf(key.trim());
+      workspace = keyOf(exchange).flatMap(table::workspaceOf);
       if (workspace.isEmpty()) {
         refuse(exchange, verdicts.confirm(Refusal.UNKNOWN_KEY, configuration.revision()));
         return;
@@ -222,8 +226,11 @@
         .with(
             "revisionAgeMs",
             dependencies.clock().millis() - dependencies.configuration().confirmedAtMs())
+        .with("confirmedSinceResume", dependencies.viewIsCurrent().getAsBoolean())
         .with("waitedMs", dependencies.readDelay().maxMs())
+        .with("keyHash", keyOf(exchange).map(KeyFingerprint::of).orElse("-"))
         .info(LOG);
+    dependencies.metrics().requestRefused(refusal);
     RefusalWriter.write(exchange, refusal);
   }
 }
--- a/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardMetrics.java
@@ -12,6 +12,7 @@
   private static final double MS_PER_SECOND = 1_000.0;
 
   private final Counter requests;
+  private final Counter refusals;
   private final Counter attempts;
   private final Counter repeats;
   private final Counter bodies;
@@ -29,6 +30,12 @@
             .help("Forwarded requests by route and end")
             .labelNames("route", "end")
             .register(registry);
+    this.refusals =
+        Counter.builder()
+            .name("ragwortpick_forward_refusals_total")
+            .help("Requests refused before their run began, by reason and status")
+            .labelNames("reason", "status")
+            .register(registry);
     this.attempts =
         Counter.builder()
             .name("ragwortpick_forward_sends_total")
@@ -65,6 +72,15 @@
     requests.labelValues(route, end).inc();
   }
 
+  /**
+   * Counts a request that was refused before its run began.
+   *
+   * @param refusal the refusal
+   */
+  void requestRefused(Refusal refusal) {
+    refusals.labelValues(refusal.error(), Integer.toString(refusal.status())).inc();
+  }
+
   /**
    * Counts an attempt that ended.
    *
--- a/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
+++ b/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
@@ -59,7 +59,13 @@
     digest.update(bytes);
   }
 
-  private static MessageDigest newDigest() {
+  /**
+   * Creates the digest of all fingerprints.
+   *
+   * @return digest that has read nothing
+   * @throws IllegalStateException if the runtime lacks the algorithm, which it must have
+   */
+  static MessageDigest newDigest() {
     try {
       return MessageDigest.getInstance(ALGORITHM);
     } catch (NoSuchAlgorithmException e) {
