Accept requests with more than 1,000 query parameters

What callers saw: 400 without a body for a request whose target has more than 1,000 query parameters, though its head is within the limit of 16 KB.

Cause: the HTTP server parses the query and refuses more than 1,000 parameters by default. The system passes the query on and reads none of them.

Change: the limit is as many as fit into the head, as for headers (MAX_HEADERS).

Before the change one failed: "4,001 parameters expected [200] but found [400]".

--- a/src/main/java/org/ragwortpick/entry/http/EntryServer.java
+++ b/src/main/java/org/ragwortpick/entry/http/EntryServer.java
@@ -24,6 +24,9 @@
   /** As many as fit into the limit of bytes, which alone bounds them. */
   private static final int MAX_HEADERS = MAX_HEADER_BYTES / 4;
 
+  /** A parameter takes a byte at least, so the limit of bytes alone bounds them. */
+  private static final int MAX_PARAMETERS = MAX_HEADER_BYTES;
+
   /** The limit of bodies is part of the configuration, so the handlers apply it. */
   private static final long LIMITED_BY_HANDLER = -1;
 
@@ -56,6 +59,7 @@
             .setByteBufferPool(buffers)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
             .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .setServerOption(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LIMITED_BY_HANDLER)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
