--- a/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
+++ b/src/main/java/org/ragwortpick/forward/RequestFingerprint.java
@@ -63,6 +63,7 @@
    * Creates the digest of all fingerprints.
    *
    * @return digest that has read nothing
+   * @throws IllegalStateException if the runtime lacks the algorithm, which it must have
    */
   static MessageDigest newDigest() {
     try {
