Compress large orders and reads between control VMs

Such a VM passes the order on to the leader, the configuration in two forms, over a link of 7 Mbit/s, and gives up after 850 ms; after 500 ms it opens another connection and sends all of it again.

Change: requests to the leader and its replies are compressed from 16 kB.

--- a/src/main/java/org/ragwortpick/control/AdministrationServer.java
+++ b/src/main/java/org/ragwortpick/control/AdministrationServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.peer.LargeMessages;
 import org.ragwortpick.proto.AdministrationApiGrpc;
 import org.ragwortpick.proto.AdministrationCall;
 import org.ragwortpick.proto.AdministrationFailure;
@@ -41,6 +42,7 @@
               if (failure != null) {
                 observer.onError(Status.INTERNAL.withCause(failure).asRuntimeException());
               } else {
+                LargeMessages.compressReply(observer, reply);
                 observer.onNext(reply);
                 observer.onCompleted();
               }
--- a/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
+++ b/src/main/java/org/ragwortpick/control/leader/LeaderCalls.java
@@ -20,6 +20,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.peer.LargeMessages;
 import org.ragwortpick.peer.PeerChannels;
 
 /**
@@ -106,11 +107,10 @@
     if (remainingMs > NEXT_ATTEMPT_MS) {
       attempt.scheduleNext();
     }
-    ClientCalls.asyncUnaryCall(
-        channel.newCall(
-            method, CallOptions.DEFAULT.withDeadlineAfter(remainingMs, TimeUnit.MILLISECONDS)),
-        call.request(),
-        attempt);
+    CallOptions options =
+        LargeMessages.compressed(CallOptions.DEFAULT, call.request())
+            .withDeadlineAfter(remainingMs, TimeUnit.MILLISECONDS);
+    ClientCalls.asyncUnaryCall(channel.newCall(method, options), call.request(), attempt);
   }
 
   private void retryLater(Call<Q, R> call) {
