Move the clock of simulated VMs to a class of its own

SyncCost polls a source again while it has more to send, as the client does; otherwise the records of 4,000 upstreams would not fit into its 16 polls before the measurement.

--- a/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/LinkedVms.java
@@ -1,9 +1,6 @@
 package org.ragwortpick.sync.rpc;
 
 import java.time.Clock;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -264,7 +261,7 @@
       frozenUntilMs = 0;
       pending = null;
       nextPollAtMs = nowMs + random.nextInt(500);
-      clock = new RatedClock(nowMs, clockRate);
+      clock = new RatedClock(() -> nowMs, clockRate);
       confirmedAtMs = 0;
       replica.setLeadership(false, 0, null);
       List<SyncIdentity.ControlVm> controlVms = new ArrayList<>();
@@ -446,30 +443,5 @@
     }
   }
 
-  private final class RatedClock extends Clock {
-    private final long startMs;
-    private final double rate;
-
-    RatedClock(long startMs, double rate) {
-      this.startMs = startMs;
-      this.rate = rate;
-    }
-
-    @Override
-    public ZoneId getZone() {
-      return ZoneOffset.UTC;
-    }
-
-    @Override
-    public Clock withZone(ZoneId zone) {
-      return this;
-    }
-
-    @Override
-    public Instant instant() {
-      return Instant.ofEpochMilli(1_000_000 + (long) ((nowMs - startMs) * rate));
-    }
-  }
-
   private record Event(long atMs, long order, Runnable action) {}
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
@@ -191,7 +191,8 @@
         step();
       }
       Reporter.log(
-          "%d VMs: %s in force on %d after %d ms; an entry VM received at most %d bytes in all, %d before"
+          ("%d VMs: %s in force on %d after %d ms;"
+                  + " an entry VM received at most %d bytes in all, %d before")
               .formatted(
                   vms.vms().size(),
                   what,
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncCost.java
@@ -255,12 +255,18 @@
     }
 
     private void poll() throws InvalidProtocolBufferException {
-      long start = THREADS.getCurrentThreadCpuTime();
       if (exchange.pollSelf()) {
         return;
       }
       Node source =
           index < controls.size() ? controls.get(0) : controls.get(index % controls.size());
+      do {
+        poll(source);
+      } while (exchange.sourceHasMore());
+    }
+
+    private void poll(Node source) throws InvalidProtocolBufferException {
+      long start = THREADS.getCurrentThreadCpuTime();
       SyncExchange.Poll poll = exchange.poll(new HostPort("10.0.0.1", source.index + 1));
       byte[] request = poll.request().toByteArray();
       long sent = THREADS.getCurrentThreadCpuTime();
