Log polls that fail while a configuration or records are missing

When VMs kept an old configuration because each of their polls failed, nothing in their logs said so: a failed poll was logged at debug level only, and no line stated how large a configuration is.

A VM whose view is not in force, or that has not received a configuration or records in full, now logs a failed poll with the source, the reason, its revision, the offered one, the bytes that have arrived and the number of failed polls, at most once a second. A lost poll of a VM that has everything is still not logged. `configuration updated` states bytes and parts.

The bytes of the failed poll itself are not known: gRPC hands over whole messages only. receivedBytes counts the parts before it.

--- a/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncClient.java
@@ -31,6 +31,7 @@
   private final SourceSelector selector;
   private final PeerChannels channels;
   private final ScheduledExecutorService scheduler;
+  private final FailedPollLog failedPollLog;
   private ScheduledFuture<?> nextPoll;
   private long nextPollAtMs;
   private long lastPollAtMs;
@@ -58,6 +59,7 @@
     this.selector = selector;
     this.channels = channels;
     this.scheduler = scheduler;
+    this.failedPollLog = new FailedPollLog(clock);
   }
 
   /** Starts polling. */
@@ -125,6 +127,7 @@
   private void succeeded(HostPort source, SourceQuality quality) {
     boolean searchesSource = selector.recordSuccess(source, quality);
     boolean continues = exchange.sourceHasMore();
+    failedPollLog.succeeded(exchange.fetchProgress());
     if (continues) {
       selector.continueWith(source);
     }
@@ -135,6 +138,7 @@
   }
 
   private void failed(HostPort source, String reason) {
+    failedPollLog.failed(source, reason, exchange.fetchProgress());
     LOG.debugf("poll of %s failed: %s; trying the next source", source, reason);
     boolean moreSources = selector.recordFailure(source);
     finishPoll(moreSources ? SyncTimings.MIN_POLL_INTERVAL_MS : SyncTimings.POLL_INTERVAL_MS);
@@ -180,6 +184,7 @@
       if (current.revision() == previousRevision) {
         return;
       }
+      ConfigurationReceipt receipt = exchange.lastReceipt();
       DecisionLine.of("configuration updated")
           .with("revision", current.revision())
           .with("previousRevision", previousRevision)
@@ -187,6 +192,8 @@
           .with("source", poll.source())
           .with("confirmationAgeMs", response.getConfirmedAgeMs())
           .with("pollMs", clock.millis() - poll.sentAtMs())
+          .with("bytes", receipt.bytes())
+          .with("parts", receipt.parts())
           .info(LOG);
     }
 
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -39,11 +39,12 @@
   private final SyncState state;
   private final LeaderDuties duties;
   private final AllowanceRouter router = new AllowanceRouter();
-  private final Map<HostPort, Cursor> cursors = new HashMap<>();
+  private final Map<HostPort, SourceCursor> cursors = new HashMap<>();
   private final int maxPartBytes;
   private final TransferSource transferSource;
   private final TransferReceiver transferReceiver;
   private boolean sourceHasMore;
+  private boolean recordsMissing;
   private ConfigurationReceipt lastReceipt = new ConfigurationReceipt(0, 0);
 
   /**
@@ -86,14 +87,14 @@
    * @return the poll, to be passed to {@link #accept} with the response
    */
   public synchronized Poll poll(HostPort source) {
-    Cursor cursor = cursors.computeIfAbsent(source, address -> new Cursor());
+    SourceCursor cursor = cursors.computeIfAbsent(source, address -> new SourceCursor());
     long nowMs = clock.millis();
     SoftTable.Changes offers =
         state
             .table()
             .offeredSince(
-                cursor.acceptedVersion,
-                cursor.completeAcceptedVersion,
+                cursor.acceptedVersion(),
+                cursor.completeAcceptedVersion(),
                 new RecordBudget(maxPartBytes, nowMs));
     long revision = state.view().current().revision();
     SyncRequest.Builder request =
@@ -102,9 +103,9 @@
             .setIncarnation(state.identity().incarnation())
             .setRevision(revision)
             .setTransfer(transferReceiver.position(revision))
-            .setSourceIncarnation(cursor.sourceIncarnation)
-            .setCursor(cursor.receivedVersion)
-            .setCompleteCursor(cursor.completeReceivedVersion)
+            .setSourceIncarnation(cursor.sourceIncarnation())
+            .setCursor(cursor.receivedVersion())
+            .setCompleteCursor(cursor.completeReceivedVersion())
             .setRecords(SyncCodec.encode(offers, nowMs));
     for (VmHeartbeats.Heartbeat heartbeat : state.heartbeats().recent()) {
       request.addHeard(
@@ -223,12 +224,8 @@
     if (!response.getConfirmed() || !state.view().isWithinLease(confirmedAtMs)) {
       return SourceQuality.UNUSABLE;
     }
-    Cursor cursor = cursors.computeIfAbsent(poll.source(), address -> new Cursor());
-    if (cursor.sourceIncarnation != response.getIncarnation()) {
-      cursor.reset(response.getIncarnation());
-    } else {
-      cursor.recordOffers(poll, response);
-    }
+    SourceCursor cursor = cursors.computeIfAbsent(poll.source(), address -> new SourceCursor());
+    cursor.recordOffers(poll, response);
     // Records are merged before the confirmation, so that a confirmed view has all older flags.
     boolean merged = mergeFromSource(response.getRecords());
     cursor.recordReceived(response, merged);
@@ -239,7 +236,8 @@
         response.hasPart()
             ? acceptPart(response.getPart(), recordsComplete, confirmedAtMs)
             : acceptWhole(response.getConfiguration(), recordsComplete, confirmedAtMs);
-    sourceHasMore |= !recordsComplete && merged;
+    recordsMissing = !recordsComplete;
+    sourceHasMore |= recordsMissing && merged;
     sourceHasMore |= !poll.offersComplete() && !response.getOfferAll();
     long ageMs = clock.millis() - confirmedAtMs;
     if (!accepted || ageMs >= SyncTimings.MAX_SOURCE_AGE_MS) {
@@ -300,12 +298,27 @@
     return sourceHasMore;
   }
 
+  /**
+   * Returns what the local VM has not fetched completely.
+   *
+   * @return the progress, for the log
+   */
+  synchronized FetchProgress fetchProgress() {
+    return new FetchProgress(
+        state.view().current().revision(),
+        transferReceiver.revision(),
+        transferReceiver.receivedBytes(),
+        transferReceiver.totalBytes(),
+        recordsMissing,
+        state.view().isInForce());
+  }
+
   /**
    * Returns how the newest configuration of the local VM arrived.
    *
    * @return size and number of parts
    */
-  public synchronized ConfigurationReceipt lastReceipt() {
+  synchronized ConfigurationReceipt lastReceipt() {
     return lastReceipt;
   }
 
@@ -387,55 +400,4 @@
       long offeredVersion,
       boolean offersComplete,
       SyncRequest request) {}
-
-  /**
-   * Size of a configuration as it was received.
-   *
-   * @param bytes bytes of the changes, compressed if they came in several parts
-   * @param parts number of responses that carried them
-   */
-  public record ConfigurationReceipt(int bytes, int parts) {}
-
-  private static final class Cursor {
-    private long sourceIncarnation;
-
-    /** Version up to which the local VM has received the changes of the table of the source. */
-    private long receivedVersion;
-
-    /** Received version of the last time at which the local VM had all records of the source. */
-    private long completeReceivedVersion;
-
-    /** Version of the local table up to which the source accepted the offers. */
-    private long acceptedVersion;
-
-    /** Accepted version of the last time at which the source had all offers. */
-    private long completeAcceptedVersion;
-
-    private void reset(long newSourceIncarnation) {
-      sourceIncarnation = newSourceIncarnation;
-      receivedVersion = 0;
-      completeReceivedVersion = 0;
-      acceptedVersion = 0;
-      completeAcceptedVersion = 0;
-    }
-
-    private void recordOffers(Poll poll, SyncResponse response) {
-      if (response.getOfferAll()) {
-        acceptedVersion = 0;
-        completeAcceptedVersion = 0;
-        return;
-      }
-      acceptedVersion = poll.offeredVersion();
-      if (poll.offersComplete()) {
-        completeAcceptedVersion = poll.offeredVersion();
-      }
-    }
-
-    private void recordReceived(SyncResponse response, boolean merged) {
-      receivedVersion = merged ? response.getCursor() : 0;
-      if (!merged || !response.getRecordsIncomplete()) {
-        completeReceivedVersion = receivedVersion;
-      }
-    }
-  }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SyncNodeTest.java
@@ -18,6 +18,7 @@
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.config.DataCentreState;
+import org.ragwortpick.logging.RecordedLines;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.sync.FakeLeader;
 import org.ragwortpick.sync.LeaderSource;
@@ -97,12 +98,19 @@
     new Random(1).nextBytes(bytes);
     committed.commit("text", Base64.getEncoder().encodeToString(bytes));
     long revision = committed.commit("dataCentre/norte-b", "\"OUT\"");
-    for (SyncNode node : List.of(control, entry, relayed)) {
-      await(
-          "revision",
-          () ->
-              node.configurationView().isInForce()
-                  && node.configurationView().current().revision() == revision);
+    try (RecordedLines updates =
+        new RecordedLines(SyncClient.class.getName(), "configuration updated")) {
+      for (SyncNode node : List.of(control, entry, relayed)) {
+        await(
+            "revision",
+            () ->
+                node.configurationView().isInForce()
+                    && node.configurationView().current().revision() == revision);
+      }
+      assertTrue(
+          updates.lines().stream()
+              .anyMatch(line -> Integer.parseInt(String.valueOf(line.get("parts"))) > 1),
+          "lines: " + updates.lines());
     }
   }
 
