--- a/src/main/java/org/ragwortpick/origin/GrpcOriginStoreCalls.java
+++ b/src/main/java/org/ragwortpick/origin/GrpcOriginStoreCalls.java
@@ -65,7 +65,11 @@
                 () -> loop.execute(() -> answered.accept(new OriginAnswer.Unknown()))));
   }
 
-  /** Receives the reply to a call, and cares for the channel after a failure. */
+  /**
+   * Receives the reply to a call. A failed call may discard its channel.
+   *
+   * @param <R> type of the reply
+   */
   private final class ReplyObserver<R> implements StreamObserver<R> {
 
     private final HostPort store;
