--- a/src/main/java/org/ragwortpick/origin/OriginSender.java
+++ b/src/main/java/org/ragwortpick/origin/OriginSender.java
@@ -30,9 +30,6 @@
   /** Batches whose replies are outstanding; further records wait, and make larger batches. */
   static final int MAX_BATCHES_IN_FLIGHT = 32;
 
-  /** Delay of a record for the sake of larger batches. */
-  static final long BATCH_DELAY_MS = 10;
-
   /** Time after which batches are sent again that no store has taken. */
   static final long RETRY_DELAY_MS = 1_000;
 
@@ -46,6 +43,7 @@
   private final String vm;
   private final Supplier<List<HostPort>> stores;
   private final OriginStoreCalls calls;
+  private final long batchDelayMs;
   private final Timers timers;
   private final Clock clock;
   private final Deque<OriginRecord> queue = new ArrayDeque<>();
@@ -62,6 +60,7 @@
    * @param vm name of this VM
    * @param stores supplies the peer addresses of the stores
    * @param calls calls to the stores
+   * @param batchDelayMs longest delay of a record for the sake of larger batches in milliseconds
    * @param timers timers of the thread
    * @param clock monotonic clock
    */
@@ -69,11 +68,13 @@
       String vm,
       Supplier<List<HostPort>> stores,
       OriginStoreCalls calls,
+      long batchDelayMs,
       Timers timers,
       Clock clock) {
     this.vm = vm;
     this.stores = stores;
     this.calls = calls;
+    this.batchDelayMs = batchDelayMs;
     this.timers = timers;
     this.clock = clock;
   }
@@ -110,7 +111,7 @@
     }
     if (!flushScheduled && !queue.isEmpty() && batchesInFlight < MAX_BATCHES_IN_FLIGHT) {
       flushScheduled = true;
-      timers.schedule(Math.max(BATCH_DELAY_MS, retryAtMs - clock.millis()), this::flush);
+      timers.schedule(Math.max(batchDelayMs, retryAtMs - clock.millis()), this::flush);
     }
   }
 
--- a/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
+++ b/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
@@ -19,6 +19,9 @@
   /** Bounds the memory to about 2 MB. */
   static final int MAX_RECORDS = 20_000;
 
+  /** Delay of a record for the sake of larger batches. */
+  static final long BATCH_DELAY_MS = 10;
+
   private final OriginTable table;
   private final OriginSender sender;
   private final OriginLookups lookups;
@@ -40,7 +43,7 @@
       Executor loop,
       Timers timers,
       Clock clock) {
-    this(vm, stores, new GrpcOriginStoreCalls(channels, loop), timers, clock);
+    this(vm, stores, new GrpcOriginStoreCalls(channels, loop), BATCH_DELAY_MS, timers, clock);
   }
 
   /**
@@ -49,6 +52,7 @@
    * @param vm name of this VM
    * @param stores supplies the peer addresses of the control VMs that keep records
    * @param calls calls to the stores
+   * @param batchDelayMs longest delay of a record for the sake of larger batches in milliseconds
    * @param timers timers of the thread
    * @param clock monotonic clock
    */
@@ -56,10 +60,11 @@
       String vm,
       Supplier<List<HostPort>> stores,
       OriginStoreCalls calls,
+      long batchDelayMs,
       Timers timers,
       Clock clock) {
     this.table = new OriginTable(MAX_RECORDS, clock);
-    this.sender = new OriginSender(vm, stores, calls, timers, clock);
+    this.sender = new OriginSender(vm, stores, calls, batchDelayMs, timers, clock);
     this.lookups = new OriginLookups(stores, calls, timers);
   }
 
--- a/src/test/java/org/ragwortpick/origin/RemoteStreamOriginsTest.java
+++ b/src/test/java/org/ragwortpick/origin/RemoteStreamOriginsTest.java
@@ -20,6 +20,7 @@
  */
 public final class RemoteStreamOriginsTest {
 
+  private static final long BATCH_DELAY_MS = RemoteStreamOrigins.BATCH_DELAY_MS;
   private static final int STORES = 5;
   private static final long LIFETIME_MS = 60_000;
   private static final long SETTLED_MS = 20_000;
@@ -38,7 +39,8 @@
   }
 
   private RemoteStreamOrigins vm(String name) {
-    return new RemoteStreamOrigins(name, stores::addresses, stores, time, time.clock());
+    return new RemoteStreamOrigins(
+        name, stores::addresses, stores, BATCH_DELAY_MS, time, time.clock());
   }
 
   private void run(long durationMs) {
@@ -73,7 +75,7 @@
   @Test
   public void recordReachesTwoStoresAndOtherVms() {
     writer.record("r1", "4", LIFETIME_MS);
-    run(OriginSender.BATCH_DELAY_MS + 2);
+    run(BATCH_DELAY_MS + 2);
     assertEquals(stores.holding(key("r1")).size(), 2);
     assertFound(find(reader, "r1"), Optional.of("4"), 2);
   }
@@ -100,7 +102,7 @@
     stores.holding(key("r1")).get(0).setMode(FakeOriginStores.Mode.REFUSING);
     stores.holding(key("r1")).get(1).setMode(FakeOriginStores.Mode.SILENT);
     writer.record("r2", "4", LIFETIME_MS);
-    run(OriginSender.BATCH_DELAY_MS + FakeOriginStores.CALL_TIMEOUT_MS + 4);
+    run(BATCH_DELAY_MS + FakeOriginStores.CALL_TIMEOUT_MS + 4);
     assertEquals(stores.holding(key("r2")).size(), 2);
   }
 
@@ -112,7 +114,7 @@
     writer.record("r2", "4", LIFETIME_MS);
     run(1_000);
     writer.record("r3", "4", LIFETIME_MS);
-    run(OriginSender.BATCH_DELAY_MS + 2);
+    run(BATCH_DELAY_MS + 2);
     assertEquals(stores.holding(key("r3")).size(), 2);
   }
 
@@ -140,7 +142,8 @@
   @Test
   public void withoutKnownStoresLookUpEndsEmptyAtOnce() {
     RemoteStreamOrigins lonely =
-        new RemoteStreamOrigins("10.0.1.3:1", List::<HostPort>of, stores, time, time.clock());
+        new RemoteStreamOrigins(
+            "10.0.1.3:1", List::<HostPort>of, stores, BATCH_DELAY_MS, time, time.clock());
     lonely.record("r1", "4", LIFETIME_MS);
     run(10_000);
     assertEquals(find(lonely, "r2").versions, List.of(Optional.empty()));
