--- a/src/test/java/org/ragwortpick/control/LargeOrderTest.java
+++ b/src/test/java/org/ragwortpick/control/LargeOrderTest.java
@@ -72,7 +72,8 @@
         routes.stream()
             .map(
                 route ->
-                    ("{\"Name\":\"%s\",\"Host\":\"%s\",\"PathPrefix\":\"%s\",\"Type\":\"idempotent\","
+                    ("{\"Name\":\"%s\",\"Host\":\"%s\",\"PathPrefix\":\"%s\","
+                            + "\"Type\":\"idempotent\","
                             + "\"TimeoutMs\":5000,\"TargetLatencyMs\":2000,\"Priority\":1,"
                             + "\"Service\":\"s\",\"MaxAttempts\":2,\"Public\":false}")
                         .formatted(route.name(), route.host(), route.pathPrefix()))
