--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -9,9 +9,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -50,9 +48,7 @@
 import org.ragwortpick.origin.RemoteStreamOrigins;
 import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.peer.PeerChannels;
-import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.admission.PathAdmission;
-import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.budget.SharedRetryConstant;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.NamedLimits;
@@ -351,7 +347,7 @@
         new ResponseTimes(),
         new ResultLocator(sync::announced),
         httpCallClient,
-        retryBudgets(role),
+        new ServiceRetryBudgets(clock, role.retryRatioPercent(), retryConstant),
         timers,
         clock,
         readDelay,
@@ -381,13 +377,6 @@
     return freshness.isConfirmedSinceResume() && chooser.tryPermit(upstream);
   }
 
-  private ForwardDependencies.RetryBudgets retryBudgets(ForwardingSettings.EntryRole role) {
-    Map<String, RetryBudget> budgets = new HashMap<>();
-    return service ->
-        budgets.computeIfAbsent(
-            service, name -> new RatioRetryBudget(clock, role.retryRatioPercent(), retryConstant));
-  }
-
   private void release(String service, List<String> handles) {
     stages.release(service, handles);
   }
