--- a/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
+++ b/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
@@ -85,9 +85,13 @@
   @Override
   public void find(String requestId, Consumer<Optional<String>> found) {
     Optional<OriginKey> key = OriginKey.of(requestId);
-    OriginAnswer own = key.map(table::find).orElseGet(OriginAnswer.Contradictory::new);
+    if (key.isEmpty()) {
+      found.accept(Optional.empty());
+      return;
+    }
+    OriginAnswer own = table.find(key.get());
     if (own instanceof OriginAnswer.Unknown) {
-      lookups.find(key.orElseThrow(), found);
+      lookups.find(key.get(), found);
     } else {
       found.accept(own.certainVersion());
     }
