--- a/src/test/java/org/ragwortpick/origin/OriginCost.java
+++ b/src/test/java/org/ragwortpick/origin/OriginCost.java
@@ -223,16 +223,21 @@
     ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     daemon(
         () -> {
-          Socket client = listener.accept();
-          Socket server = new Socket(target.host(), target.port());
-          client.setTcpNoDelay(true);
-          server.setTcpNoDelay(true);
-          daemon(() -> copy(client.getInputStream(), server.getOutputStream(), bytes));
-          copy(server.getInputStream(), client.getOutputStream(), bytes);
+          while (true) {
+            relay(listener.accept(), target, bytes);
+          }
         });
     return new HostPort("127.0.0.1", listener.getLocalPort());
   }
 
+  private static void relay(Socket client, HostPort target, AtomicLong bytes) throws IOException {
+    Socket server = new Socket(target.host(), target.port());
+    client.setTcpNoDelay(true);
+    server.setTcpNoDelay(true);
+    daemon(() -> copy(client.getInputStream(), server.getOutputStream(), bytes));
+    daemon(() -> copy(server.getInputStream(), client.getOutputStream(), bytes));
+  }
+
   private static void copy(InputStream from, OutputStream to, AtomicLong bytes) throws IOException {
     byte[] buffer = new byte[16 * 1024];
     for (int count = from.read(buffer); count >= 0; count = from.read(buffer)) {
