Share a transfer between VMs while the revision moves on

VMs that never get a large configuration refuse as in that issue.

Cause: a source stores eight transfers, and started another one for each poller whose first poll found a newer revision. While changes follow one another, more than eight VMs displaced the transfers of each other, began again at offset 0, and none ended; the source compressed the whole configuration for each poll.

Evidence: TransferTest.transfersOfManyVmsEndWhileTheRevisionMovesOn, 20 VMs, a configuration of three parts and a small change before each poll.

Change: a poller gets stored changes from its revision up to an older one, if what follows them fits into one response.

Not covered: large changes that follow one another within the time of a transfer still have transfers of their own.

--- a/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncExchange.java
@@ -160,7 +160,7 @@
     long confirmedAtMs = state.view().confirmedAtMs();
     SoftTable.Changes changes = changesFor(request);
     SyncResponse.Builder response = SyncResponse.newBuilder();
-    transferSource.write(request, configurationSince(request.getRevision()), response);
+    transferSource.write(request, this::configurationSince, response);
     return response
         .setVm(state.identity().vm())
         .setIncarnation(state.identity().incarnation())
--- a/src/main/java/org/ragwortpick/sync/rpc/TransferSource.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/TransferSource.java
@@ -1,10 +1,11 @@
 package org.ragwortpick.sync.rpc;
 
 import com.google.protobuf.ByteString;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.ragwortpick.proto.ConfigurationMessage;
+import java.util.function.LongFunction;
 import org.ragwortpick.proto.ConfigurationPart;
 import org.ragwortpick.proto.SyncRequest;
 import org.ragwortpick.proto.SyncResponse;
@@ -39,10 +40,14 @@
    * Writes the changes for a poller.
    *
    * @param request request of the poller
-   * @param delta changes since the revision of the poller
+   * @param changesSince returns the changes since a revision
    * @param response response in which the configuration or a part of it is set
    */
-  void write(SyncRequest request, ConfigurationDelta delta, SyncResponse.Builder response) {
+  void write(
+      SyncRequest request,
+      LongFunction<ConfigurationDelta> changesSince,
+      SyncResponse.Builder response) {
+    ConfigurationDelta delta = changesSince.apply(request.getRevision());
     if (!request.hasTransfer()) {
       response.setConfiguration(SyncCodec.encode(delta));
       return;
@@ -55,13 +60,14 @@
     }
     CompressedDelta compressed = stored.get(Key.of(delta));
     if (compressed == null) {
-      if (mayFitIntoResponse(delta)) {
-        ConfigurationMessage message = SyncCodec.encode(delta);
-        if (message.getSerializedSize() <= maxPartBytes) {
-          response.setConfiguration(message);
-          return;
-        }
+      if (fitsIntoResponse(delta)) {
+        response.setConfiguration(SyncCodec.encode(delta));
+        return;
       }
+      long minRevision = Math.max(request.getRevision(), position.getIdentity().getRevision());
+      compressed = storedUpToRecent(delta, minRevision, changesSince);
+    }
+    if (compressed == null) {
       compressed = CompressedDelta.of(delta);
       store(compressed);
     }
@@ -69,9 +75,26 @@
     response.setPart(part(compressed, isSame ? position.getOffset() : 0, delta.revision()));
   }
 
-  /** Avoids the encoding of changes whose texts alone are too large. */
-  private boolean mayFitIntoResponse(ConfigurationDelta delta) {
-    return delta.puts().values().stream().mapToLong(String::length).sum() <= maxPartBytes;
+  /**
+   * Returns stored changes from the same start, after which the poller needs only changes that fit
+   * into one response. Without them each poller would begin another transfer while the revision
+   * moves on, and the transfers in progress would displace each other.
+   */
+  private CompressedDelta storedUpToRecent(
+      ConfigurationDelta delta, long minRevision, LongFunction<ConfigurationDelta> changesSince) {
+    return stored.keySet().stream()
+        .filter(key -> key.hasStartOf(delta) && key.revision() > minRevision)
+        .max(Comparator.comparingLong(Key::revision))
+        .filter(key -> fitsIntoResponse(changesSince.apply(key.revision())))
+        .map(stored::get)
+        .orElse(null);
+  }
+
+  private boolean fitsIntoResponse(ConfigurationDelta delta) {
+    // Avoids the encoding of changes whose texts alone are too large.
+    long textLength = delta.puts().values().stream().mapToLong(String::length).sum();
+    return textLength <= maxPartBytes
+        && SyncCodec.encode(delta).getSerializedSize() <= maxPartBytes;
   }
 
   private void store(CompressedDelta compressed) {
@@ -108,5 +131,10 @@
       return new Key(
           delta.snapshot() ? 0 : delta.fromRevision(), delta.revision(), delta.snapshot());
     }
+
+    private boolean hasStartOf(ConfigurationDelta delta) {
+      Key other = of(delta);
+      return snapshot == other.snapshot && fromRevision == other.fromRevision;
+    }
   }
 }
--- a/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
@@ -38,6 +38,7 @@
   private static final int UPSTREAMS = 4_000;
   private static final long UPSTREAMS_IN_FORCE_MS = 5_000;
   private static final long ANNOUNCEMENT_INTERVAL_MS = 1_000;
+  private static final long SMALL_CHANGE_INTERVAL_MS = LinkedVms.STEP_MS;
   private static final String SERVICE = "tutor-lm";
 
   /** Number of control and entry VMs, routes, workspaces, and time until a change is in force. */
@@ -65,6 +66,23 @@
     run.requireInForce(restarted, "the configuration after a restart", limitMs);
   }
 
+  /** Number of control and entry VMs, routes, workspaces, and time until a change is in force. */
+  @DataProvider
+  public Object[][] largestConfigurations() {
+    return new Object[][] {{5, 95, 4_200, 30, 2_000L}, {3, 6, 4_200, 15_000, 5_000L}};
+  }
+
+  /** The source of a VM has another revision in each poll until the transfer has ended. */
+  @Test(dataProvider = "largestConfigurations")
+  public void largeConfigurationIsInForceWhileSmallChangesFollow(
+      int controls, int entries, int routes, int workspaces, long limitMs) {
+    Run run = new Run(controls, entries);
+    run.advance(SETTLE_MS);
+    run.commit(configuration(1, routes, workspaces));
+    run.hasSmallChanges = true;
+    run.requireInForce(run.vms.vms(), "the large configuration before small changes", limitMs);
+  }
+
   /** Number of control and entry VMs. */
   @DataProvider
   public Object[][] sizes() {
@@ -136,6 +154,8 @@
   private static final class Run {
     private final LinkedVms vms;
     private int upstreams;
+    private boolean hasSmallChanges;
+    private long nextSmallChangeMs;
     private long sequence;
     private long nextAnnouncementMs;
     private long revision;
@@ -213,6 +233,10 @@
 
     private void step() {
       vms.step();
+      if (hasSmallChanges && vms.nowMs() >= nextSmallChangeMs) {
+        nextSmallChangeMs = vms.nowMs() + SMALL_CHANGE_INTERVAL_MS;
+        vms.commit("dataCentre/dc" + vms.nowMs() % 3, "\"OUT\"");
+      }
       if (vms.nowMs() >= nextAnnouncementMs) {
         nextAnnouncementMs = vms.nowMs() + ANNOUNCEMENT_INTERVAL_MS;
         sequence++;
--- a/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
@@ -9,6 +9,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.proto.SyncResponse;
@@ -36,6 +37,9 @@
   /** Their records fill more messages than the configuration. */
   private static final int UPSTREAMS = 60;
 
+  /** More than the transfers that a source stores. */
+  private static final int POLLING_VMS = 20;
+
   private final Random random = new Random(1);
   private ManualClock clock;
   private FakeLeader.Committed committed;
@@ -151,6 +155,39 @@
     fetchAll();
   }
 
+  /** Small changes follow so closely that each VM begins its transfer at another revision. */
+  @Test
+  public void transfersOfManyVmsEndWhileTheRevisionMovesOn() {
+    List<Vm> entries =
+        IntStream.range(0, POLLING_VMS).mapToObj(i -> new Vm("many-" + i, null)).toList();
+    for (int round = 1; round <= 4; round++) {
+      for (Vm vm : entries) {
+        committed.commit("dataCentre/norte-b", "\"OUT\"");
+        clock.advanceMs(SyncTimings.MIN_POLL_INTERVAL_MS / POLLING_VMS);
+        poll(vm, leader);
+      }
+    }
+    for (Vm vm : entries) {
+      poll(vm, leader);
+      assertEquals(vm.revision(), committed.revision());
+      assertTrue(vm.state.view().isInForce());
+    }
+  }
+
+  /** The other source stores a transfer up to the revision before, which another VM began. */
+  @Test
+  public void anotherSourceContinuesTheTransferOfTheNewerRevision() {
+    Vm other = leader("c2");
+    poll(new Vm("e2", null), other);
+    committed.commit("dataCentre/norte-b", "\"OUT\"");
+    poll(entry, leader);
+    poll(entry, other);
+    assertTrue(entry.exchange.sourceHasMore());
+    poll(entry, leader);
+    assertEquals(entry.revision(), 2);
+    assertTrue(entry.state.view().isInForce());
+  }
+
   /** VMs of the release before this one name no transfer in their requests. */
   @Test
   public void pollerThatAcceptsNoPartsGetsTheWholeConfiguration() {
