Bound the size of a configuration that is received in parts

Cause: a whole configuration is bounded by the maximum message of a peer channel (64 MB). In parts it is bounded by nothing: the receiver collects as many bytes as the stated length, and a few kB may be decompressed to more than the heap. A negative length, as an unsigned one above 2 GB is read, leaves a transfer that neither ends nor is continued until it is given up.

Evidence: TransferTest.transferOfMoreBytesThanOneMessageIsRefused and changesThatDecompressToMoreThanOneMessageAreRefused, before the change: "Expected IllegalArgumentException to be thrown, but nothing was thrown".

Change: the receiver refuses a part of a transfer without a length or above 64 MB, and one that exceeds the length; decompression ends at 64 MB. A refused response counts as a failed poll, so the next source is asked.

The bound is that of the peer channels and still above the heap of an entry process (112 MB, as two copies exist for a moment): it ends growth, it does not protect from the largest size.

--- a/src/main/java/org/ragwortpick/sync/rpc/CompressedDelta.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/CompressedDelta.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.sync.rpc;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -19,6 +20,9 @@
  */
 record CompressedDelta(TransferIdentity identity, ByteString bytes) {
 
+  /** Maximum size, compressed or not: that of a message which holds a whole configuration. */
+  static final int MAX_BYTES = 64 * 1_024 * 1_024;
+
   /**
    * Compresses changes. All sources with the same documents compute the same bytes.
    *
@@ -51,7 +55,7 @@
    * Decompresses the changes.
    *
    * @return the changes
-   * @throws IllegalArgumentException if the bytes are not those of the identity
+   * @throws IllegalArgumentException if the bytes are not those of the identity or become too large
    */
   ConfigurationDelta decompress() {
     if (bytes.size() != identity.getTotalBytes() || checksum(bytes) != identity.getChecksum()) {
@@ -59,7 +63,9 @@
           "the parts of configuration revision " + identity.getRevision() + " do not fit together");
     }
     try (InflaterInputStream input = new InflaterInputStream(bytes.newInput())) {
-      return SyncCodec.decode(ConfigurationMessage.parseFrom(input));
+      CodedInputStream limited = CodedInputStream.newInstance(input);
+      limited.setSizeLimit(MAX_BYTES);
+      return SyncCodec.decode(ConfigurationMessage.parseFrom(limited));
     } catch (IOException e) {
       throw new IllegalArgumentException(
           "configuration revision " + identity.getRevision() + " cannot be decompressed", e);
--- a/src/main/java/org/ragwortpick/sync/rpc/TransferReceiver.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/TransferReceiver.java
@@ -105,8 +105,18 @@
    *
    * @param part the part
    * @return true if the transfer advanced
+   * @throws IllegalArgumentException if the stated length of the transfer is invalid or exceeded
    */
   boolean add(ConfigurationPart part) {
+    int totalBytes = part.getIdentity().getTotalBytes();
+    if (totalBytes <= 0
+        || totalBytes > CompressedDelta.MAX_BYTES
+        || part.getData().size() > totalBytes - part.getOffset()) {
+      throw new IllegalArgumentException(
+          "part of %d bytes at offset %d of a configuration of %s bytes"
+              .formatted(
+                  part.getData().size(), part.getOffset(), Integer.toUnsignedString(totalBytes)));
+    }
     boolean isSame = part.getIdentity().equals(identity);
     if (!isSame && part.getOffset() == 0 && part.getIdentity().getRevision() >= revision()) {
       clear();
--- a/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/TransferTest.java
@@ -6,13 +6,19 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.util.Base64;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
+import java.util.zip.CRC32;
+import java.util.zip.DeflaterOutputStream;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.ManualClock;
 import org.ragwortpick.proto.SyncResponse;
+import org.ragwortpick.proto.TransferIdentity;
 import org.ragwortpick.sync.FakeLeader;
 import org.ragwortpick.sync.NoLeaderSource;
 import org.ragwortpick.sync.SyncIdentity;
@@ -188,6 +194,43 @@
     assertTrue(entry.state.view().isInForce());
   }
 
+  /** A damaged or wrong length would let the parts of one transfer fill the heap. */
+  @Test
+  public void transferOfMoreBytesThanOneMessageIsRefused() {
+    for (int totalBytes : new int[] {CompressedDelta.MAX_BYTES + 1, Integer.MIN_VALUE, -1}) {
+      SyncExchange.Poll poll = entry.exchange.poll(leader.address);
+      SyncResponse.Builder response = leader.exchange.respond(poll.request()).toBuilder();
+      response.getPartBuilder().getIdentityBuilder().setTotalBytes(totalBytes);
+      assertThrows(
+          IllegalArgumentException.class, () -> entry.exchange.accept(poll, response.build()));
+      assertFalse(entry.exchange.sourceHasMore());
+    }
+    fetchAll();
+  }
+
+  /** A few kilobytes may be decompressed to more than the heap. */
+  @Test
+  public void changesThatDecompressToMoreThanOneMessageAreRefused() throws IOException {
+    ByteString.Output bytes = ByteString.newOutput();
+    try (OutputStream compressed = new DeflaterOutputStream(bytes)) {
+      // Field 100, which no release knows, with as many bytes as are written after its length.
+      CodedOutputStream output = CodedOutputStream.newInstance(compressed);
+      output.writeByteArray(100, new byte[CompressedDelta.MAX_BYTES]);
+      output.flush();
+    }
+    CRC32 checksum = new CRC32();
+    checksum.update(bytes.toByteString().toByteArray());
+    TransferIdentity identity =
+        TransferIdentity.newBuilder()
+            .setRevision(1)
+            .setSnapshot(true)
+            .setTotalBytes(bytes.size())
+            .setChecksum((int) checksum.getValue())
+            .build();
+    CompressedDelta delta = new CompressedDelta(identity, bytes.toByteString());
+    assertThrows(IllegalArgumentException.class, delta::decompress);
+  }
+
   /** VMs of the release before this one name no transfer in their requests. */
   @Test
   public void pollerThatAcceptsNoPartsGetsTheWholeConfiguration() {
