--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -28,6 +28,7 @@
   private final ContentGate gate;
   private final ResponseMemory.Share memory;
   private final ResponseRelay relay;
+  private final StreamVersion streamVersion;
   private final RequestLog log;
   private final RepeatPolicy repeatPolicy;
   private final AttemptRequests attemptRequests;
@@ -39,9 +40,11 @@
   private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
   private String upstreamId = "";
+  private long stagesMinMs;
   private long pathMs;
   private long sentAtMs;
   private long firstByteMs;
+  private boolean inputsReady;
   private boolean attemptWritten;
   private boolean ended;
 
@@ -74,8 +77,22 @@
             dependencies.quarantine(),
             service,
             RequestContent.of(prefix.parts(), fingerprint::value));
+    this.streamVersion =
+        new StreamVersion(
+            request,
+            service,
+            TakeUp.of(request.headers(), dependencies.headers()),
+            dependencies.streamOrigins(),
+            dependencies.versionsSeen(),
+            dependencies.timers());
     this.log =
-        new RequestLog(request, prefix, fingerprint, dependencies.clock(), dependencies.metrics());
+        new RequestLog(
+            request,
+            prefix,
+            fingerprint,
+            streamVersion,
+            dependencies.clock(),
+            dependencies.metrics());
     this.repeatPolicy = new RepeatPolicy(request.route(), dependencies.retryBudgets().of(service));
     this.attemptRequests =
         new AttemptRequests(request, dependencies.headers(), dependencies.clock());
@@ -101,6 +118,43 @@
     if (refuseIfHeld()) {
       return;
     }
+    streamVersion.determine(this::onVersionDetermined);
+    if (!ended) {
+      startStages(table);
+    }
+  }
+
+  /** Called when the version of a stream is known, before the stages or while they run. */
+  private void onVersionDetermined() {
+    if (ended) {
+      return;
+    }
+    log.versionDetermined();
+    if (refuseIfStreamCannotGoOn()
+        || stages.isPresent() && !inputsReady && refuseIfNoneIsFreeAfterStages()) {
+      return;
+    }
+    if (inputsReady) {
+      startAttempt();
+    }
+  }
+
+  /** Refuses the request if its upstreams can already be told to take none after its stages. */
+  private boolean refuseIfNoneIsFreeAfterStages() {
+    boolean free = dependencies.chooser().mayTakeAfter(stagesMinMs, streamVersion.target(), demand);
+    if (!free) {
+      refuseWithoutUpstream();
+    }
+    return !free;
+  }
+
+  private boolean refuseIfStreamCannotGoOn() {
+    Optional<StreamObstacle> obstacle = streamVersion.obstacle(dependencies.chooser());
+    obstacle.ifPresent(found -> refuse(found.refusal(), found.label()));
+    return obstacle.isPresent();
+  }
+
+  private void startStages(RoutingTable table) {
     HeaderMap headers = request.headers();
     List<Integer> pieceCounts =
         PieceCounts.parse(
@@ -114,10 +168,8 @@
       startAttempt();
       return;
     }
-    if (dependencies.chooser().pauseRemainingMs(service) > graph.minTotalMs()
-        || dependencies.chooser().isBeyondLimits(service)
-        || dependencies.chooser().isBeyondMemory(service, demand)) {
-      refuseWithoutUpstream();
+    stagesMinMs = graph.minTotalMs();
+    if (refuseIfNoneIsFreeAfterStages()) {
       return;
     }
     String key = headers.getFirst(dependencies.headers().pieceKey());
@@ -127,8 +179,9 @@
             request,
             key == null ? "" : key,
             graph,
+            streamVersion.isTakeUp(),
             dependencies.responseTimes().averageMs(request.route().name()),
-            dependencies.chooser().likelyDataCentre(service, prefix),
+            dependencies.chooser().likelyDataCentre(streamVersion.target(), prefix),
             dependencies.resultLocator(),
             dependencies.stages(),
             dependencies.overloadControl().getAsBoolean(),
@@ -170,14 +223,18 @@
   }
 
   private void startAttempt() {
-    if (refuseIfHeld()) {
+    inputsReady = true;
+    if (!streamVersion.isDetermined()) {
+      return;
+    }
+    if (refuseIfHeld() || refuseIfStreamCannotGoOn()) {
       return;
     }
     if (remainingMs() <= 0) {
       refuse(Refusal.DEADLINE_PASSED, "deadline");
       return;
     }
-    if (!endsBeforeStop()) {
+    if (!dependencies.attemptEndsBeforeStop(request.route(), remainingMs())) {
       refuse(Refusal.STOPPING, "stopping");
       return;
     }
@@ -192,7 +249,7 @@
         dependencies
             .chooser()
             .choose(
-                service,
+                streamVersion.target(),
                 prefix,
                 demand,
                 stages.map(StageGraphRun::dataCentreOfResults).orElse(""),
@@ -223,22 +280,12 @@
     nextAttempt.start(attemptRequests.to(upstream, inputs, () -> mayWrite(upstream, nextAttempt)));
   }
 
-  /**
-   * Returns whether an attempt that begins now is expected to end before a stop aborts it. The
-   * request was accepted before and a refusal would waste its stages, so the usual time of its
-   * route decides; without one it is begun.
-   */
-  private boolean endsBeforeStop() {
-    return dependencies.endsBeforeStop(
-        Math.min(remainingMs(), dependencies.responseTimes().longTotalMs(request.route().name())));
-  }
-
   private void refuseWithoutUpstream() {
-    boolean limited = dependencies.chooser().limitIntervalMs(service) > 0;
+    boolean limited = dependencies.chooser().limitIntervalMs(streamVersion.target()) > 0;
     refuse(
         Refusal.unavailable(
             "service " + service + " has no free upstream",
-            retryTimes.withoutUpstream(service, remainingMs())),
+            retryTimes.withoutUpstream(streamVersion.target(), remainingMs())),
         limited ? "upstream_limits" : "no_upstream");
   }
 
@@ -255,11 +302,13 @@
         !ended
             && remainingMs() > 0
             && dependencies.viewIsCurrent().getAsBoolean()
+            && streamVersion.permits(upstream)
             && dependencies.chooser().tryPermit(upstream);
     if (!permitted) {
       return false;
     }
     attemptWritten = true;
+    streamVersion.onWritten(upstream, remainingMs());
     log.attemptWritten();
     writing.onWritten();
     return true;
@@ -317,7 +366,7 @@
           refuse(
               Refusal.unavailable(
                   "the upstreams of service " + service + " did not run the request",
-                  retryTimes.withoutUpstream(service, remainingMs())),
+                  retryTimes.withoutUpstream(streamVersion.target(), remainingMs())),
               "not_run");
       default -> refuse(Refusal.OUTCOME_UNKNOWN, "lost");
     }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -9,18 +9,20 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.ragwortpick.batch.CollectorRole;
 import org.ragwortpick.batch.RemoteStageRunner;
 import org.ragwortpick.batch.StageCollector;
 import org.ragwortpick.batch.StageCollectors;
+import org.ragwortpick.common.HostPort;
 import org.ragwortpick.common.SuspensionDetector;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.edge.EdgeProtocol;
@@ -42,10 +44,11 @@
 import org.ragwortpick.forward.RunsInFlight;
 import org.ragwortpick.forward.UpstreamChooser;
 import org.ragwortpick.forward.UpstreamNotices;
+import org.ragwortpick.forward.VersionsSeen;
+import org.ragwortpick.origin.RemoteStreamOrigins;
+import org.ragwortpick.origin.StreamOrigins;
 import org.ragwortpick.peer.PeerChannels;
-import org.ragwortpick.policy.RetryBudget;
 import org.ragwortpick.policy.admission.PathAdmission;
-import org.ragwortpick.policy.budget.RatioRetryBudget;
 import org.ragwortpick.policy.budget.SharedRetryConstant;
 import org.ragwortpick.policy.limit.LeavingUpstreams;
 import org.ragwortpick.policy.limit.NamedLimits;
@@ -59,6 +62,7 @@
 import org.ragwortpick.policy.select.ReportedServiceSelector;
 import org.ragwortpick.rollout.RolloutMetrics;
 import org.ragwortpick.rollout.VersionTraffic;
+import org.ragwortpick.routing.RoutingTable;
 import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.settings.ForwardingSettings;
 import org.ragwortpick.sync.Upstream;
@@ -102,6 +106,7 @@
   private final SharedRetryConstant retryConstant;
   private final CollectorRole collectorRole;
   private final VersionTraffic versions;
+  private final VersionsSeen versionsSeen;
   private final UpstreamChooser chooser;
   private final Timers timers;
   private final DescriptorBudget descriptors;
@@ -114,6 +119,7 @@
   private final ContentQuarantine quarantine;
   private final PathAdmission paths;
   private final RemoteStageRunner stages;
+  private final StreamOrigins origins;
   private final ReadDelay readDelay;
   private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final RunsInFlight runsInFlight = new RunsInFlight();
@@ -128,6 +134,7 @@
    * @param settings settings of the process
    * @param protocol edge protocol
    * @param sync sync module of the process
+   * @param seeds supplies the peer addresses of the control VMs in the settings
    * @param channels channels to the other VMs
    * @param clock monotonic clock
    * @param registry metrics
@@ -140,6 +147,7 @@
       ForwardingSettings settings,
       EdgeProtocol protocol,
       SyncNode sync,
+      Supplier<List<HostPort>> seeds,
       PeerChannels channels,
       Clock clock,
       PrometheusRegistry registry,
@@ -184,12 +192,16 @@
     this.collectorRole =
         new CollectorRole(vm, sync.vmDirectory()::vms, this::isInService, freshness::ageMs, clock);
     this.versions = createVersions(random, registry);
+    this.versionsSeen =
+        new VersionsSeen(this::configuredServices, sync::announced, freshness::ageMs, clock);
     this.chooser = createChooser(settings, random);
     this.quarantine = new ContentQuarantine(sync.crashEvidence(), vm, entryVms::names, clock);
     this.paths =
         new PathAdmission(
             role.overloadControl().inForce(estimates.workTimes()::anyReported), clock);
     this.stages = createStages(settings, protocol, channels);
+    ControlVms controlVms = new ControlVms(sync.vmDirectory(), seeds);
+    this.origins = new RemoteStreamOrigins(vm, controlVms, channels, ioThread, timers, clock);
     this.readDelay = new ReadDelay(ioThread, clock);
     this.server =
         new EntryServer(
@@ -335,7 +347,7 @@
         new ResponseTimes(),
         new ResultLocator(sync::announced),
         httpCallClient,
-        retryBudgets(role),
+        new ServiceRetryBudgets(clock, role.retryRatioPercent(), retryConstant),
         timers,
         clock,
         readDelay,
@@ -345,6 +357,8 @@
         work,
         runsInFlight,
         responseMemory,
+        origins,
+        versionsSeen,
         new ForwardMetrics(registry));
   }
 
@@ -352,18 +366,17 @@
     return sync.configurationView().current();
   }
 
+  private Set<String> configuredServices() {
+    return configuration().routingTable().map(RoutingTable::services).orElse(List.of()).stream()
+        .map(ServiceProfile::name)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Takes the permit to send work by a view that is not older than a suspension. */
   private boolean tryPermit(Upstream upstream) {
     return freshness.isConfirmedSinceResume() && chooser.tryPermit(upstream);
   }
 
-  private ForwardDependencies.RetryBudgets retryBudgets(ForwardingSettings.EntryRole role) {
-    Map<String, RetryBudget> budgets = new HashMap<>();
-    return service ->
-        budgets.computeIfAbsent(
-            service, name -> new RatioRetryBudget(clock, role.retryRatioPercent(), retryConstant));
-  }
-
   private void release(String service, List<String> handles) {
     stages.release(service, handles);
   }
@@ -400,6 +413,7 @@
     server.start();
     readiness.start();
     ioThread.executeAtInterval(retryConstant::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    ioThread.executeAtInterval(versionsSeen::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     ioThread.executeAtInterval(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
