--- a/src/test/java/org/ragwortpick/control/LargeOrderTest.java
+++ b/src/test/java/org/ragwortpick/control/LargeOrderTest.java
@@ -77,7 +77,7 @@
                             + "\"TimeoutMs\":5000,\"TargetLatencyMs\":2000,\"Priority\":1,"
                             + "\"Service\":\"s\",\"MaxAttempts\":2,\"Public\":false}")
                         .formatted(route.name(), route.host(), route.pathPrefix()))
-            .collect(Collectors.joining(",", "{\"RouteList\":[", "]}"));
+            .collect(Collectors.joining(",", "{\"routes\":[", "]}"));
     return new RoutingConfiguration(
         2, routes, List.of(RoutingFixture.service("s")), List.of(), CallerLimits.DEFAULT, source);
   }
--- a/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
+++ b/src/test/java/org/ragwortpick/sync/rpc/SlowLinkTest.java
@@ -120,7 +120,7 @@
                                 + "\"TargetLatencyMs\":2000,\"Priority\":1,\"Service\":\"records\","
                                 + "\"MaxAttempts\":2,\"Public\":false,\"Sticky\":false}")
                             .formatted(route.name(), route.host(), route.pathPrefix()))
-                .collect(Collectors.joining(",", "{\"RouteList\":[", "],\"Tenants\":["))
+                .collect(Collectors.joining(",", "{\"routes\":[", "],\"workspaces\":["))
             + workspaces.stream()
                 .map(
                     w -> "{\"Name\":\"%s\",\"Keys\":[\"%s\"]}".formatted(w.name(), w.keys().get(0)))
