--- a/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
+++ b/src/main/java/org/ragwortpick/origin/RemoteStreamOrigins.java
@@ -20,7 +20,7 @@
   static final int MAX_RECORDS = 20_000;
 
   /** Delay of a record for the sake of larger batches: calls cost more than records. */
-  static final long BATCH_DELAY_MS = 500;
+  static final long BATCH_DELAY_MS = 100;
 
   private final OriginTable table;
   private final OriginSender sender;
