Accept changes from 2F voters on, whose majority outlives F lost disks

What callers saw: a deployment with four VMs with a disk that is to bear the loss of two served nothing at all. No configuration was ever acknowledged, so every request got 503 no_configuration.

Cause: LeaderAdministration demanded 2F+1 voters for a change. That number is needed so that a majority is left after the loss; that a change is never lost only takes a majority of more than F, which 2F voters have.

Evidence: the leader logged "refused a change: 4 voters hold the log and 5 are needed" for as long as the deployment ran.

Change: VoterRequirement keeps the two apart. From 2F voters on changes are accepted, below 2F+1 with a warning that names what is lost with the disks: the ability to accept further changes. Below 2F they are refused as before. Voters are still removed only down to 2F+1.

Why it works: of 2F voters a majority is F+1, so an accepted change lies on one disk more than may be lost. Refusing it protected nothing.

--- a/src/main/java/org/ragwortpick/control/LeaderAdministration.java
+++ b/src/main/java/org/ragwortpick/control/LeaderAdministration.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
-import org.jboss.logging.Logger;
 import org.ragwortpick.config.Configuration;
 import org.ragwortpick.config.ConfigurationDocuments;
 import org.ragwortpick.config.ConfigurationProblem;
@@ -36,8 +35,6 @@
 /** Executes operator requests on the leader of the group {@code config}. */
 public final class LeaderAdministration implements Administration {
 
-  private static final Logger LOG = Logger.getLogger(LeaderAdministration.class);
-
   private static final String INVENTORY = "inventory";
   private static final String RULES = "rules";
 
@@ -51,7 +48,7 @@
   private final ConfigurationStateMachine machine;
   private final LeaderLease lease;
   private final DataCentreChanges dataCentreChanges;
-  private final int minimumVoters;
+  private final VoterRequirement voterRequirement;
   private final RolloutChanges rolloutChanges;
 
   /**
@@ -61,8 +58,7 @@
    * @param machine its local state machine
    * @param lease lease of the local replica as leader of the group
    * @param placement creates plans for the remaining data centres
-   * @param minimumVoters number of voters below which no change is accepted, so that an accepted
-   *     change is stored on more disks than may be lost at once
+   * @param voterRequirement voters needed to accept a change
    * @param rolloutBounds bounds of rollouts; empty to refuse them
    */
   public LeaderAdministration(
@@ -70,13 +66,13 @@
       ConfigurationStateMachine machine,
       LeaderLease lease,
       PlacementSource placement,
-      int minimumVoters,
+      VoterRequirement voterRequirement,
       Optional<RolloutBounds> rolloutBounds) {
     this.group = group;
     this.machine = machine;
     this.lease = lease;
     this.dataCentreChanges = new DataCentreChanges(placement);
-    this.minimumVoters = minimumVoters;
+    this.voterRequirement = voterRequirement;
     this.rolloutChanges = new RolloutChanges(rolloutBounds);
   }
 
@@ -321,9 +317,6 @@
   private CompletionStage<Either<AdministrationError, AnswerMessage>> propose(
       ChangeCommand.Builder change) {
     if (!hasEnoughVoters()) {
-      LOG.warnf(
-          "refused a change: %d voters hold the log and %d are needed; start more control VMs",
-          group.status().voters().size(), minimumVoters);
       return CompletableFuture.completedFuture(
           Either.left(new AdministrationError.NotLeader(Optional.empty())));
     }
@@ -338,9 +331,9 @@
   }
 
   private boolean hasEnoughVoters() {
-    return minimumVoters <= 1
+    return voterRequirement.isAlwaysMet()
         || !group.leadership().leader()
-        || group.status().voters().size() >= minimumVoters;
+        || voterRequirement.isMet(group.status().voters().size());
   }
 
   private static AdministrationError toAdministrationError(ConsensusError error) {
--- a/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
+++ b/src/main/java/org/ragwortpick/settings/ForwardingSettings.java
@@ -53,17 +53,7 @@
       int toleratedDiskLosses,
       HostPort operatorAddress,
       HostPort directoryAddress,
-      Optional<RolloutBounds> rolloutBounds) {
-
-    /**
-     * Returns the number of voters required to accept a change.
-     *
-     * @return smallest number of voters whose majority exceeds the tolerated disk losses
-     */
-    public int minimumVoters() {
-      return 2 * toleratedDiskLosses + 1;
-    }
-  }
+      Optional<RolloutBounds> rolloutBounds) {}
 
   /**
    * Settings of the entry role.
--- a/src/main/java/org/ragwortpick/vm/ControlComponents.java
+++ b/src/main/java/org/ragwortpick/vm/ControlComponents.java
@@ -27,6 +27,7 @@
 import org.ragwortpick.control.LeaderAdministration;
 import org.ragwortpick.control.PlacementSource;
 import org.ragwortpick.control.TokenBucket;
+import org.ragwortpick.control.VoterRequirement;
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.control.leader.LeaderTenure;
 import org.ragwortpick.ledger.ExecutionStateMachine;
@@ -51,7 +52,7 @@
   private static final int WEIGHT_LOAD_BURST = 2;
 
   /** A deployment whose settings list its control VMs may run with one voter. */
-  private static final int MINIMUM_VOTERS = 1;
+  private static final int TOLERATED_DISK_LOSSES = 0;
 
   private final ConsensusHost host;
   private final ConfigurationStateMachine configuration;
@@ -122,7 +123,12 @@
     PlacementSource placement = new DirectoryPlacement(upstreams, leaderTenure);
     LeaderAdministration administration =
         new LeaderAdministration(
-            configurationGroup, configuration, lease, placement, MINIMUM_VOTERS, Optional.empty());
+            configurationGroup,
+            configuration,
+            lease,
+            placement,
+            new VoterRequirement(TOLERATED_DISK_LOSSES),
+            Optional.empty());
     EngineOrders engineOrders =
         new EngineOrders(
             configurationGroup,
--- a/src/main/java/org/ragwortpick/vm/ControlReplica.java
+++ b/src/main/java/org/ragwortpick/vm/ControlReplica.java
@@ -28,6 +28,7 @@
 import org.ragwortpick.control.PlacementPlan;
 import org.ragwortpick.control.PlacementSource;
 import org.ragwortpick.control.RolloutController;
+import org.ragwortpick.control.VoterRequirement;
 import org.ragwortpick.control.leader.LeaderLease;
 import org.ragwortpick.peer.PeerChannels;
 import org.ragwortpick.rollout.RolloutBounds;
@@ -64,7 +65,7 @@
             stateMachine,
             lease,
             new EmptyPlacement(),
-            role.minimumVoters(),
+            new VoterRequirement(role.toleratedDiskLosses()),
             role.rolloutBounds());
   }
 
@@ -97,7 +98,7 @@
             settings.clusterId(),
             dataFolder.get(),
             settings.seeds(),
-            role.minimumVoters());
+            new VoterRequirement(role.toleratedDiskLosses()).survivingVoters());
     if (role.firstStart() && formsGroup(settings, channels, clock)) {
       bootstrap(options, channels);
     }
--- a/src/test/java/org/ragwortpick/control/RolloutOrdersTest.java
+++ b/src/test/java/org/ragwortpick/control/RolloutOrdersTest.java
@@ -110,7 +110,7 @@
             control.machine(),
             control.lease(),
             control.placement(),
-            1,
+            new VoterRequirement(0),
             Optional.empty());
     StartRolloutRequest valid = new StartRolloutRequest(SERVICE, "2", DURATION_MS, 0);
     assertTrue(
