Log changes of replicas and discarded channels between VMs

After all VMs of a deployment had been restarted, nothing said who asked for votes, who led, who was a learner, or that calls between young processes were given up together with their connection, so the hypotheses could not be told apart.

Replicas log each change of role, term, leader, voters and learners. A channel to a peer knows whether the peer has answered on it, and its discard is logged with that and its age. No behaviour changes.

--- a/src/main/java/org/ragwortpick/consensus/GroupRunner.java
+++ b/src/main/java/org/ragwortpick/consensus/GroupRunner.java
@@ -19,10 +19,12 @@
 import org.ragwortpick.consensus.raft.Envelope;
 import org.ragwortpick.consensus.raft.RaftCore;
 import org.ragwortpick.consensus.raft.RaftSettings;
+import org.ragwortpick.consensus.raft.RaftStatus;
 import org.ragwortpick.consensus.raft.ReplicaId;
 import org.ragwortpick.consensus.storage.LogStore;
 import org.ragwortpick.consensus.transport.MessageCodec;
 import org.ragwortpick.consensus.transport.PeerSender;
+import org.ragwortpick.logging.DecisionLine;
 import org.ragwortpick.peer.PeerChannels;
 
 /** Runs the replica of one group: owns its threads, its log file and its senders. */
@@ -166,12 +168,29 @@
   }
 
   /**
-   * Logs the failures of a replica.
+   * Logs the changes and failures of a replica.
    *
    * @param group name of the group
    */
   private record LoggingListener(String group) implements ReplicaListener {
 
+    @Override
+    public void onChanged(RaftStatus previous, RaftStatus current) {
+      DecisionLine.of("replica changed")
+          .with("group", group)
+          .with("replica", current.identity())
+          .with("role", current.role())
+          .with("roleBefore", previous.role())
+          .with("ready", current.ready())
+          .with("term", current.term())
+          .with("leader", current.leaderId().orElse("-"))
+          .with("voters", String.join(",", current.membership().voters()))
+          .with("learners", String.join(",", current.learners()))
+          .with("lastIndex", current.lastIndex())
+          .with("commitIndex", current.commitIndex())
+          .info(LOG);
+    }
+
     @Override
     public void onStopped(Throwable cause) {
       LOG.errorf(cause, "replica of group %s failed; it stops until the VM is restarted", group);
--- a/src/main/java/org/ragwortpick/consensus/Replica.java
+++ b/src/main/java/org/ragwortpick/consensus/Replica.java
@@ -284,6 +284,9 @@
   private void updateStatus() {
     RaftStatus previous = status;
     status = core.status();
+    if (status.differsInMembersFrom(previous)) {
+      listener.onChanged(previous, status);
+    }
     boolean waited = previous.commitIndex() < previous.lastIndex();
     if (!waited || status.commitIndex() > previous.commitIndex()) {
       commitWaitingSinceMs = clock.millis();
--- a/src/main/java/org/ragwortpick/consensus/ReplicaListener.java
+++ b/src/main/java/org/ragwortpick/consensus/ReplicaListener.java
@@ -1,10 +1,19 @@
 package org.ragwortpick.consensus;
 
 import java.io.IOException;
+import org.ragwortpick.consensus.raft.RaftStatus;
 
-/** Receives the failures of a replica. Called on the thread of the group. */
+/** Receives the changes and failures of a replica. Called on the thread of the group. */
 interface ReplicaListener {
 
+  /**
+   * Called when the role, the term, the leader, the voters or the learners have changed.
+   *
+   * @param previous status before the change
+   * @param current status after it
+   */
+  void onChanged(RaftStatus previous, RaftStatus current);
+
   /**
    * Called when a replica stops because of an error in the program. It stays stopped until the
    * process is restarted.
--- a/src/main/java/org/ragwortpick/consensus/raft/RaftStatus.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/RaftStatus.java
@@ -36,4 +36,20 @@
     long snapshotBytes,
     Membership membership,
     List<String> learners,
-    Optional<String> failure) {}
+    Optional<String> failure) {
+
+  /**
+   * Returns whether role, term, leader, voters or learners differ.
+   *
+   * @param other another status of the same replica
+   * @return false if only the log has advanced
+   */
+  public boolean differsInMembersFrom(RaftStatus other) {
+    return role != other.role
+        || ready != other.ready
+        || term != other.term
+        || !leaderId.equals(other.leaderId)
+        || !membership.equals(other.membership)
+        || !learners.equals(other.learners);
+  }
+}
--- a/src/main/java/org/ragwortpick/peer/PeerChannels.java
+++ b/src/main/java/org/ragwortpick/peer/PeerChannels.java
@@ -1,12 +1,13 @@
 package org.ragwortpick.peer;
 
 import io.grpc.ManagedChannel;
-import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
-import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 import org.ragwortpick.common.HostPort;
+import org.ragwortpick.common.MonotonicClock;
+import org.ragwortpick.logging.DecisionLine;
 
 /**
  * Pool with one gRPC channel per peer address.
@@ -19,11 +20,24 @@
  */
 public final class PeerChannels implements AutoCloseable {
 
-  private static final long KEEP_ALIVE_INTERVAL_MS = 10_000;
-  private static final long KEEP_ALIVE_TIMEOUT_MS = 2_000;
-  private static final int MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+  private static final Logger LOG = Logger.getLogger(PeerChannels.class);
 
-  private final Map<HostPort, ManagedChannel> channels = new ConcurrentHashMap<>();
+  private final Map<HostPort, PeerChannel> channels = new ConcurrentHashMap<>();
+  private final Clock clock;
+
+  /** Creates a pool without channels. */
+  public PeerChannels() {
+    this(new MonotonicClock());
+  }
+
+  /**
+   * Creates a pool without channels.
+   *
+   * @param clock monotonic clock
+   */
+  public PeerChannels(Clock clock) {
+    this.clock = clock;
+  }
 
   /**
    * Returns the channel to a peer, and creates it if there is none.
@@ -32,7 +46,7 @@
    * @return the channel
    */
   public ManagedChannel channel(HostPort address) {
-    return channels.computeIfAbsent(address, PeerChannels::open);
+    return channels.computeIfAbsent(address, peer -> PeerChannel.open(peer, clock)).channel();
   }
 
   /**
@@ -43,25 +57,22 @@
    * @param timedOutChannel channel on which the call timed out
    */
   public void discard(HostPort address, ManagedChannel timedOutChannel) {
-    if (channels.remove(address, timedOutChannel)) {
+    PeerChannel current = channels.get(address);
+    if (current != null
+        && current.channel() == timedOutChannel
+        && channels.remove(address, current)) {
+      DecisionLine.of("channel to peer discarded")
+          .with("peer", address)
+          .with("ageMs", current.ageMs())
+          .with("hasAnswered", current.hasAnswered())
+          .info(LOG);
       timedOutChannel.shutdown();
     }
   }
 
   @Override
   public void close() {
-    channels.values().forEach(ManagedChannel::shutdownNow);
+    channels.values().forEach(peer -> peer.channel().shutdownNow());
     channels.clear();
   }
-
-  private static ManagedChannel open(HostPort address) {
-    return NettyChannelBuilder.forAddress(new InetSocketAddress(address.host(), address.port()))
-        .usePlaintext()
-        .directExecutor()
-        .disableServiceConfigLookUp()
-        .keepAliveTime(KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS)
-        .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-        .maxInboundMessageSize(MAX_MESSAGE_BYTES)
-        .build();
-  }
 }
--- a/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
+++ b/src/test/java/org/ragwortpick/consensus/SimulatedVm.java
@@ -11,6 +11,7 @@
 import org.ragwortpick.consensus.raft.Membership;
 import org.ragwortpick.consensus.raft.RaftCore;
 import org.ragwortpick.consensus.raft.RaftSettings;
+import org.ragwortpick.consensus.raft.RaftStatus;
 import org.ragwortpick.consensus.raft.RecoveredState;
 import org.ragwortpick.consensus.storage.CorruptDataFolderException;
 import org.ragwortpick.consensus.storage.DiskIdentity;
@@ -159,6 +160,9 @@
   /** The tests read failures from the status. */
   private static final class IgnoringListener implements ReplicaListener {
 
+    @Override
+    public void onChanged(RaftStatus previous, RaftStatus current) {}
+
     @Override
     public void onStopped(Throwable cause) {}
 
