Give an election its own timeout, and longer ones after failed elections

No VM has a configuration until the control group has a leader.

Cause: a candidate kept the deadline that it had set at its pre-vote, so the vote had only what the pre-vote had left of 500 to 1,000 ms. Where messages take long, since all processes are young and lack processor time, the vote was given up before its answers came, and the next one began from nothing in a later term, which also ended the elections of others. With eight voters this can go on for minutes: the more voters, the more candidates divide the votes. The class of fault: a step inherits the time left by the step before it, and begins anew without having learned that it needs more.

Ruled out: lost disks.

Change: the deadline restarts with the vote, and doubles, at most twice, with each failed election of a replica until it hears of a leader.

Why it works: the vote gets a whole timeout, and a group whose messages take longer than the usual timeout finds one that suffices; wider random timeouts also let fewer candidates divide the votes. The usual first timeout, and with it the recovery from a lost leader, stays as it was.

--- a/src/main/java/org/ragwortpick/consensus/raft/Elections.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/Elections.java
@@ -23,6 +23,9 @@
   /** Starts an election if the election timeout has expired. */
   void tick() {
     if (state.isElectionDue()) {
+      if (state.role() == Role.CANDIDATE) {
+        state.recordFailedElection();
+      }
       state.resetElectionDeadline();
       if (state.isVoter() && state.isStorageAvailable()) {
         startPreVote();
@@ -105,6 +108,8 @@
 
   private void startElection() {
     state.transition("PRE_VOTE_WON");
+    // The time that the pre-vote has taken must not be missing from that of the vote.
+    state.resetElectionDeadline();
     ballot.reset();
     state.persist(new HardState(state.term() + 1, state.identity()));
     requestVotes(state.term(), false);
--- a/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
+++ b/src/main/java/org/ragwortpick/consensus/raft/ReplicaState.java
@@ -12,6 +12,9 @@
 
   private static final StateChart CHART = StateChart.load("replica.json");
 
+  /** Times that the election timeout doubles at most while elections fail. */
+  private static final int MAX_TIMEOUT_DOUBLINGS = 2;
+
   private final RaftSettings settings;
   private final Clock clock;
   private final RandomGenerator random;
@@ -28,6 +31,7 @@
   private long appliedIndex;
   private long leaderContactMs;
   private long electionDeadlineMs;
+  private int failedElections;
   private boolean storageAvailable = true;
 
   /**
@@ -195,13 +199,22 @@
   /** Records the receipt of a request of the leader and restarts the election timeout. */
   void recordLeaderContact() {
     leaderContactMs = nowMs();
+    failedElections = 0;
     resetElectionDeadline();
   }
 
+  /**
+   * Records that an election of this replica has ended without a leader. The next timeouts are
+   * longer: votes may take longer than usual, and several candidates may have divided them.
+   */
+  void recordFailedElection() {
+    failedElections = Math.min(MAX_TIMEOUT_DOUBLINGS, failedElections + 1);
+  }
+
   /** Restarts the election timeout with a new random duration. */
   void resetElectionDeadline() {
-    electionDeadlineMs =
-        nowMs() + random.nextLong(settings.electionMinMs(), settings.electionMaxMs());
+    long usualMs = random.nextLong(settings.electionMinMs(), settings.electionMaxMs());
+    electionDeadlineMs = nowMs() + (usualMs << failedElections);
   }
 
   /**
