Let a VM know that it reaches no upstream, and collect nothing then

Stages were refused as overloaded.

Cause: the pieces of a stage service go through one collector, chosen among all ready VMs. One without a path to the upstreams stayed ready and answered its peers, so all VMs kept sending their work there until its queue was full. The class of fault: a role that needs a resource is given by liveness alone.

Evidence: norte-b-2, partitioned from 26 to 38 s, stayed the collector of its service: 41 batches not answered, 42 stages failed, 81 refused as overloaded; norte-a-1, norte-a-2 and norte-c-2, not partitioned, ended 32 of 65 requests with stage_OVERLOADED. Nothing said that a VM reaches no upstream; each failed send was a line of its own.

Change: UpstreamPaths decides from the connections of the VM which services it cannot reach: connections to three of their upstreams fail (to all if there are fewer) and none shows a sign of life. What is suspicious is probed, up to nine connections each 300 ms; a connection that opens goes to the pool. A VM that reaches none of several services says so in its record, in a log line and in a gauge. Collectors are chosen among VMs that reach upstreams while there are any, and a collector that does not reach its service gives its work back as unavailable, so that its senders go on at the next one at once.

Why it works: an unavailable collector was already passed over; now the one without a path counts as such. One upstream that is down, or one service, does not make a VM partitioned, since the probes reach others.

--- a/src/main/java/org/ragwortpick/batch/CollectorPlacement.java
+++ b/src/main/java/org/ragwortpick/batch/CollectorPlacement.java
@@ -24,11 +24,12 @@
    *
    * @param service name of the service
    * @param vms VMs in the local view
-   * @return ready entry VMs, the preferred collector first
+   * @return ready entry VMs that reach upstreams, the preferred collector first
    */
   public static List<VmRecord> order(String service, List<VmRecord> vms) {
     List<VmRecord> ready =
-        vms.stream().filter(vm -> vm.servesCallers() && vm.state() == VmState.READY).toList();
+        VmRecord.preferReaching(
+            vms.stream().filter(vm -> vm.servesCallers() && vm.state() == VmState.READY).toList());
     double largePercent =
         LARGE_PROCESSOR_SHARE * ready.stream().mapToInt(VmRecord::processorPercent).max().orElse(0);
     return ready.stream()
--- a/src/main/java/org/ragwortpick/batch/CollectorRole.java
+++ b/src/main/java/org/ragwortpick/batch/CollectorRole.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.ragwortpick.sync.ViewFreshness;
 import org.ragwortpick.sync.VmRecord;
@@ -44,6 +45,7 @@
   private final String vm;
   private final Supplier<List<VmRecord>> vms;
   private final BooleanSupplier ready;
+  private final Predicate<String> reaches;
   private final LongSupplier viewAgeMs;
   private final Clock clock;
   private final Map<String, Long> preferredSinceMs = new HashMap<>();
@@ -55,6 +57,7 @@
    * @param vm name of the local VM
    * @param vms VMs in the local view
    * @param ready whether the local VM is ready and not leaving
+   * @param reaches whether the local VM may reach the upstreams of a service
    * @param viewAgeMs age of the local VM's view of the upstreams in milliseconds
    * @param clock monotonic clock
    */
@@ -62,33 +65,37 @@
       String vm,
       Supplier<List<VmRecord>> vms,
       BooleanSupplier ready,
+      Predicate<String> reaches,
       LongSupplier viewAgeMs,
       Clock clock) {
     this.vm = vm;
     this.vms = vms;
     this.ready = ready;
+    this.reaches = reaches;
     this.viewAgeMs = viewAgeMs;
     this.clock = clock;
   }
 
   /**
-   * Returns whether the local VM may collect pieces for another VM: its view must be recent, or not
-   * older than that of the sender. Without a leader all views age together, and stages must keep
-   * running. A refusal is recorded for {@link #isSoleCollector}.
+   * Returns whether the local VM may collect pieces for another VM: it must reach the upstreams,
+   * and its view must be recent, or not older than that of the sender. Without a leader all views
+   * age together, and stages must keep running. A refusal is recorded for {@link #isSoleCollector}.
    *
+   * @param service name of the service
    * @param senderViewAgeMs age of the sender's view in milliseconds when it sent the work
    * @param elapsedMs time since then in milliseconds
-   * @return false if the local VM is leaving or its view is too old; the sender then tries the next
-   *     collector
+   * @return false if the local VM is leaving, reaches no upstream of the service or has too old a
+   *     view; the sender then tries the next collector
    */
-  boolean mayCollectFor(long senderViewAgeMs, long elapsedMs) {
+  boolean mayCollectFor(String service, long senderViewAgeMs, long elapsedMs) {
     long ageMs = viewAgeMs.getAsLong();
     boolean equallyOld =
         ageMs < ViewFreshness.UNCONFIRMED_MS
             && senderViewAgeMs >= LEADERLESS_VIEW_AGE_MS
             && elapsedMs <= SENDER_VIEW_VALID_MS
             && ageMs - elapsedMs <= senderViewAgeMs + VIEW_AGE_TOLERANCE_MS;
-    boolean permitted = ready.getAsBoolean() && (ageMs <= MAX_VIEW_AGE_MS || equallyOld);
+    boolean permitted =
+        ready.getAsBoolean() && reaches.test(service) && (ageMs <= MAX_VIEW_AGE_MS || equallyOld);
     if (!permitted) {
       lastRefusalAtMs = clock.millis();
     }
--- a/src/main/java/org/ragwortpick/batch/StageCollector.java
+++ b/src/main/java/org/ragwortpick/batch/StageCollector.java
@@ -127,7 +127,8 @@
   public Runnable submit(StageWork work, long viewAgeMs, Consumer<SubmissionEnd> whenEnded) {
     Submission submission = new Submission(work, viewAgeMs, clock.millis(), whenEnded);
     Optional<BatchProfile> limits = profile.get();
-    List<Upstream> available = role.mayCollectFor(viewAgeMs, 0) ? upstreams.get() : List.of();
+    List<Upstream> available =
+        role.mayCollectFor(service, viewAgeMs, 0) ? upstreams.get() : List.of();
     if (limits.isEmpty() || available.stream().noneMatch(namedLimits::hasPart)) {
       LOG.infof(
           "request %s: stage %d refused, service %s has %s; the sender's view is %d ms old",
@@ -279,13 +280,13 @@
   /** Fails work that this VM may no longer collect; its senders try the next collector. */
   private void failUnpermittedWork(long nowMs) {
     queue
-        .removeIf(work -> !role.mayCollectFor(work.viewAgeMs(), work.waitedMs(nowMs)))
+        .removeIf(work -> !role.mayCollectFor(service, work.viewAgeMs(), work.waitedMs(nowMs)))
         .forEach(
             work ->
                 fail(
                     work,
                     SubmissionEnd.Cause.UNAVAILABLE,
-                    "collector leaving or its view too old"));
+                    "collector leaving, without a path to upstreams, or its view too old"));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCall.java
@@ -106,18 +106,22 @@
         .connect(
             request.address(),
             ioThread,
-            callback(
-                this::onConnected,
-                e -> end(new CallFailure.NotConnected(String.valueOf(e.getMessage())), true)));
+            callback(this::onConnected, e -> failToConnect(String.valueOf(e.getMessage()))));
   }
 
   private void onConnectTimeout() {
-    end(
-        new CallFailure.NotConnected("no connection was established within the connect timeout"),
-        true);
+    failToConnect("no connection was established within the connect timeout");
+  }
+
+  private void failToConnect(String cause) {
+    if (!ended) {
+      dependencies.observer().onNotConnected(request.address());
+    }
+    end(new CallFailure.NotConnected(cause), true);
   }
 
   private void onConnected(UpstreamConnection opened) {
+    dependencies.observer().onConnected(request.address());
     if (ended) {
       opened.close();
       return;
@@ -135,6 +139,7 @@
     progressAtMs = dependencies.clock().millis();
     sentAtMs = progressAtMs;
     checkTimeouts();
+    dependencies.observer().onRequestWritten(request.address());
     connection.receiveLimit().startHead(MAX_HEAD_BYTES);
     connection
         .client()
@@ -173,6 +178,7 @@
       return;
     }
     progressAtMs = dependencies.clock().millis();
+    dependencies.observer().onBytesReceived(request.address());
     connection.receiveLimit().permitBody(request.limits().maxBodyBytes());
     responseHeaders = exchange.getResponse().getResponseHeaders();
     if (BodyFraming.isUnsupported(responseHeaders)) {
@@ -233,6 +239,7 @@
         }
         buffer.flip();
         progressAtMs = dependencies.clock().millis();
+        dependencies.observer().onBytesReceived(request.address());
         body.record(buffer);
         if (!listener.onBytes(buffer)) {
           fail(CallFailure.Broken.Sign.UNUSABLE, "the listener rejected the response body");
@@ -326,11 +333,13 @@
    * @param connectTimeoutMs timeout in milliseconds for opening a connection
    * @param connector opens connections
    * @param pool pool of idle connections
+   * @param observer receives what calls show about network paths
    */
   record Dependencies(
       ByteBufferPool buffers,
       Clock clock,
       long connectTimeoutMs,
       UpstreamConnector connector,
-      ConnectionPool pool) {}
+      ConnectionPool pool,
+      PathObserver observer) {}
 }
--- a/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/HttpCallClient.java
@@ -2,6 +2,7 @@
 
 import io.undertow.connector.ByteBufferPool;
 import java.time.Clock;
+import org.ragwortpick.common.HostPort;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -12,7 +13,7 @@
   private final HttpCall.Dependencies dependencies;
 
   /**
-   * Creates an instance with an empty connection pool.
+   * Creates an instance with an empty connection pool, which observes no network paths.
    *
    * @param worker worker whose I/O threads run the calls
    * @param buffers pool of read buffers
@@ -29,6 +30,29 @@
       long connectTimeoutMs,
       long staleAfterMs,
       int maxIdle) {
+    this(worker, buffers, clock, connectTimeoutMs, staleAfterMs, maxIdle, PathObserver.NONE);
+  }
+
+  /**
+   * Creates an instance with an empty connection pool.
+   *
+   * @param worker worker whose I/O threads run the calls
+   * @param buffers pool of read buffers
+   * @param clock monotonic clock
+   * @param connectTimeoutMs timeout in milliseconds for opening a connection
+   * @param staleAfterMs time in milliseconds since its last progress after which a pooled
+   *     connection is not reused
+   * @param maxIdle largest number of idle connections to all upstreams
+   * @param observer receives what the calls show about network paths
+   */
+  public HttpCallClient(
+      XnioWorker worker,
+      ByteBufferPool buffers,
+      Clock clock,
+      long connectTimeoutMs,
+      long staleAfterMs,
+      int maxIdle,
+      PathObserver observer) {
     this.worker = worker;
     this.dependencies =
         new HttpCall.Dependencies(
@@ -36,7 +60,8 @@
             clock,
             connectTimeoutMs,
             new UpstreamConnector(buffers),
-            new ConnectionPool(clock, staleAfterMs, maxIdle));
+            new ConnectionPool(clock, staleAfterMs, maxIdle),
+            observer);
   }
 
   /**
@@ -81,6 +106,16 @@
     return new HttpCall(request, listener, thread, dependencies);
   }
 
+  /**
+   * Opens a connection to learn whether an upstream can be reached. The observer receives the
+   * result. Must be called on an I/O thread of the worker.
+   *
+   * @param address address of the upstream
+   */
+  public void probe(HostPort address) {
+    new ConnectionProbe(address, XnioIoThread.currentThread(), dependencies).start();
+  }
+
   @Override
   public void close() {
     dependencies.pool().close();
--- a/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
+++ b/src/main/java/org/ragwortpick/sync/VmLifeCycle.java
@@ -25,6 +25,7 @@
   private final Consumer<VmRecord> publisher;
   private volatile VmRecord record;
   private final long leavingMs;
+  private volatile boolean reachesUpstreams = true;
   private long leavingSinceMs;
 
   /**
@@ -108,7 +109,16 @@
     }
   }
 
-  /** Advances the state and publishes the load if its level has changed. */
+  /**
+   * Sets whether the VM reaches upstreams. A change is published with the next tick.
+   *
+   * @param reaches false if the VM is known to reach no upstream of any service
+   */
+  public void setReachesUpstreams(boolean reaches) {
+    reachesUpstreams = reaches;
+  }
+
+  /** Advances the state and publishes what else has changed. */
   public synchronized void tick() {
     if (state() == VmState.STARTING && view.isInForce()) {
       fire(CONFIGURATION_IN_FORCE);
@@ -121,7 +131,7 @@
       fire(DRAINED);
     }
     int level = LoadLevels.ofVm(requests);
-    if (level != record.load()) {
+    if (level != record.load() || reachesUpstreams != record.reachesUpstreams()) {
       publish(state(), level);
     }
   }
@@ -149,7 +159,8 @@
             state,
             load,
             record.control(),
-            record.processorPercent());
+            record.processorPercent(),
+            reachesUpstreams);
     publisher.accept(record);
   }
 }
--- a/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
+++ b/src/main/java/org/ragwortpick/sync/rpc/SyncCodec.java
@@ -131,6 +131,7 @@
         .setLoad(vm.load())
         .setControl(vm.control())
         .setProcessorPercent(vm.processorPercent())
+        .setUpstreamsUnreachable(!vm.reachesUpstreams())
         .build();
   }
 
@@ -251,7 +252,8 @@
             VmState.values()[message.getState()],
             message.getLoad(),
             message.getControl(),
-            message.getProcessorPercent()));
+            message.getProcessorPercent(),
+            !message.getUpstreamsUnreachable()));
   }
 
   /**
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -81,11 +81,6 @@
   private static final Logger LOG = Logger.getLogger(ForwardingEntry.class);
 
   private static final int BUFFER_SIZE_BYTES = 16 * 1024;
-  private static final long CONNECT_TIMEOUT_MS = 300;
-
-  /** Idle time after which a pooled connection to an upstream is not reused. */
-  private static final long MAX_CONNECTION_IDLE_MS = 8_000;
-
   private static final long EXPIRY_INTERVAL_MS = 5_000;
   private static final long OBSERVE_INTERVAL_MS = 500;
   private static final long CLOSE_TIMEOUT_MS = 500;
@@ -98,6 +93,7 @@
 
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_SIZE_BYTES);
   private final XnioWorker worker;
+  private final EntryRelays relays;
   private final HttpCallClient httpCallClient;
   private final SyncNode sync;
   private final EntryVms entryVms;
@@ -163,24 +159,18 @@
     this.ioThread = worker.getIoThread();
     this.timers = new IoThreadTimers(ioThread);
     this.descriptors = DescriptorBudget.of(role.maxFileDescriptors());
-    this.httpCallClient =
-        new HttpCallClient(
-            worker,
-            buffers,
-            clock,
-            CONNECT_TIMEOUT_MS,
-            MAX_CONNECTION_IDLE_MS,
-            descriptors.idleUpstreamConnections());
+    String vm = settings.peerAddress().toString();
+    this.relays = new EntryRelays(sync, this::configuredServices, worker, buffers, clock);
+    this.httpCallClient = relays.createUpstreamClient(descriptors.idleUpstreamConnections());
     this.estimates = new UpstreamEstimates(clock);
     this.invalidInput = new InvalidInputLog(clock);
     this.leaving = new LeavingUpstreams(clock);
     RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
     this.pauses = new RequestedPauses(clock, random);
-    this.limits = createLimits(settings.peerAddress().toString());
+    this.limits = createLimits(vm);
     this.notices = createNotices(protocol);
     SuspensionDetector suspensions = new SuspensionDetector(clock, Clock.systemUTC());
     this.freshness = new ViewFreshness(sync.configurationView(), suspensions, clock);
-    String vm = settings.peerAddress().toString();
     this.retryConstant =
         new SharedRetryConstant(
             role.retryConstant(),
@@ -189,8 +179,7 @@
             freshness::ageMs,
             suspensions::resumedAtMs,
             clock);
-    this.collectorRole =
-        new CollectorRole(vm, sync.vmDirectory()::vms, this::isInService, freshness::ageMs, clock);
+    this.collectorRole = createCollectorRole(vm);
     this.versions = createVersions(random, registry);
     this.versionsSeen =
         new VersionsSeen(this::configuredServices, sync::announced, freshness::ageMs, clock);
@@ -214,6 +203,16 @@
     this.readiness = createReadinessServer(role, protocol, registry);
   }
 
+  private CollectorRole createCollectorRole(String vm) {
+    return new CollectorRole(
+        vm,
+        sync.vmDirectory()::vms,
+        this::isInService,
+        relays.paths()::reaches,
+        freshness::ageMs,
+        clock);
+  }
+
   private VersionTraffic createVersions(RandomGenerator random, PrometheusRegistry registry) {
     VersionTraffic traffic =
         new VersionTraffic(
@@ -303,6 +302,7 @@
     gauges.registerCallers(responseMemory, httpCallClient, server);
     gauges.registerEstimates(estimates);
     gauges.registerOverloadControl(paths);
+    relays.registerMetrics(gauges);
   }
 
   private StageCollector createCollector(String service, HttpBatchTransport transport) {
@@ -412,12 +412,14 @@
     readDelay.start();
     server.start();
     readiness.start();
+    relays.start(ioThread, httpCallClient);
     ioThread.executeAtInterval(retryConstant::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     ioThread.executeAtInterval(versionsSeen::observe, OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     ioThread.executeAtInterval(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   private void expire() {
+    relays.paths().expire();
     estimates.expire();
     invalidInput.expire();
     leaving.expire();
--- a/src/test/java/org/ragwortpick/batch/CollectorPlacementTest.java
+++ b/src/test/java/org/ragwortpick/batch/CollectorPlacementTest.java
@@ -26,6 +26,21 @@
         peer.toString(), 1, 1, "dc", callers, peer, state, 0, !entry, processorPercent);
   }
 
+  @Test
+  public void vmThatReachesNoUpstreamCollectsOnlyIfNoneDoes() {
+    List<VmRecord> vms = new ArrayList<>();
+    for (int i = 1; i <= 9; i++) {
+      vms.add(vm(i, VmState.READY, true).withReach(i > 3));
+    }
+    for (int i = 0; i < 100; i++) {
+      List<VmRecord> order = CollectorPlacement.order("service-" + i, vms);
+      assertEquals(order.size(), 6);
+      assertTrue(order.stream().allMatch(VmRecord::reachesUpstreams));
+    }
+    List<VmRecord> partitioned = vms.stream().map(vm -> vm.withReach(false)).toList();
+    assertEquals(CollectorPlacement.order("service", partitioned).size(), 9);
+  }
+
   @Test
   public void losingVmMovesOnlyItsServices() {
     List<VmRecord> vms = new ArrayList<>();
--- a/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/LimitedStageUpstreamTest.java
@@ -51,7 +51,8 @@
             () -> Optional.of(RoutingFixture.batch(4, 100, 10, 1_000)),
             () -> List.of(UPSTREAM),
             () -> 1,
-            new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
+            new CollectorRole(
+                "vm", () -> List.of(vm), () -> true, any -> true, () -> 0, time.clock()),
             transport,
             new RequestedPauses(time.clock(), new SplittableRandom(1)),
             limits,
--- a/src/test/java/org/ragwortpick/batch/OverloadedCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/OverloadedCollectorTest.java
@@ -57,7 +57,8 @@
             () -> Optional.of(PROFILE),
             () -> upstreams,
             () -> 1,
-            new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
+            new CollectorRole(
+                "vm", () -> List.of(vm), () -> true, any -> true, () -> 0, time.clock()),
             transport,
             new RequestedPauses(time.clock(), new Random(1)),
             LimitsFixture.ofSingleVm(time.clock()),
--- a/src/test/java/org/ragwortpick/batch/PathLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/PathLoadTest.java
@@ -202,7 +202,8 @@
               () -> Optional.of(profile),
               () -> upstreams,
               () -> 1,
-              new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
+              new CollectorRole(
+                  "vm", () -> List.of(vm), () -> true, any -> true, () -> 0, time.clock()),
               service,
               new RequestedPauses(time.clock(), new Random(1)),
               LimitsFixture.ofSingleVm(time.clock()),
--- a/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
+++ b/src/test/java/org/ragwortpick/batch/PausedStageUpstreamTest.java
@@ -49,7 +49,8 @@
             () -> Optional.of(RoutingFixture.batch(4, 100, 10, 1_000)),
             () -> upstreams,
             () -> 1,
-            new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
+            new CollectorRole(
+                "vm", () -> List.of(vm), () -> true, any -> true, () -> 0, time.clock()),
             transport,
             pauses,
             LimitsFixture.ofSingleVm(time.clock()),
--- a/src/test/java/org/ragwortpick/batch/ResumedStreamLoadTest.java
+++ b/src/test/java/org/ragwortpick/batch/ResumedStreamLoadTest.java
@@ -93,7 +93,7 @@
         () -> Optional.of(PROFILE),
         () -> upstreams,
         () -> 1,
-        new CollectorRole("vm", () -> List.of(vm), () -> true, () -> 0, time.clock()),
+        new CollectorRole("vm", () -> List.of(vm), () -> true, any -> true, () -> 0, time.clock()),
         new SimulatedStageService(time, PROFILE, RESULT_BYTES),
         new RequestedPauses(time.clock(), new Random(1)),
         LimitsFixture.ofSingleVm(time.clock()),
--- a/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
+++ b/src/test/java/org/ragwortpick/batch/StageCollectorTest.java
@@ -60,7 +60,8 @@
               return upstreams;
             },
             () -> 1,
-            new CollectorRole("vm", () -> vms, () -> true, () -> viewAgeMs, time.clock()),
+            new CollectorRole(
+                "vm", () -> vms, () -> true, any -> true, () -> viewAgeMs, time.clock()),
             transport,
             new RequestedPauses(time.clock(), new Random(1)),
             LimitsFixture.ofSingleVm(time.clock()),
