Serve callers of a partitioned VM through another VM

Cause: an entry VM had no other way to an upstream than its own connections. It tried up to three upstreams, each refused or hung, and answered 503 or 502. The class of fault: a VM that can be reached is taken for one that can serve.

Change: a request whose service the VM does not reach, or for which no connection could be opened, goes through another VM that reaches upstreams, chosen as the less loaded of two at random. That VM serves it like one of its own callers; a header keeps it from being relayed again.

Why it works: callers keep the address of a VM for seconds, so only a detour serves them. 503 is said only if nothing was written to the other VM, or if it says so itself; what was written and lost is 502.

--- a/src/main/java/org/ragwortpick/forward/AttemptRequests.java
+++ b/src/main/java/org/ragwortpick/forward/AttemptRequests.java
@@ -3,12 +3,15 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import java.time.Clock;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.ragwortpick.entry.upstream.HttpRequest;
 import org.ragwortpick.entry.upstream.ResponseLimits;
 import org.ragwortpick.sync.Upstream;
+import org.ragwortpick.sync.VmRecord;
 
 /** Builds what is sent to upstreams for the attempts of one request. */
 final class AttemptRequests {
@@ -60,27 +63,59 @@
         permit);
   }
 
+  /**
+   * Builds the request of an attempt through another VM, which gets all that the caller sent.
+   *
+   * @param peer the other VM
+   * @param localVm name of the local VM
+   * @param permit asked immediately before the first byte is written
+   * @return the request
+   */
+  HttpRequest through(VmRecord peer, String localVm, BooleanSupplier permit) {
+    return new HttpRequest(
+        peer.callerAddress(),
+        request.method(),
+        request.target(),
+        () -> headersThrough(localVm),
+        request.body(),
+        false,
+        ResponseLimits.withoutTotalTimeout(atLeastOneMs() + DEADLINE_MARGIN_MS, MAX_RESPONSE_BYTES),
+        permit);
+  }
+
+  private HeaderMap headersThrough(String localVm) {
+    HeaderMap headers = copyHeaders(Set.of());
+    headers.put(names.deadlineMs(), atLeastOneMs());
+    headers.put(names.relayed(), localVm);
+    return headers;
+  }
+
   private long atLeastOneMs() {
     return Math.max(1, request.deadlineAtMs() - clock.millis());
   }
 
   private HeaderMap headersFor(Upstream upstream, List<String> inputs) {
+    HeaderMap headers = copyHeaders(names.reserved());
+    headers.put(names.deadlineMs(), atLeastOneMs());
+    headers.put(names.expectedUpstream(), upstream.id());
+    request.workspace().ifPresent(owner -> headers.put(names.workspace(), owner.name()));
+    if (!inputs.isEmpty()) {
+      headers.put(names.inputs(), String.join(",", inputs));
+    }
+    return headers;
+  }
+
+  private HeaderMap copyHeaders(Set<HttpString> excluded) {
     HeaderMap headers = new HeaderMap();
     for (HeaderValues values : request.headers()) {
       boolean forwarded =
-          !names.reserved().contains(values.getHeaderName())
+          !excluded.contains(values.getHeaderName())
               && !ResponseRelay.CONNECTION_HEADERS.contains(values.getHeaderName())
               && !values.getHeaderName().equals(Headers.CONTENT_LENGTH);
       if (forwarded) {
         headers.putAll(values.getHeaderName(), values);
       }
     }
-    headers.put(names.deadlineMs(), atLeastOneMs());
-    headers.put(names.expectedUpstream(), upstream.id());
-    request.workspace().ifPresent(owner -> headers.put(names.workspace(), owner.name()));
-    if (!inputs.isEmpty()) {
-      headers.put(names.inputs(), String.join(",", inputs));
-    }
     boolean hasLength = request.headers().contains(Headers.CONTENT_LENGTH);
     if (request.body().length > 0 || hasLength) {
       headers.put(Headers.CONTENT_LENGTH, request.body().length);
--- a/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardDependencies.java
@@ -37,6 +37,7 @@
  * @param responseTimes average response times by route
  * @param resultLocator locates results of stages
  * @param callClient sends calls to upstreams
+ * @param relays way through other VMs
  * @param retryBudgets retry budget of each service
  * @param timers timers on the I/O thread
  * @param clock monotonic clock
@@ -67,6 +68,7 @@
     ResponseTimes responseTimes,
     ResultLocator resultLocator,
     HttpCallClient callClient,
+    Relays relays,
     RetryBudgets retryBudgets,
     Timers timers,
     Clock clock,
--- a/src/main/java/org/ragwortpick/forward/ForwardRun.java
+++ b/src/main/java/org/ragwortpick/forward/ForwardRun.java
@@ -1,7 +1,6 @@
 package org.ragwortpick.forward;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -13,11 +12,10 @@
 import org.ragwortpick.policy.quarantine.HeldContent;
 import org.ragwortpick.policy.quarantine.RequestContent;
 import org.ragwortpick.routing.RoutingTable;
-import org.ragwortpick.routing.ServiceProfile;
 import org.ragwortpick.sync.Upstream;
 
 /** Forwards one request, from its body to the end of its response. Confined to the I/O thread. */
-final class ForwardRun implements AttemptListener {
+final class ForwardRun implements AttemptListener, RelayOwner {
 
   private final ForwardDependencies dependencies;
   private final HttpServerExchange exchange;
@@ -33,10 +31,11 @@
   private final RepeatPolicy repeatPolicy;
   private final AttemptRequests attemptRequests;
   private final RetryTimes retryTimes;
+  private final RelayRun relays;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final Timers.Timer deadline;
   private Optional<StageGraphRun> stages = Optional.empty();
-  private Optional<UpstreamAttempt> attempt = Optional.empty();
+  private Optional<Attempt> attempt = Optional.empty();
   private Optional<Runnable> errorResponse = Optional.empty();
   private List<String> inputs = List.of();
   private String upstreamId = "";
@@ -77,14 +76,7 @@
             dependencies.quarantine(),
             service,
             RequestContent.of(prefix.parts(), fingerprint::value));
-    this.streamVersion =
-        new StreamVersion(
-            request,
-            service,
-            TakeUp.of(request.headers(), dependencies.headers()),
-            dependencies.streamOrigins(),
-            dependencies.versionsSeen(),
-            dependencies.timers());
+    this.streamVersion = StreamVersion.of(request, service, dependencies);
     this.log =
         new RequestLog(
             request,
@@ -97,6 +89,8 @@
     this.attemptRequests =
         new AttemptRequests(request, dependencies.headers(), dependencies.clock());
     this.retryTimes = new RetryTimes(dependencies.chooser(), dependencies.clock());
+    this.relays =
+        new RelayRun(dependencies, request, service, attemptRequests, relay, memory, log, this);
     this.deadline =
         dependencies
             .timers()
@@ -114,6 +108,9 @@
       return;
     }
     dependencies.runsInFlight().add(this);
+    if (relays.startIfUnreachable()) {
+      return;
+    }
     dependencies.retryBudgets().of(service).recordFirstAttempt();
     if (refuseIfHeld()) {
       return;
@@ -155,15 +152,7 @@
   }
 
   private void startStages(RoutingTable table) {
-    HeaderMap headers = request.headers();
-    List<Integer> pieceCounts =
-        PieceCounts.parse(
-            headers.getFirst(dependencies.headers().pieceCount()), request.route().stages().size());
-    StageGraph graph =
-        StageGraph.of(
-            request.route(),
-            pieceCounts,
-            name -> table.service(name).flatMap(ServiceProfile::batching));
+    StageGraph graph = RequestStages.graph(request, dependencies.headers(), table);
     if (!graph.hasWork()) {
       startAttempt();
       return;
@@ -172,21 +161,9 @@
     if (refuseIfNoneIsFreeAfterStages()) {
       return;
     }
-    String key = headers.getFirst(dependencies.headers().pieceKey());
     pathMs = graph.minTotalMs() + dependencies.responseTimes().averageMs(request.route().name());
     StageGraphRun run =
-        new StageGraphRun(
-            request,
-            key == null ? "" : key,
-            graph,
-            streamVersion.isTakeUp(),
-            dependencies.responseTimes().averageMs(request.route().name()),
-            dependencies.chooser().likelyDataCentre(streamVersion.target(), prefix),
-            dependencies.resultLocator(),
-            dependencies.stages(),
-            dependencies.overloadControl().getAsBoolean(),
-            dependencies.clock()::millis,
-            this::onStagesEnded);
+        RequestStages.run(dependencies, request, graph, streamVersion, prefix, this::onStagesEnded);
     stages = Optional.of(run);
     run.start();
   }
@@ -281,6 +258,9 @@
   }
 
   private void refuseWithoutUpstream() {
+    if (relays.startIfNotConnected(repeatPolicy.mayHaveRun())) {
+      return;
+    }
     boolean limited = dependencies.chooser().limitIntervalMs(streamVersion.target()) > 0;
     refuse(
         Refusal.unavailable(
@@ -359,8 +339,35 @@
     }
   }
 
+  @Override
+  public void onRelaying() {
+    attempt = Optional.of(relays);
+    stages.ifPresent(StageGraphRun::abandon);
+  }
+
+  @Override
+  public boolean mayWriteRelayed() {
+    boolean permitted = !ended && remainingMs() > 0;
+    attemptWritten |= permitted;
+    return permitted;
+  }
+
+  @Override
+  public void onRelayEnded(String end) {
+    finish(end);
+  }
+
+  @Override
+  public void onRelayRefused(Refusal refusal, String reason) {
+    refuse(refusal, reason);
+  }
+
   @Override
   public void onFailed(AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.NOT_REACHED
+        && relays.startIfNotConnected(repeatPolicy.mayHaveRun())) {
+      return;
+    }
     switch (outcome) {
       case NOT_RUN, NOT_REACHED, NOT_PERMITTED ->
           refuse(
@@ -377,7 +384,7 @@
       return;
     }
     boolean responseStarted = isResponseStarted();
-    attempt.ifPresent(UpstreamAttempt::abort);
+    attempt.ifPresent(Attempt::abort);
     if (responseStarted) {
       finish("deadline_in_answer");
       relay.abort();
@@ -392,20 +399,20 @@
    * @return whether the response has started
    */
   boolean isResponseStarted() {
-    return attempt.filter(UpstreamAttempt::responseStarted).isPresent();
+    return attempt.filter(Attempt::responseStarted).isPresent();
   }
 
   /**
    * Answers the request because the process ends. Must not be called after its response started.
    */
   void onStop() {
-    attempt.ifPresent(UpstreamAttempt::abort);
+    attempt.ifPresent(Attempt::abort);
     refuse(attemptWritten ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING, "stopped");
   }
 
   /** Ends the request in the middle of its response because the process ends. */
   void cutOffAtStop() {
-    attempt.ifPresent(UpstreamAttempt::abort);
+    attempt.ifPresent(Attempt::abort);
     finish("stopped_in_answer");
     relay.abort();
   }
@@ -413,7 +420,7 @@
   /** Aborts the run when the caller has disconnected. */
   void onCallerDisconnected() {
     if (!ended) {
-      attempt.ifPresent(UpstreamAttempt::abort);
+      attempt.ifPresent(Attempt::abort);
       finish("caller_left");
     }
     exchange.endExchange();
--- a/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
+++ b/src/main/java/org/ragwortpick/forward/HttpBatchTransport.java
@@ -36,7 +36,6 @@
   private static final long RELEASE_TIMEOUT_MS = 1_000;
 
   private static final long MAX_RESPONSE_BYTES = 1024 * 1024;
-  private static final int MISDIRECTED_REQUEST = 421;
   private static final String RELEASE_KIND = "release";
   private static final PieceResult FAILED_PIECE =
       new PieceResult.NotProduced(PieceResult.Cause.FAILED);
@@ -171,7 +170,7 @@
     }
 
     final boolean isPauseOrNotRun() {
-      return notExecuted || requestsPause || status == MISDIRECTED_REQUEST;
+      return notExecuted || requestsPause || status == Refusal.MISDIRECTED_REQUEST;
     }
 
     final String upstreamId() {
@@ -236,7 +235,7 @@
     }
 
     private BatchOutcome outcome(HttpEnd end) {
-      if (end.nothingSent() || status() == MISDIRECTED_REQUEST) {
+      if (end.nothingSent() || status() == Refusal.MISDIRECTED_REQUEST) {
         return new BatchOutcome.NotReached();
       }
       if (isRefusal()) {
--- a/src/main/java/org/ragwortpick/forward/Refusal.java
+++ b/src/main/java/org/ragwortpick/forward/Refusal.java
@@ -14,6 +14,9 @@
  */
 record Refusal(int status, String error, String message, long retryAfterMs) {
 
+  /** Status of a request that was sent to the wrong place and has not run. */
+  static final int MISDIRECTED_REQUEST = 421;
+
   /**
    * Retry time of a VM whose configuration may be out of date: another VM takes the request, or
    * this one after its next poll.
@@ -96,6 +99,14 @@
           "this VM is cut off and may not know the versions of the upstreams; use another address",
           50);
 
+  /** Another VM relayed the request to one that does not reach the upstreams either. */
+  static final Refusal NOT_REACHED_HERE =
+      new Refusal(
+          MISDIRECTED_REQUEST,
+          "not_reached_here",
+          "this VM does not reach the upstreams of the request; relay it through another VM",
+          0);
+
   /** The deadline passed before the request was sent to an upstream. */
   static final Refusal DEADLINE_PASSED =
       new Refusal(
--- a/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
+++ b/src/main/java/org/ragwortpick/forward/RoutingHeaders.java
@@ -24,6 +24,7 @@
  * @param resumes id of the request that brought the first event of the stream that a request takes
  *     up
  * @param lastEventId id of the last event that the caller of a broken stream has received
+ * @param relayed name of the VM that relays the request; set by this system only
  * @param reserved headers of callers that are never forwarded
  */
 public record RoutingHeaders(
@@ -43,6 +44,7 @@
     HttpString inputs,
     HttpString resumes,
     HttpString lastEventId,
+    HttpString relayed,
     Set<HttpString> reserved) {
 
   /** Copies the names. */
--- a/src/main/java/org/ragwortpick/forward/StreamVersion.java
+++ b/src/main/java/org/ragwortpick/forward/StreamVersion.java
@@ -66,6 +66,24 @@
     this.timers = timers;
   }
 
+  /**
+   * Creates the version of a request that was not sent yet.
+   *
+   * @param request the request
+   * @param service service that runs it
+   * @param dependencies dependencies that all requests share
+   * @return the version, which is not determined
+   */
+  static StreamVersion of(CallerRequest request, String service, ForwardDependencies dependencies) {
+    return new StreamVersion(
+        request,
+        service,
+        TakeUp.of(request.headers(), dependencies.headers()),
+        dependencies.streamOrigins(),
+        dependencies.versionsSeen(),
+        dependencies.timers());
+  }
+
   /**
    * Determines the version that began the stream, if the request takes one up.
    *
--- a/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamAttempt.java
@@ -23,15 +23,13 @@
  * One attempt of a request at one upstream. A response that belongs to another request, or that
  * states that the request was not run, is never passed to the caller.
  */
-final class UpstreamAttempt implements HttpListener {
+final class UpstreamAttempt implements Attempt, HttpListener {
 
   private static final Logger LOG = Logger.getLogger(UpstreamAttempt.class);
 
   /** Maximum size of the body of a response that states that the request was not run. */
   private static final int MAX_REFUSAL_BYTES = 64 * 1024;
 
-  private static final int MISDIRECTED_REQUEST = 421;
-
   private final ForwardDependencies dependencies;
   private final CallerRequest request;
   private final Upstream upstream;
@@ -107,18 +105,14 @@
     sent = dependencies.versions().begin(upstream, request.route().name());
   }
 
-  /** Closes the connection to the upstream. The listener is not called any more. */
-  void abort() {
+  @Override
+  public void abort() {
     aborted = true;
     call.abort();
   }
 
-  /**
-   * Returns whether the head of the response was passed to the caller.
-   *
-   * @return whether the response has started
-   */
-  boolean responseStarted() {
+  @Override
+  public boolean responseStarted() {
     return relaying;
   }
 
@@ -127,7 +121,9 @@
     head = received;
     RoutingHeaders names = dependencies.headers();
     String echoed = head.headers().getFirst(names.requestId());
-    notRun = head.status() == MISDIRECTED_REQUEST || head.headers().contains(names.notExecuted());
+    notRun =
+        head.status() == Refusal.MISDIRECTED_REQUEST
+            || head.headers().contains(names.notExecuted());
     mismatched = echoed == null ? head.isSuccess() : !echoed.equals(request.id());
     if (!mismatched) {
       sent.onFirstByte();
--- a/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
+++ b/src/main/java/org/ragwortpick/forward/UpstreamNotices.java
@@ -18,7 +18,6 @@
 public final class UpstreamNotices {
 
   private static final Logger LOG = Logger.getLogger(UpstreamNotices.class);
-  private static final int MISDIRECTED_REQUEST = 421;
   private static final String IS_LEAVING = "1";
 
   private final RoutingHeaders names;
@@ -57,7 +56,7 @@
    * @param sentAtMs monotonic time in milliseconds at which the request was sent, or before it
    */
   void onHead(Upstream upstream, HttpHead head, long sentAtMs) {
-    if (head.status() == MISDIRECTED_REQUEST) {
+    if (head.status() == Refusal.MISDIRECTED_REQUEST) {
       // Another upstream has responded, which uses the address of the expected one.
       return;
     }
--- a/src/main/java/org/ragwortpick/sync/AddressResponses.java
+++ b/src/main/java/org/ragwortpick/sync/AddressResponses.java
@@ -44,8 +44,11 @@
     VmRecord self = local.get();
     boolean inForce = view.isInForce();
     List<HostPort> addresses =
-        vms.vms().stream()
-            .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
+        VmRecord.preferReaching(
+                vms.vms().stream()
+                    .filter(vm -> vm.state() == VmState.READY && vm.servesCallers())
+                    .toList())
+            .stream()
             .filter(vm -> view.current().takesWork(vm.dataCentre()))
             .filter(vm -> inForce || !vm.vm().equals(self.vm()))
             .sorted(
@@ -62,7 +65,8 @@
    * only upstreams are taken out of service. If there are more VMs than the limit, each caller gets
    * a selection of its own, so that every VM is named to some callers, and one that changes little
    * with the VMs, so that callers keep their connections. Where the processors of the VMs differ, a
-   * VM is named to callers in proportion to its processor.
+   * VM is named to callers in proportion to its processor. VMs that reach no upstream are left out
+   * while others remain.
    *
    * @param caller name or address of the caller
    * @param limit largest number of addresses
@@ -71,7 +75,8 @@
   public List<HostPort> anyReady(String caller, int limit) {
     List<VmRecord> all = vms.vms();
     List<VmRecord> ready =
-        all.stream().filter(vm -> vm.state() == VmState.READY && vm.servesCallers()).toList();
+        VmRecord.preferReaching(
+            all.stream().filter(vm -> vm.state() == VmState.READY && vm.servesCallers()).toList());
     VmCapacities capacities = new VmCapacities(ready, all);
     List<VmRecord> selected =
         capacities.areEqual()
--- a/src/main/java/org/ragwortpick/vm/EntryRelays.java
+++ b/src/main/java/org/ragwortpick/vm/EntryRelays.java
@@ -3,16 +3,23 @@
 import io.undertow.connector.ByteBufferPool;
 import java.time.Clock;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.ragwortpick.entry.upstream.HttpCallClient;
+import org.ragwortpick.entry.upstream.PathObserver;
+import org.ragwortpick.forward.RelayPeers;
+import org.ragwortpick.forward.Relays;
 import org.ragwortpick.forward.UpstreamPaths;
 import org.ragwortpick.sync.rpc.SyncNode;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
-/** Lets an entry VM notice that it is partitioned from upstreams, and tell the other VMs. */
-final class EntryRelays {
+/**
+ * Lets an entry VM notice that it is partitioned from upstreams, tell the other VMs, and serve its
+ * callers through them.
+ */
+final class EntryRelays implements AutoCloseable {
 
   /** Timeout of a connection, and interval of probes, which must not overlap. */
   private static final long CONNECT_TIMEOUT_MS = 300;
@@ -20,17 +27,23 @@
   /** Idle time after which a pooled connection is not reused. */
   private static final long MAX_CONNECTION_IDLE_MS = 8_000;
 
+  /** Idle connections to other VMs; a partition ends, and there are few VMs beside upstreams. */
+  private static final int MAX_IDLE_CONNECTIONS = 64;
+
   private final SyncNode sync;
   private final XnioWorker worker;
   private final ByteBufferPool buffers;
   private final Clock clock;
   private final UpstreamPaths paths;
+  private final HttpCallClient peerClient;
+  private final Relays relays;
 
   /**
    * Creates an instance that does not probe yet.
    *
    * @param sync sync module of the process
    * @param services names of the configured services
+   * @param vm name of the local VM
    * @param worker worker of the process
    * @param buffers pool of read buffers
    * @param clock monotonic clock
@@ -38,6 +51,7 @@
   EntryRelays(
       SyncNode sync,
       Supplier<Set<String>> services,
+      String vm,
       XnioWorker worker,
       ByteBufferPool buffers,
       Clock clock) {
@@ -46,6 +60,9 @@
     this.buffers = buffers;
     this.clock = clock;
     this.paths = new UpstreamPaths(sync::announced, services, clock);
+    this.peerClient = createClient(MAX_IDLE_CONNECTIONS, PathObserver.NONE);
+    RelayPeers peers = new RelayPeers(vm, sync.vmDirectory()::vms, new SplittableRandom());
+    this.relays = new Relays(paths, peers, peerClient, clock);
   }
 
   /**
@@ -55,8 +72,12 @@
    * @return the client, closed by the caller
    */
   HttpCallClient createUpstreamClient(int maxIdle) {
+    return createClient(maxIdle, paths);
+  }
+
+  private HttpCallClient createClient(int maxIdle, PathObserver observer) {
     return new HttpCallClient(
-        worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, maxIdle, paths);
+        worker, buffers, clock, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, maxIdle, observer);
   }
 
   /**
@@ -68,6 +89,15 @@
     return paths;
   }
 
+  /**
+   * Returns the way through other VMs.
+   *
+   * @return the relays
+   */
+  Relays relays() {
+    return relays;
+  }
+
   /**
    * Starts to probe paths that are suspected to be cut.
    *
@@ -95,4 +125,9 @@
         "1 unless this VM is known to reach no upstream of any service",
         () -> paths.reachesAny() ? 1 : 0);
   }
+
+  @Override
+  public void close() {
+    peerClient.close();
+  }
 }
--- a/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
+++ b/src/main/java/org/ragwortpick/vm/ForwardingEntry.java
@@ -160,7 +160,7 @@
     this.timers = new IoThreadTimers(ioThread);
     this.descriptors = DescriptorBudget.of(role.maxFileDescriptors());
     String vm = settings.peerAddress().toString();
-    this.relays = new EntryRelays(sync, this::configuredServices, worker, buffers, clock);
+    this.relays = new EntryRelays(sync, this::configuredServices, vm, worker, buffers, clock);
     this.httpCallClient = relays.createUpstreamClient(descriptors.idleUpstreamConnections());
     this.estimates = new UpstreamEstimates(clock);
     this.invalidInput = new InvalidInputLog(clock);
@@ -347,6 +347,7 @@
         new ResponseTimes(),
         new ResultLocator(sync::announced),
         httpCallClient,
+        relays.relays(),
         new ServiceRetryBudgets(clock, role.retryRatioPercent(), retryConstant),
         timers,
         clock,
@@ -433,6 +434,7 @@
     server.stop();
     readiness.stop();
     httpCallClient.close();
+    relays.close();
     worker.shutdown();
     try {
       worker.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
+++ b/src/test/java/org/ragwortpick/forward/ForwardTestServer.java
@@ -3,7 +3,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.util.HttpString;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -46,6 +45,7 @@
 import org.ragwortpick.rollout.TrafficFixture;
 import org.ragwortpick.sync.ConfigurationView;
 import org.ragwortpick.sync.TestUpstreams;
+import org.ragwortpick.sync.VmRecord;
 import org.ragwortpick.sync.directory.SoftTable;
 import org.ragwortpick.sync.directory.SyncedCrashEvidence;
 import org.xnio.OptionMap;
@@ -59,29 +59,7 @@
  */
 final class ForwardTestServer implements AutoCloseable {
 
-  static final RoutingHeaders HEADERS =
-      new RoutingHeaders(
-          HttpString.tryFromString("Request-Id"),
-          HttpString.tryFromString("Time-Left-Ms"),
-          HttpString.tryFromString("Access-Code"),
-          HttpString.tryFromString("Workspace"),
-          HttpString.tryFromString("Expected-Upstream"),
-          HttpString.tryFromString("Untouched"),
-          HttpString.tryFromString("Work-Load"),
-          HttpString.tryFromString("Going-Away"),
-          HttpString.tryFromString("Takes-Per-Second"),
-          HttpString.tryFromString("Prefixes"),
-          HttpString.tryFromString("Tokens"),
-          HttpString.tryFromString("Parts"),
-          HttpString.tryFromString("Part-Seed"),
-          HttpString.tryFromString("Results"),
-          HttpString.tryFromString("Continues"),
-          HttpString.tryFromString("Last-Seen-Event"),
-          Set.of(
-              HttpString.tryFromString("Access-Code"),
-              HttpString.tryFromString("Workspace"),
-              HttpString.tryFromString("Time-Left-Ms"),
-              HttpString.tryFromString("Internal")));
+  static final RoutingHeaders HEADERS = TestHeaders.NAMES;
 
   /** Duration of a call for the stage of the staged route. */
   static final double STAGE_MS = 100;
@@ -99,12 +77,15 @@
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
   private final XnioWorker worker;
   private final HttpCallClient callClient;
+  private final HttpCallClient peerClient;
+  private final UpstreamPaths paths;
   private final RequestedPauses pauses;
   private final EntryServer server;
   private final HttpClient client = HttpClient.newHttpClient();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicInteger submissions = new AtomicInteger();
   private final AtomicInteger abandonments = new AtomicInteger();
+  private volatile List<VmRecord> peers = List.of();
   private volatile int senderRank;
   private volatile boolean accepting = true;
   private volatile long remainingMs = Long.MAX_VALUE;
@@ -122,7 +103,9 @@
     confirmedAtMs = clock::millis;
     OptionMap options = OptionMap.create(Options.WORKER_IO_THREADS, 1);
     worker = Xnio.getInstance().createWorker(options);
-    callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000, 9);
+    paths = new UpstreamPaths(upstreams::of, () -> Set.of("s1"), clock);
+    callClient = new HttpCallClient(worker, buffers, clock, 300, 5_000, 9, paths);
+    peerClient = new HttpCallClient(worker, buffers, clock, 300, 5_000, 9);
     UpstreamEstimates estimates = new UpstreamEstimates(clock);
     InvalidInputLog invalidInput = new InvalidInputLog(clock);
     LeavingUpstreams leaving = new LeavingUpstreams(clock);
@@ -157,6 +140,7 @@
                     new ResponseTimes(),
                     new ResultLocator(service -> List.of()),
                     callClient,
+                    new Relays(paths, new RelayPeers("vm", () -> peers, random), peerClient, clock),
                     service -> budget,
                     new IoThreadTimers(worker.getIoThread()),
                     clock,
@@ -238,6 +222,11 @@
     }
   }
 
+  /** Lets the server relay requests to addresses of callers. */
+  void setPeers(HostPort... addresses) {
+    peers = TestPeers.ready(addresses);
+  }
+
   /** Sets the rank of the server among the VMs that may send to a limited upstream. */
   void setSenderRank(int rank) {
     senderRank = rank;
@@ -407,6 +396,7 @@
   public void close() {
     server.stop();
     callClient.close();
+    peerClient.close();
     worker.shutdownNow();
   }
 
--- a/src/test/java/org/ragwortpick/sync/WeightedAddressesTest.java
+++ b/src/test/java/org/ragwortpick/sync/WeightedAddressesTest.java
@@ -63,6 +63,18 @@
     }
   }
 
+  /** Callers that ask anew would otherwise be sent to VMs that cannot serve them directly. */
+  @Test
+  public void vmsThatReachNoUpstreamAreNotNamedWhileOthersAre() {
+    List<VmRecord> vms = new ArrayList<>(vms(9, i -> 30));
+    for (int i = 0; i < 3; i++) {
+      vms.set(i, vms.get(i).withReach(false));
+    }
+    assertEquals(addresses(vms, 1).size(), 6);
+    vms.replaceAll(vm -> vm.withReach(false));
+    assertEquals(addresses(vms, 1).size(), 9);
+  }
+
   @Test
   public void enoughVmsAreNamedBesideOneLargeVm() {
     List<VmRecord> vms = vms(9, i -> i == 0 ? 1_600 : 30);
