Send the first call of PeerSenderTest until one arrives

The set-up sent one message and waited 10 s for it. The protocol sends again what is needed, and so does the set-up now. The check is as strict: the large entry must arrive within 2 s.

--- a/src/test/java/org/ragwortpick/consensus/transport/PeerSenderTest.java
+++ b/src/test/java/org/ragwortpick/consensus/transport/PeerSenderTest.java
@@ -1,18 +1,19 @@
 package org.ragwortpick.consensus.transport;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
 import io.grpc.Server;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.ragwortpick.common.MonotonicClock;
 import org.ragwortpick.consensus.raft.Envelope;
 import org.ragwortpick.consensus.raft.LogEntry;
 import org.ragwortpick.consensus.raft.Message;
@@ -40,8 +41,12 @@
 
   private static final int ROUTES = 8_400;
   private static final long ARRIVAL_TIMEOUT_MS = 2_000;
-  private static final long FIRST_CALL_TIMEOUT_MS = 10_000;
+  private static final int MAX_FIRST_CALLS = 20;
 
+  /** Longer than a call lasts, after which its messages are lost. */
+  private static final long FIRST_CALL_MS = 500;
+
+  private final Clock clock = new MonotonicClock();
   private final BlockingQueue<ConsensusBatch> received = new LinkedBlockingQueue<>();
   private Server server;
   private SlowLink link;
@@ -59,9 +64,17 @@
     link = new SlowLink(server.getPort(), LINK_BYTES_PER_SECOND);
     channels = new PeerChannels();
     sender = new PeerSender("config", "cluster", () -> "lineage", link.address(), channels);
-    // The first call of a process opens the connection and loads classes.
-    sender.send(List.of(append(new byte[0])));
-    assertNotNull(received.poll(FIRST_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS), "no first call");
+    assertTrue(isReached(), "no first call");
+  }
+
+  /** The first calls of a process open the connection and load classes, and may be lost. */
+  private boolean isReached() throws InterruptedException {
+    ConsensusBatch first = null;
+    for (int i = 0; i < MAX_FIRST_CALLS && first == null; i++) {
+      sender.send(List.of(append(new byte[0])));
+      first = received.poll(FIRST_CALL_MS, TimeUnit.MILLISECONDS);
+    }
+    return first != null;
   }
 
   @AfterMethod(alwaysRun = true)
@@ -82,9 +95,13 @@
     RoutingConfiguration configuration = RoutingFixture.configuration(1, routes);
     ConsensusMessage message = append(configuration.encode().getBytes(StandardCharsets.UTF_8));
     sender.send(List.of(message));
-    ConsensusBatch batch = received.poll(ARRIVAL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-    assertNotNull(batch, "no call with " + message.getSerializedSize() + " bytes arrived");
-    assertEquals(batch.getMessages(0), message);
+    long endMs = clock.millis() + ARRIVAL_TIMEOUT_MS;
+    boolean arrived = false;
+    while (!arrived && clock.millis() < endMs) {
+      ConsensusBatch batch = received.poll(endMs - clock.millis(), TimeUnit.MILLISECONDS);
+      arrived = batch != null && batch.getMessagesList().contains(message);
+    }
+    assertTrue(arrived, "no call with " + message.getSerializedSize() + " bytes arrived");
   }
 
   private static ConsensusMessage append(byte[] data) {
