--- a/src/main/java/org/ragwortpick/entry/upstream/PathObserver.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/PathObserver.java
@@ -6,54 +6,33 @@
 public interface PathObserver {
 
   /** Ignores all events. */
-  PathObserver NONE =
-      new PathObserver() {
-        @Override
-        public void onConnected(HostPort address) {
-          // ignored
-        }
-
-        @Override
-        public void onNotConnected(HostPort address) {
-          // ignored
-        }
-
-        @Override
-        public void onRequestWritten(HostPort address) {
-          // ignored
-        }
-
-        @Override
-        public void onBytesReceived(HostPort address) {
-          // ignored
-        }
-      };
+  PathObserver NONE = new PathObserver() {};
 
   /**
    * Called when a connection was established.
    *
    * @param address address of the upstream
    */
-  void onConnected(HostPort address);
+  default void onConnected(HostPort address) {}
 
   /**
    * Called when a connection was refused or not established within the connect timeout.
    *
    * @param address address of the upstream
    */
-  void onNotConnected(HostPort address);
+  default void onNotConnected(HostPort address) {}
 
   /**
    * Called before the first byte of a request is written.
    *
    * @param address address of the upstream
    */
-  void onRequestWritten(HostPort address);
+  default void onRequestWritten(HostPort address) {}
 
   /**
    * Called when bytes of a response have arrived.
    *
    * @param address address of the upstream
    */
-  void onBytesReceived(HostPort address);
+  default void onBytesReceived(HostPort address) {}
 }
