Close the socket of a call that is aborted before its response

Cause: the connection of an aborted call was closed at the HTTP client alone, which counts as closed from then on but leaves the socket open while the response to a request in progress is awaited.

Evidence: after the close the client reported no open connection, without an exception; the sockets were still established on both sides, and the upstream read no end for as long as the test waited (2.5 s), for four kinds of routes. Closing the stream connection beneath as well ended its read after 120 ms.

Change: an upstream connection knows its socket and closes both.

--- a/src/main/java/org/ragwortpick/entry/upstream/UpstreamConnector.java
+++ b/src/main/java/org/ragwortpick/entry/upstream/UpstreamConnector.java
@@ -46,12 +46,13 @@
   void connect(
       HostPort address, XnioIoThread ioThread, ClientCallback<UpstreamConnection> callback) {
     ReceiveLimit limit = new ReceiveLimit();
+    LimitingIoThread limiting = new LimitingIoThread(ioThread, limit);
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<>() {
               @Override
               public void completed(ClientConnection opened) {
-                callback.completed(new UpstreamConnection(opened, limit));
+                callback.completed(new UpstreamConnection(opened, limiting.socket, limit));
               }
 
               @Override
@@ -60,19 +61,20 @@
               }
             },
             URI.create("http://" + address),
-            new LimitingIoThread(ioThread, limit),
+            limiting,
             buffers,
             CONNECTION_OPTIONS);
   }
 
   /**
-   * Stand-in for an I/O thread that installs the limit on each connection it opens. It is never
+   * Stand-in for an I/O thread that installs the limit on the connection it opens. It is never
    * started as a thread; all tasks run on the real I/O thread.
    */
   private static final class LimitingIoThread extends XnioIoThread {
 
     private final XnioIoThread ioThread;
     private final ReceiveLimit limit;
+    private StreamConnection socket;
 
     private LimitingIoThread(XnioIoThread ioThread, ReceiveLimit limit) {
       super(ioThread.getWorker(), ioThread.getNumber());
@@ -88,6 +90,7 @@
       return ioThread.openStreamConnection(
           destination,
           connection -> {
+            socket = connection;
             var source = connection.getSourceChannel();
             source.setConduit(new LimitedSourceConduit(source.getConduit(), limit));
             ChannelListeners.invokeChannelListener(connection, openListener);
--- a/src/test/java/org/ragwortpick/forward/PartitionedVmTest.java
+++ b/src/test/java/org/ragwortpick/forward/PartitionedVmTest.java
@@ -1,6 +1,7 @@
 package org.ragwortpick.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetAddress;
@@ -10,7 +11,9 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.ragwortpick.common.HostPort;
 import org.ragwortpick.entry.http.RawUpstream;
 import org.testng.annotations.AfterMethod;
@@ -155,4 +158,33 @@
     assertTrue(response.headers().firstValue("Retry-After").isPresent());
     assertEquals(upstream.workRequests(), 0);
   }
+
+  @Test
+  public void workEndsBehindBothVmsWhenTheCallerLeaves() throws Exception {
+    announce(server(), REFUSING);
+    try (AbandonedRequest abandoned = AbandonedRequest.sentTo(server().address(), "/stream/x")) {
+      announce(connected, abandoned.upstream());
+      abandoned.assertWorkEndsAfterCaller();
+    }
+  }
+
+  @Test
+  public void relayedRequestGetsTheTimeThatIsLeft() throws Exception {
+    announce(server(), REFUSING);
+    AtomicReference<Map<String, String>> seen = new AtomicReference<>(Map.of());
+    RawUpstream recording =
+        open(
+            new RawUpstream(
+                (c, r, headers) -> {
+                  seen.set(headers);
+                  return RawUpstream.response(headers, "", "done");
+                }));
+    announce(connected, recording.address());
+    assertEquals(server().post("/safe/x", "r1").statusCode(), 200);
+    assertTrue(
+        Long.parseLong(seen.get().get("time-left-ms")) <= ForwardTestServer.REQUEST_TIMEOUT_MS);
+    assertEquals(seen.get().get("workspace"), "w1");
+    assertFalse(seen.get().containsKey("access-code"));
+    assertFalse(seen.get().containsKey("relayed-by"));
+  }
 }
